--- /dev/null
+++ b/Makefile
@@ -0,0 +1,54 @@
+# Set VENV to use an environment that exists already.
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+PACKAGES := core wire router cli standins bench
+SOURCES := $(foreach p,$(PACKAGES),packages/citrondock-$(p)/src)
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(foreach s,$(SOURCES),$(CURDIR)/$(s)))
+export PYTHONDONTWRITEBYTECODE := 1
+
+.PHONY: setup demo test lint format bench experiment capacity known-red thrift
+
+setup: $(VENV)/.citrondock-ready
+
+$(VENV)/.citrondock-ready: constraints.txt requirements.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet -c constraints.txt -r requirements.txt
+	$(BIN)/python -m pip install --quiet --no-build-isolation --no-deps \
+		$(foreach p,$(PACKAGES),-e packages/citrondock-$(p))
+	touch $@
+
+demo: setup
+	$(BIN)/python -m citrondock_bench.demo
+
+test: setup
+	$(BIN)/python -m pytest tests $(shell tools/known-red)
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy $(SOURCES)
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+bench: setup
+	$(BIN)/python -m citrondock_bench.bench
+
+experiment: setup
+	$(BIN)/python -m citrondock_bench.experiment
+
+capacity: setup
+	$(BIN)/python -m citrondock_bench.capacity
+
+known-red:
+	@tools/known-red --list
+
+# The generated code is committed; this target is for whoever edits the definition.
+thrift:
+	thrift --gen py -out packages/citrondock-wire/src/citrondock_wire/gen \
+		packages/citrondock-wire/peer.thrift
+	rm -f packages/citrondock-wire/src/citrondock_wire/gen/*/*-remote
--- /dev/null
+++ b/packages/citrondock-bench/src/citrondock_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, experiment and capacity tools, and the demo fleet."""
--- /dev/null
+++ b/packages/citrondock-cli/src/citrondock_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator command line."""
--- /dev/null
+++ b/packages/citrondock-router/src/citrondock_router/__init__.py
@@ -0,0 +1,1 @@
+"""The router process."""
--- /dev/null
+++ b/packages/citrondock-standins/src/citrondock_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform and of targets."""
--- /dev/null
+++ b/packages/citrondock-wire/src/citrondock_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to peers, the platform and targets."""
