Read JSON with comments into located values and structure them

Cause: settings and configuration texts need every fault at once, each with file, line, column and remedy, and comments have to be allowed. Change: located_json reads a text through tree-sitter-json into values that know their place; structuring builds nested attrs classes from them and collects typed faults; faults holds the fault types and the SettingsError group. Conclusion: settings and the configuration text can build on it.

--- a/packages/citrondock-core/src/citrondock_core/__init__.py
+++ b/packages/citrondock-core/src/citrondock_core/__init__.py
@@ -1,1 +1,1 @@
-"""Aggregates of the The router process fleet, with no I/O and no clock of their own."""
+"""Aggregates of the router fleet, with no I/O and no clock of their own."""
--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/structuring.py
@@ -0,0 +1,283 @@
+"""Builds attrs classes from located JSON and finds every fault on the way."""
+
+import difflib
+import enum
+import types
+import typing
+from collections.abc import Callable, Mapping
+from typing import Any, TypeVar
+
+import attrs
+
+from citrondock_core.faults import (
+    Fault,
+    ImpossibleValueFault,
+    MissingFileFault,
+    MissingKeyFault,
+    UnknownKeyFault,
+    WrongTypeFault,
+    raise_faults,
+)
+from citrondock_core.located_json import LocatedValue, Member, ValueKind
+
+NAME_FIELD = "name"
+
+T = TypeVar("T")
+StringReaders = Mapping[type, Callable[[str], Any]]
+
+_PLAIN_KINDS = {
+    str: ValueKind.STRING,
+    bool: ValueKind.BOOLEAN,
+    int: ValueKind.NUMBER,
+    float: ValueKind.NUMBER,
+}
+
+
+@attrs.frozen
+class Structured:
+    """What could be built of a document.
+
+    Parameters
+    ----------
+    value : object or None
+        Built with the defaults in place of faulty fields, so that checks across
+        fields can go on; None when a required part is faulty.
+    faults : list of Fault
+        What has to be changed.
+    """
+
+    value: Any
+    faults: list[Fault]
+
+
+def structure(
+    document: LocatedValue, cls: type[T], *, readers: StringReaders | None = None
+) -> T:
+    """Build ``cls`` from a document.
+
+    Parameters
+    ----------
+    document : LocatedValue
+        Root of the text.
+    cls : type
+        An attrs class. Its fields may be plain types, enums, attrs classes,
+        optionals, ``tuple[X, ...]`` and ``Mapping[str, X]``; in a mapping of attrs
+        classes with a field ``name``, the key is the name.
+    readers : mapping of type to callable, optional
+        Types that stand in the text as strings. A reader raises ValueError.
+
+    Raises
+    ------
+    SettingsError
+        All faults of the document at once.
+    """
+    built = structure_leniently(document, cls, readers=readers)
+    raise_faults(built.faults, file=document.location.file)
+    return typing.cast(T, built.value)
+
+
+def structure_leniently(
+    document: LocatedValue, cls: type, *, readers: StringReaders | None = None
+) -> Structured:
+    """Build as much of ``cls`` as the document allows, and list its faults."""
+    builder = _Builder(readers or {})
+    value = builder.build(document, cls, "")
+    return Structured(None if value is _FAULTY else value, builder.faults)
+
+
+def closest_name(name: str, known: list[str]) -> str:
+    """Return a remedy that offers the known name closest to ``name``."""
+    matches = difflib.get_close_matches(name, known, n=1)
+    if matches:
+        return f"did you mean {matches[0]!r}?"
+    return f"use one of {', '.join(sorted(known)) or 'none'}"
+
+
+_FAULTY = object()
+
+
+class _Builder:
+    def __init__(self, readers: StringReaders) -> None:
+        self.faults: list[Fault] = []
+        self._readers = readers
+
+    def build(self, value: LocatedValue, kind: Any, path: str) -> Any:
+        origin = typing.get_origin(kind)
+        if origin in (types.UnionType, typing.Union):
+            return self._optional(value, kind, path)
+        if origin is tuple:
+            return self._tuple(value, typing.get_args(kind)[0], path)
+        if origin is not None:
+            return self._mapping(value, typing.get_args(kind)[1], path)
+        if kind in self._readers:
+            return self._read_string(value, kind, path)
+        if attrs.has(kind):
+            return self._object(value, kind, path, {})
+        if issubclass(kind, enum.Enum):
+            return self._enum(value, kind, path)
+        return self._plain(value, kind, path)
+
+    def _fault(
+        self, cls: type[Fault], at: LocatedValue | Member, path: str, *texts: str
+    ) -> Any:
+        reason, remedy = texts
+        fault = cls(reason, location=at.location, path=path, remedy=remedy)
+        self.faults.append(fault)
+        return _FAULTY
+
+    def _wrong_type(self, value: LocatedValue, path: str, wanted: str) -> Any:
+        reason = f"is {value.kind.value}"
+        return self._fault(WrongTypeFault, value, path, reason, f"write {wanted}")
+
+    def _optional(self, value: LocatedValue, kind: Any, path: str) -> Any:
+        if value.kind is ValueKind.NULL:
+            return None
+        inner = next(arg for arg in typing.get_args(kind) if arg is not type(None))
+        return self.build(value, inner, path)
+
+    def _tuple(self, value: LocatedValue, item_kind: Any, path: str) -> Any:
+        if value.kind is not ValueKind.ARRAY:
+            return self._wrong_type(value, path, ValueKind.ARRAY.value)
+        items = (
+            self.build(item, item_kind, f"{path}[{index}]")
+            for index, item in enumerate(value.items)
+        )
+        return tuple(item for item in items if item is not _FAULTY)
+
+    def _mapping(self, value: LocatedValue, item_kind: Any, path: str) -> Any:
+        if value.kind is not ValueKind.OBJECT:
+            return self._wrong_type(value, path, ValueKind.OBJECT.value)
+        built = {}
+        for member in value.members:
+            item = self._named(member, item_kind, _joined(path, member.key))
+            if item is not _FAULTY:
+                built[member.key] = item
+        return built
+
+    def _named(self, member: Member, kind: Any, path: str) -> Any:
+        if not attrs.has(kind) or NAME_FIELD not in attrs.fields_dict(kind):
+            return self.build(member.value, kind, path)
+        if not member.key.strip():
+            remedy = "give it a name"
+            self._fault(ImpossibleValueFault, member, path, "has no name", remedy)
+        return self._object(member.value, kind, path, {NAME_FIELD: member.key})
+
+    def _object(
+        self, value: LocatedValue, cls: type, path: str, given: dict[str, Any]
+    ) -> Any:
+        if value.kind is not ValueKind.OBJECT:
+            return self._wrong_type(value, path, ValueKind.OBJECT.value)
+        attrs.resolve_types(cls)
+        fields = {f.name: f for f in attrs.fields(cls) if f.name not in given}
+        self._unknown_keys(value, fields, path)
+        arguments = dict(given)
+        faulty = False
+        for name, field in fields.items():
+            built = self._field(value, field, _joined(path, name))
+            if built is not _FAULTY:
+                arguments[name] = built
+            elif field.default is attrs.NOTHING:
+                faulty = True
+        if faulty:
+            return _FAULTY
+        return self._construct(value, cls, arguments, path)
+
+    def _construct(
+        self, value: LocatedValue, cls: type, arguments: dict[str, Any], path: str
+    ) -> Any:
+        try:
+            return cls(**arguments)
+        except ValueError as error:
+            return self._fault(
+                ImpossibleValueFault, value, path, *_reason_and_remedy(error)
+            )
+
+    def _unknown_keys(
+        self, value: LocatedValue, fields: Mapping[str, Any], path: str
+    ) -> None:
+        for member in value.members:
+            if member.key not in fields:
+                self._fault(
+                    UnknownKeyFault,
+                    member,
+                    _joined(path, member.key),
+                    "is not a known key",
+                    closest_name(member.key, list(fields)),
+                )
+
+    def _field(self, value: LocatedValue, field: Any, path: str) -> Any:
+        child = value.get(field.name)
+        if child is None:
+            return self._absent(value, field, path)
+        built = self.build(child, field.type, path)
+        if built is _FAULTY or field.validator is None:
+            return built
+        return self._validated(child, field, built, path)
+
+    def _absent(self, value: LocatedValue, field: Any, path: str) -> Any:
+        if field.default is attrs.NOTHING:
+            return self._fault(
+                MissingKeyFault, value, path, "is missing", f"add {field.name!r} here"
+            )
+        if isinstance(field.default, attrs.Factory):  # type: ignore[arg-type]
+            empty = LocatedValue(ValueKind.OBJECT, value.location)
+            if attrs.has(field.type):
+                return self._object(empty, field.type, path, {})
+            return field.default.factory()
+        return field.default
+
+    def _validated(self, child: LocatedValue, field: Any, built: Any, path: str) -> Any:
+        try:
+            field.validator(None, field, built)
+        except FileNotFoundError as error:
+            return self._fault(
+                MissingFileFault, child, path, str(error), "create it or fix the path"
+            )
+        except ValueError as error:
+            return self._fault(
+                ImpossibleValueFault, child, path, *_reason_and_remedy(error)
+            )
+        return built
+
+    def _read_string(self, value: LocatedValue, kind: type, path: str) -> Any:
+        if value.kind is not ValueKind.STRING:
+            return self._wrong_type(value, path, ValueKind.STRING.value)
+        try:
+            return self._readers[kind](str(value.scalar))
+        except ValueError as error:
+            return self._fault(
+                ImpossibleValueFault, value, path, *_reason_and_remedy(error)
+            )
+
+    def _enum(self, value: LocatedValue, kind: type[enum.Enum], path: str) -> Any:
+        names = [str(member.value) for member in kind]
+        if value.kind is not ValueKind.STRING:
+            return self._wrong_type(value, path, " or ".join(map(repr, names)))
+        try:
+            return kind(value.scalar)
+        except ValueError:
+            remedy = closest_name(str(value.scalar), names)
+            reason = f"cannot be {value.scalar!r}"
+            return self._fault(ImpossibleValueFault, value, path, reason, remedy)
+
+    def _plain(self, value: LocatedValue, kind: type, path: str) -> Any:
+        wanted = _PLAIN_KINDS[kind]
+        if value.kind is not wanted:
+            return self._wrong_type(value, path, wanted.value)
+        if kind is int and not isinstance(value.scalar, int):
+            return self._wrong_type(value, path, "a whole number")
+        try:
+            return kind(value.scalar)
+        except OverflowError:
+            reason = "is too large"
+            remedy = "write a smaller number"
+            return self._fault(ImpossibleValueFault, value, path, reason, remedy)
+
+
+def _joined(path: str, name: str) -> str:
+    return f"{path}.{name}" if path else name
+
+
+def _reason_and_remedy(error: ValueError) -> tuple[str, str]:
+    reason, separator, remedy = str(error.args[0]).partition("; ")
+    return reason, remedy if separator else "write a value in that range"
