--- a/packages/citrondock-core/src/citrondock_core/structuring.py
+++ b/packages/citrondock-core/src/citrondock_core/structuring.py
@@ -171,23 +171,20 @@
         fields = {f.name: f for f in attrs.fields(cls) if f.name not in given}
         self._unknown_keys(value, fields, path)
         arguments = dict(given)
-        faulty = False
+        faulty = set()
         for name, field in fields.items():
             built = self._field(value, field, _joined(path, name))
-            if built is not _FAULTY:
+            if built is _FAULTY:
+                faulty.add(name)
+            else:
                 arguments[name] = built
-            elif field.default is attrs.NOTHING:
-                faulty = True
-        if faulty:
+        if any(fields[name].default is attrs.NOTHING for name in faulty):
             return _FAULTY
-        return self._construct(value, cls, arguments, path)
-
-    def _construct(
-        self, value: LocatedValue, cls: type, arguments: dict[str, Any], path: str
-    ) -> Any:
         try:
             return cls(**arguments)
         except ValueError as error:
+            if faulty:
+                return _FAULTY
             return self._fault(
                 ImpossibleValueFault, value, path, *_reason_and_remedy(error)
             )
