--- a/packages/citrondock-core/src/citrondock_core/structuring.py
+++ b/packages/citrondock-core/src/citrondock_core/structuring.py
@@ -61,8 +61,9 @@
         Root of the text.
     cls : type
         An attrs class. Its fields may be plain types, enums, attrs classes,
-        optionals, ``tuple[X, ...]`` and ``Mapping[str, X]``; in a mapping of attrs
-        classes with a field ``name``, the key is the name.
+        optionals, ``tuple[X, ...]`` and ``Mapping[str, X]``. Attrs classes with a
+        field ``name`` stand in a tuple or mapping as an object whose keys are the
+        names.
     readers : mapping of type to callable, optional
         Types that stand in the text as strings. A reader raises ValueError.
 
@@ -136,6 +137,9 @@
         return self.build(value, inner, path)
 
     def _tuple(self, value: LocatedValue, item_kind: Any, path: str) -> Any:
+        if _is_named(item_kind):
+            built = self._mapping(value, item_kind, path)
+            return built if built is _FAULTY else tuple(built.values())
         if value.kind is not ValueKind.ARRAY:
             return self._wrong_type(value, path, ValueKind.ARRAY.value)
         items = (
@@ -155,7 +159,7 @@
         return built
 
     def _named(self, member: Member, kind: Any, path: str) -> Any:
-        if not attrs.has(kind) or NAME_FIELD not in attrs.fields_dict(kind):
+        if not _is_named(kind):
             return self.build(member.value, kind, path)
         if not member.key.strip():
             remedy = "give it a name"
@@ -271,6 +275,10 @@
             return self._fault(ImpossibleValueFault, value, path, reason, remedy)
 
 
+def _is_named(kind: Any) -> bool:
+    return attrs.has(kind) and NAME_FIELD in attrs.fields_dict(kind)
+
+
 def _joined(path: str, name: str) -> str:
     return f"{path}.{name}" if path else name
 
