--- a/tests/core/test_configuration_text.py
+++ b/tests/core/test_configuration_text.py
@@ -60,7 +60,7 @@
             "did you mean 'p'?",
             "f:5:77: services.s.depends_on: 's' needs 'u' needs 's'; "
             "remove one of these dependencies",
-            "f:6:55: services.u.model: the model m is used by services.s.model "
+            "f:6:57: services.u.model: the model m is used by services.s.model "
             "already; change or remove one of the two",
         ]
 
