--- a/packages/citrondock-core/src/citrondock_core/object_store.py
+++ b/packages/citrondock-core/src/citrondock_core/object_store.py
@@ -1,5 +1,6 @@
 """The platform's object API as the fleet sees it."""
 
+import enum
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 
@@ -10,6 +11,17 @@
 MAX_VALUE_BYTES = 1_000_000
 
 
+class StoreCallKind(enum.Enum):
+    """Kinds of calls by which the platform and our metrics count."""
+
+    GET = "get"
+    CREATE = "create"
+    UPDATE = "update"
+    DELETE = "delete"
+    LIST = "list"
+    WATCH = "watch"
+
+
 class ObjectStoreError(CitrondockError):
     """A call to the object API failed."""
 
--- /dev/null
+++ b/packages/citrondock-wire/src/citrondock_wire/http_object_store.py
@@ -0,0 +1,243 @@
+"""The platform's object API over HTTP."""
+
+import base64
+import binascii
+import json
+import threading
+import time
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from typing import Any
+from urllib.parse import quote, urlencode, urlsplit
+
+import urllib3
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    NewConnectionError,
+)
+
+from citrondock_core.object_store import (
+    MAX_VALUE_BYTES,
+    AnswerLostError,
+    ObjectNotFoundError,
+    ObjectStore,
+    ObjectStoreError,
+    StoreCallKind,
+    StoredObject,
+    StoreUnavailableError,
+    VersionConflictError,
+    WatchResult,
+)
+
+DEFAULT_MAX_CONNECTIONS = 8
+READ_CHUNK_BYTES = 65_536
+WATCH_ANSWER_MARGIN_S = 2.0
+
+
+class StoreCallCounts:
+    """Calls made so far by kind; safe to read from another thread."""
+
+    def __init__(self) -> None:
+        self._counts: Counter[StoreCallKind] = Counter()
+        self._lock = threading.Lock()
+
+    def add(self, kind: StoreCallKind) -> None:
+        """Count one call."""
+        with self._lock:
+            self._counts[kind] += 1
+
+    def snapshot(self) -> Mapping[StoreCallKind, int]:
+        """Return a copy of the counts, kinds without calls included."""
+        with self._lock:
+            return {kind: self._counts[kind] for kind in StoreCallKind}
+
+
+class HttpObjectStore(ObjectStore):
+    """Client of the object API; it never repeats a call by itself.
+
+    Parameters
+    ----------
+    url : str
+        Where the API is, for example ``"http://127.0.0.1:7000"``.
+    client : str
+        Name that the platform counts calls under.
+    max_connections : int
+        Connections kept open; a waiting watch occupies one.
+
+    Attributes
+    ----------
+    calls : StoreCallCounts
+        Calls by kind.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        *,
+        client: str = "",
+        max_connections: int = DEFAULT_MAX_CONNECTIONS,
+    ) -> None:
+        self.calls = StoreCallCounts()
+        self._base_path = urlsplit(url).path.rstrip("/")
+        self._headers = {"X-Client": client, "Content-Type": "application/json"}
+        self._pool = urllib3.connection_from_url(url, maxsize=max_connections)
+        self._peer = f"object-store {self._pool.host}:{self._pool.port}"
+
+    def get(self, key: str, *, timeout_s: float = 2.0) -> StoredObject:
+        """Return the object."""
+        answer = self._call(StoreCallKind.GET, "GET", _path(key), timeout_s=timeout_s)
+        return self._decode(StoreCallKind.GET, [answer])[0]
+
+    def create(self, key: str, value: bytes, *, timeout_s: float = 2.0) -> int:
+        """Write a new object and return its version."""
+        return self._put(StoreCallKind.CREATE, key, value, 0, timeout_s)
+
+    def update(
+        self, key: str, value: bytes, *, if_version: int, timeout_s: float = 2.0
+    ) -> int:
+        """Replace the value if the object still has ``if_version``."""
+        return self._put(StoreCallKind.UPDATE, key, value, if_version, timeout_s)
+
+    def delete(self, key: str, *, if_version: int, timeout_s: float = 2.0) -> None:
+        """Delete the object if it still has ``if_version``."""
+        path = f"{_path(key)}?if_version={if_version}"
+        self._call(StoreCallKind.DELETE, "DELETE", path, timeout_s=timeout_s)
+
+    def list(
+        self,
+        prefix: str,
+        *,
+        after_key: str = "",
+        limit: int = 500,
+        timeout_s: float = 2.0,
+    ) -> Sequence[StoredObject]:
+        """Return objects under a prefix, in the order of their keys."""
+        query = {"prefix": prefix, "after_key": after_key, "limit": limit}
+        path = f"/v1/objects?{urlencode(query)}"
+        answer = self._call(StoreCallKind.LIST, "GET", path, timeout_s=timeout_s)
+        return self._decode(StoreCallKind.LIST, answer.get("objects"))
+
+    def watch(self, prefix: str, *, after_version: int, wait_s: float) -> WatchResult:
+        """Wait until something under ``prefix`` is newer than ``after_version``."""
+        query = {"prefix": prefix, "after_version": after_version, "wait_s": wait_s}
+        answer = self._call(
+            StoreCallKind.WATCH,
+            "GET",
+            f"/v1/watch?{urlencode(query)}",
+            timeout_s=wait_s + WATCH_ANSWER_MARGIN_S,
+        )
+        changes = self._decode(StoreCallKind.WATCH, answer.get("objects"))
+        version = self._version(StoreCallKind.WATCH, answer)
+        return WatchResult(version=version, changes=changes)
+
+    def _put(
+        self,
+        kind: StoreCallKind,
+        key: str,
+        value: bytes,
+        if_version: int,
+        timeout_s: float,
+    ) -> int:
+        if len(value) > MAX_VALUE_BYTES:
+            raise ObjectStoreError(
+                f"{key}: {len(value)} bytes, at most {MAX_VALUE_BYTES} can be stored",
+                step=kind.value,
+            )
+        text = base64.b64encode(value).decode()
+        body = json.dumps({"value": text, "if_version": if_version}).encode()
+        answer = self._call(kind, "PUT", _path(key), body=body, timeout_s=timeout_s)
+        return self._version(kind, answer)
+
+    def _call(
+        self,
+        kind: StoreCallKind,
+        method: str,
+        path: str,
+        *,
+        body: bytes | None = None,
+        timeout_s: float,
+    ) -> Any:
+        self.calls.add(kind)
+        try:
+            status, content = self._exchange(method, path, body, timeout_s)
+        except (NewConnectionError, ConnectTimeoutError) as error:
+            raise self._error(StoreUnavailableError, kind, error) from error
+        except (HTTPError, TimeoutError) as error:
+            raise self._error(AnswerLostError, kind, error) from error
+        if status != 200:
+            raise self._refusal(kind, status, path)
+        try:
+            answer = json.loads(content)
+        except ValueError as error:
+            raise self._error(AnswerLostError, kind, error) from error
+        if not isinstance(answer, dict):
+            raise self._error(AnswerLostError, kind, "the answer is no object")
+        return answer
+
+    def _exchange(
+        self, method: str, path: str, body: bytes | None, timeout_s: float
+    ) -> tuple[int, bytes]:
+        deadline_s = time.monotonic() + timeout_s
+        response = self._pool.urlopen(
+            method,
+            self._base_path + path,
+            body=body,
+            headers=self._headers,
+            retries=False,
+            redirect=False,
+            timeout=urllib3.Timeout(total=timeout_s),
+            preload_content=False,
+        )
+        content = bytearray()
+        try:
+            while chunk := response.read1(READ_CHUNK_BYTES):
+                content += chunk
+                if time.monotonic() > deadline_s:
+                    raise TimeoutError(f"no whole answer within {timeout_s} s")
+        except BaseException:
+            response.close()
+            raise
+        response.release_conn()
+        return response.status, bytes(content)
+
+    def _refusal(self, kind: StoreCallKind, status: int, path: str) -> ObjectStoreError:
+        by_status = {
+            404: ObjectNotFoundError,
+            409: VersionConflictError,
+            429: StoreUnavailableError,
+            503: StoreUnavailableError,
+        }
+        unknown = AnswerLostError if status >= 500 else ObjectStoreError
+        error = by_status.get(status, unknown)
+        return self._error(error, kind, f"status {status} for {path}")
+
+    def _decode(self, kind: StoreCallKind, entries: Any) -> Sequence[StoredObject]:
+        try:
+            return [_object_of(entry) for entry in entries]
+        except (KeyError, TypeError, binascii.Error) as error:
+            raise self._error(AnswerLostError, kind, error) from error
+
+    def _version(self, kind: StoreCallKind, answer: Mapping[str, Any]) -> int:
+        version = answer.get("version")
+        if not isinstance(version, int):
+            raise self._error(AnswerLostError, kind, "the answer has no version")
+        return version
+
+    def _error(
+        self, error: type[ObjectStoreError], kind: StoreCallKind, reason: object
+    ) -> ObjectStoreError:
+        return error(str(reason), step=kind.value, peer=self._peer)
+
+
+def _path(key: str) -> str:
+    return "/v1/objects/" + quote(key, safe="/")
+
+
+def _object_of(entry: Mapping[str, Any]) -> StoredObject:
+    return StoredObject(
+        key=entry["key"],
+        version=entry["version"],
+        value=base64.b64decode(entry["value"], validate=True),
+        deleted=entry.get("deleted", False),
+    )
--- /dev/null
+++ b/packages/citrondock-wire/src/citrondock_wire/http_vm_directory.py
@@ -0,0 +1,62 @@
+"""The platform's list of VMs over HTTP."""
+
+import json
+from collections.abc import Mapping, Sequence
+from typing import Any
+from urllib.parse import urlsplit
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from citrondock_core.object_store import StoreUnavailableError
+from citrondock_core.vm_directory import Vm, VmDirectory, VmState
+
+STEP = "list VMs"
+
+
+class HttpVmDirectory(VmDirectory):
+    """Client of the list of VMs.
+
+    Parameters
+    ----------
+    url : str
+        Where the list is, for example ``"http://127.0.0.1:7001"``.
+    """
+
+    def __init__(self, url: str) -> None:
+        self._path = urlsplit(url).path.rstrip("/") + "/v1/vms"
+        self._pool = urllib3.connection_from_url(url, maxsize=1)
+        self._peer = f"vm-directory {self._pool.host}:{self._pool.port}"
+
+    def list(self, *, timeout_s: float = 2.0) -> Sequence[Vm]:
+        """Return the list as the platform has it now."""
+        try:
+            response = self._pool.urlopen(
+                "GET",
+                self._path,
+                retries=False,
+                redirect=False,
+                timeout=urllib3.Timeout(total=timeout_s),
+            )
+        except HTTPError as error:
+            raise self._error(error) from error
+        if response.status != 200:
+            raise self._error(f"status {response.status}")
+        try:
+            entries = json.loads(response.data)["vms"]
+            return [_vm_of(entry) for entry in entries]
+        except (KeyError, TypeError, ValueError) as error:
+            raise self._error(f"malformed list: {error!r}") from error
+
+    def _error(self, reason: object) -> StoreUnavailableError:
+        return StoreUnavailableError(str(reason), step=STEP, peer=self._peer)
+
+
+def _vm_of(entry: Mapping[str, Any]) -> Vm:
+    return Vm(
+        name=entry["name"],
+        availability_zone=entry["availability_zone"],
+        host=entry["host"],
+        port=entry["port"],
+        state=VmState(entry["state"]),
+    )
--- /dev/null
+++ b/tests/wire/test_http_object_store.py
@@ -0,0 +1,110 @@
+import socket
+import threading
+from contextlib import contextmanager
+
+import pytest
+
+from citrondock_core.object_store import (
+    AnswerLostError,
+    ObjectStoreError,
+    StoreCallKind,
+    StoreUnavailableError,
+)
+from citrondock_wire.http_object_store import HttpObjectStore
+from citrondock_wire.http_vm_directory import HttpVmDirectory
+
+
+@contextmanager
+def answering(answer):
+    """Answer each connection's first request with fixed bytes, then close."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+
+        def serve():
+            while True:
+                try:
+                    connection, _ = server.accept()
+                except OSError:
+                    return
+                with connection:
+                    connection.recv(65536)
+                    connection.sendall(answer)
+
+        thread = threading.Thread(target=serve, daemon=True)
+        thread.start()
+        yield f"http://127.0.0.1:{server.getsockname()[1]}"
+        server.shutdown(socket.SHUT_RDWR)
+        thread.join(5)
+
+
+def answer(status, body, length=None):
+    length = len(body) if length is None else length
+    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b" % (status, length, body)
+
+
+@pytest.fixture
+def refused_url():
+    with socket.socket() as bound:
+        bound.bind(("127.0.0.1", 0))
+        yield f"http://127.0.0.1:{bound.getsockname()[1]}"
+
+
+class TestHttpObjectStore:
+    def test_refused_connection_had_no_effect(self, refused_url):
+        store = HttpObjectStore(refused_url)
+        with pytest.raises(StoreUnavailableError) as caught:
+            store.create("a", b"1")
+
+        assert caught.value.peer.startswith("object-store 127.0.0.1:")
+        assert store.calls.snapshot()[StoreCallKind.CREATE] == 1
+
+    @pytest.mark.parametrize(
+        ("reply", "error"),
+        [
+            (answer(429, b"{}"), StoreUnavailableError),
+            (answer(503, b"{}"), StoreUnavailableError),
+            (answer(413, b"{}"), ObjectStoreError),
+            (answer(302, b"{}"), ObjectStoreError),
+            (answer(500, b"{}"), AnswerLostError),
+            (answer(502, b"{}"), AnswerLostError),
+            (answer(200, b'{"version": 1}', length=50), AnswerLostError),
+            (answer(200, b"<html>"), AnswerLostError),
+            (answer(200, b"[]"), AnswerLostError),
+            (answer(200, b'{"version": "1"}'), AnswerLostError),
+            (b"", AnswerLostError),
+            (b"HTTP/1.1 2", AnswerLostError),
+        ],
+    )
+    def test_only_a_proven_refusal_counts_as_no_effect(self, reply, error):
+        with answering(reply) as url, pytest.raises(ObjectStoreError) as caught:
+            HttpObjectStore(url).create("a", b"1")
+
+        assert type(caught.value) is error
+
+    @pytest.mark.parametrize("entry", [b"1", b'{"key": "a"}', b'{"value": "?"}'])
+    def test_malformed_objects_are_an_error_of_the_store(self, entry):
+        body = b'{"version": 1, "objects": [%b]}' % entry
+        with answering(answer(200, body)) as url, pytest.raises(AnswerLostError):
+            HttpObjectStore(url).list("")
+
+
+class TestHttpVmDirectory:
+    def test_reads_the_list(self):
+        body = (
+            b'{"vms": [{"name": "r1", "availability_zone": "a", '
+            b'"host": "127.0.0.1", "port": 9, "state": "leaving"}]}'
+        )
+        with answering(answer(200, body)) as url:
+            (vm,) = HttpVmDirectory(url + "/views/a").list()
+
+        assert (vm.name, vm.port, vm.state.value) == ("r1", 9, "leaving")
+
+    @pytest.mark.parametrize(
+        "reply", [b"", answer(503, b""), answer(200, b"{}"), answer(200, b"[1")]
+    )
+    def test_any_failure_is_an_unreached_platform(self, reply):
+        with answering(reply) as url, pytest.raises(StoreUnavailableError):
+            HttpVmDirectory(url).list()
+
+    def test_refused_connection_is_an_unreached_platform(self, refused_url):
+        with pytest.raises(StoreUnavailableError):
+            HttpVmDirectory(refused_url).list()
