VM list and plain service stand-ins

Cause: membership must cope with a list that lags and lies, and calls that may not be repeated need a judge that records each run. Change: a list whose changes appear after a settable lag, with lies, outages and views (the same VM at another address, for proxies between zones); a plain service that journals runs, names repeated actions, and can refuse, close before the run, close after it, or answer slowly.

--- /dev/null
+++ b/packages/citrondock-standins/src/citrondock_standins/plain_service.py
@@ -0,0 +1,138 @@
+"""Stand-in of a plain service whose record of runs shows what ran twice."""
+
+import asyncio
+import hashlib
+import time
+from collections import Counter, deque
+from collections.abc import Sequence
+
+import attrs
+from absl import flags
+
+from citrondock_standins.http_server import (
+    NOT_RUN_HEADERS,
+    HttpRequest,
+    Reply,
+    StandIn,
+)
+
+DELAY_MS = flags.DEFINE_float("delay_ms", 20.0, "Milliseconds that a call takes.")
+MAX_CONCURRENT = flags.DEFINE_integer("max_concurrent", 16, "Calls run at once.")
+
+MAX_RUNS = 200_000
+SLOW_BODY_PARTS = 10
+
+
+@attrs.define(kw_only=True)
+class PlainFaults:
+    """Faults in force; counts are of the next calls.
+
+    Parameters
+    ----------
+    refuse_count : int
+        Calls answered 503 with ``X-Ran: no``.
+    close_before_count : int
+        Calls whose connection is closed before they run.
+    close_after_count : int
+        Calls whose connection is closed after they ran.
+    slow_body_ms : float
+        Time over which an answer's body is spread.
+    delay_ms : float or None
+        Time that a call takes, in place of the flag.
+    """
+
+    refuse_count: int = 0
+    close_before_count: int = 0
+    close_after_count: int = 0
+    slow_body_ms: float = 0.0
+    delay_ms: float | None = None
+
+    def take(self, name: str) -> bool:
+        """Use up one of the counted faults."""
+        left_count = getattr(self, name)
+        if left_count:
+            setattr(self, name, left_count - 1)
+        return bool(left_count)
+
+
+@attrs.define(kw_only=True)
+class PlainRun:
+    """One call that ran."""
+
+    request_id: str
+    idempotency_key: str
+    method: str
+    path: str
+    body_digest: str
+    started_s: float
+    ended_s: float | None = None
+
+    @property
+    def action(self) -> str:
+        """What must run at most once: the keyed call, or else the request."""
+        return self.idempotency_key or self.request_id or self.body_digest
+
+
+class PlainServiceStandIn(StandIn):
+    """Runs any method and path, and records each run."""
+
+    def __init__(self, *, delay_ms: float, max_concurrent: int) -> None:
+        self._delay_ms = delay_ms
+        self._slots = asyncio.Semaphore(max_concurrent)
+        self._faults = PlainFaults()
+        self._runs: deque[PlainRun] = deque(maxlen=MAX_RUNS)
+
+    async def handle(self, request: HttpRequest, reply: Reply) -> None:
+        """Run a call, or answer a control path."""
+        if request.path == "/control/faults":
+            self._faults = PlainFaults(**request.json())
+            reply.send_json(200, {})
+        elif request.path == "/control/runs":
+            runs = [attrs.asdict(run) for run in self._runs]
+            reply.send_json(200, {"runs": runs, "repeated": self._repeated()})
+        elif self._faults.take("close_before_count"):
+            reply.close()
+        elif self._faults.take("refuse_count"):
+            reply.send_json(503, {"error": "refused"}, NOT_RUN_HEADERS)
+        else:
+            async with self._slots:
+                await self._run(request, reply)
+
+    async def _run(self, request: HttpRequest, reply: Reply) -> None:
+        request_id = request.headers.get("x-request-id", "")
+        run = PlainRun(
+            request_id=request_id,
+            idempotency_key=request.headers.get("idempotency-key", ""),
+            method=request.method,
+            path=request.path,
+            body_digest=hashlib.sha256(request.body).hexdigest(),
+            started_s=time.monotonic(),
+        )
+        self._runs.append(run)
+        faults = self._faults
+        closes = faults.take("close_after_count")
+        delay_ms = self._delay_ms if faults.delay_ms is None else faults.delay_ms
+        await asyncio.sleep(delay_ms / 1000)
+        run.ended_s = time.monotonic()
+        headers = {"X-Request-Id": request_id} if request_id else {}
+        if closes:
+            reply.close()
+        elif faults.slow_body_ms:
+            reply.start(200, headers)
+            for part in range(SLOW_BODY_PARTS):
+                reply.write(b"%d\n" % part)
+                await asyncio.sleep(faults.slow_body_ms / 1000 / SLOW_BODY_PARTS)
+            reply.end()
+        else:
+            reply.send_json(200, attrs.asdict(run), headers)
+
+    def _repeated(self) -> Sequence[str]:
+        counts = Counter(run.action for run in self._runs)
+        return [action for action, count in counts.items() if count > 1]
+
+
+def create() -> PlainServiceStandIn:
+    """Create the stand-in from its flags."""
+    return PlainServiceStandIn(
+        delay_ms=DELAY_MS.value, max_concurrent=MAX_CONCURRENT.value
+    )
--- a/packages/citrondock-standins/src/citrondock_standins/processes.py
+++ b/packages/citrondock-standins/src/citrondock_standins/processes.py
@@ -198,6 +198,10 @@
         """Post a JSON document to a path."""
         return self._ask("POST", path, document, index)
 
+    def delete(self, path: str, *, index: int = 0) -> Any:
+        """Delete what is at a path."""
+        return self._ask("DELETE", path, None, index)
+
     def set_faults(self, *, index: int = 0, **faults: object) -> None:
         """Replace the faults in force; none given ends all."""
         self.post("/control/faults", faults, index=index)
--- /dev/null
+++ b/packages/citrondock-standins/src/citrondock_standins/vm_list.py
@@ -0,0 +1,161 @@
+"""Stand-in of the platform's lagging list of VMs."""
+
+import asyncio
+import heapq
+import itertools
+import time
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import attrs
+from absl import flags
+
+from citrondock_core.vm_directory import Vm, VmState
+from citrondock_standins.http_server import HttpRequest, Reply, StandIn
+from citrondock_standins.store_core import Outage
+
+LAG_S = flags.DEFINE_float("lag_s", 0.5, "Seconds until a change is listed.")
+
+LIST_PATH = "/v1/vms"
+VIEWS_PATH = "/views/"
+
+
+@attrs.frozen(kw_only=True)
+class VmListFaults:
+    """Faults in force.
+
+    Parameters
+    ----------
+    outage : Outage
+        How the list is out.
+    listed : tuple of Vm
+        VMs that are listed although they are dead.
+    lacking : tuple of str
+        Names of VMs that are not listed although they live.
+    """
+
+    outage: Outage = attrs.field(default=Outage.NONE, converter=Outage)
+    listed: tuple[Vm, ...] = ()
+    lacking: tuple[str, ...] = ()
+
+
+@attrs.frozen(kw_only=True, order=True)
+class _Change:
+    """A VM that is listed, or with none is not, from a time on."""
+
+    visible_at_s: float
+    sequence: int
+    view: str = attrs.field(order=False)
+    name: str = attrs.field(order=False)
+    vm: Vm | None = attrs.field(order=False)
+
+
+class VmList:
+    """VMs as they are listed with lag.
+
+    A view is a list of its own that shows some VMs at other addresses, for example
+    behind a proxy; what it does not hold comes from the list without a name.
+    """
+
+    def __init__(self, *, lag_s: float) -> None:
+        self.faults = VmListFaults()
+        self._lag_s = lag_s
+        self._pending: list[_Change] = []
+        self._sequence = itertools.count()
+        self._views: dict[str, dict[str, Vm | None]] = {"": {}}
+
+    def change(
+        self,
+        name: str,
+        vm: Vm | None,
+        *,
+        now_s: float,
+        view: str = "",
+        lag_s: float | None = None,
+    ) -> None:
+        """List a VM, or with none remove it, after the lag."""
+        visible_at_s = now_s + (self._lag_s if lag_s is None else lag_s)
+        change = _Change(
+            visible_at_s=visible_at_s,
+            sequence=next(self._sequence),
+            view=view,
+            name=name,
+            vm=vm,
+        )
+        heapq.heappush(self._pending, change)
+
+    def listed(self, *, now_s: float, view: str = "") -> Sequence[Vm]:
+        """Return what the list shows now."""
+        while self._pending and self._pending[0].visible_at_s <= now_s:
+            change = heapq.heappop(self._pending)
+            self._views.setdefault(change.view, {})[change.name] = change.vm
+        merged = {**self._views[""], **self._views.get(view, {})}
+        merged.update({vm.name: vm for vm in self.faults.listed})
+        return [
+            vm
+            for name, vm in sorted(merged.items())
+            if vm is not None and name not in self.faults.lacking
+        ]
+
+
+class VmListStandIn(StandIn):
+    """The list over HTTP, ``/views/NAME`` before the path for a view."""
+
+    def __init__(self, vms: VmList) -> None:
+        self._vms = vms
+
+    async def handle(self, request: HttpRequest, reply: Reply) -> None:
+        """Answer a call of the list or of the control paths."""
+        now_s = time.monotonic()
+        if request.path == "/control/faults":
+            fields = request.json()
+            listed = tuple(map(_vm_of, fields.pop("listed", ())))
+            self._vms.faults = VmListFaults(listed=listed, **fields)
+            reply.send_json(200, {})
+        elif request.path == "/control/vms":
+            self._change(request, now_s)
+            reply.send_json(200, {})
+        elif request.path.endswith(LIST_PATH):
+            await self._list(request, reply, now_s)
+        else:
+            reply.send_json(404, {"error": "no such path"})
+
+    async def _list(self, request: HttpRequest, reply: Reply, now_s: float) -> None:
+        outage = self._vms.faults.outage
+        if outage is Outage.HANG:
+            await asyncio.Event().wait()
+        if outage is Outage.CLOSE:
+            reply.close()
+        elif outage is Outage.REFUSE:
+            reply.send_json(503, {"error": "outage"})
+        else:
+            view = request.path.removesuffix(LIST_PATH).removeprefix(VIEWS_PATH)
+            listed = self._vms.listed(now_s=now_s, view=view)
+            reply.send_json(200, {"vms": [vm_document(vm) for vm in listed]})
+
+    def _change(self, request: HttpRequest, now_s: float) -> None:
+        is_removal = request.method == "DELETE"
+        fields = dict(request.query) if is_removal else request.json()
+        view = fields.pop("view", "")
+        lag = fields.pop("lag_s", None)
+        self._vms.change(
+            fields["name"],
+            None if is_removal else _vm_of(fields),
+            now_s=now_s,
+            view=view,
+            lag_s=None if lag is None else float(lag),
+        )
+
+
+def create() -> VmListStandIn:
+    """Create the stand-in from its flags."""
+    return VmListStandIn(VmList(lag_s=LAG_S.value))
+
+
+def vm_document(vm: Vm) -> Mapping[str, object]:
+    """Return a VM as the list shows it."""
+    return {**attrs.asdict(vm), "state": vm.state.value}
+
+
+def _vm_of(entry: Mapping[str, Any]) -> Vm:
+    return Vm(**{**entry, "state": VmState(entry.get("state", "live"))})
