Model engine stand-in with continuous batching

Cause: fairness, utilisation and whole answers are measured against engines that batch, know no priorities and differ in speed; no such engine was at hand.

--- /dev/null
+++ b/tests/standins/test_engine.py
@@ -0,0 +1,218 @@
+import json
+import time
+
+import pytest
+import urllib3
+
+from citrondock_standins.engine_batch import Batch, EngineSpeed, ModelRun
+from citrondock_standins.engine_orders import Order, OrderBook, WeightStore
+from citrondock_standins.engine_text import expected_text, generation_of
+from citrondock_standins.prefix_cache import PrefixCache, block_ids
+from citrondock_standins.processes import StandinProcess
+
+HTTP = urllib3.PoolManager(retries=False, timeout=20.0, maxsize=8)
+
+
+def chat(content, **fields):
+    return {"messages": [{"role": "user", "content": content}], **fields}
+
+
+def cache(capacity_blocks=100, **options):
+    defaults = {"event_lag_s": 0.0, "event_gap_probability": 0.0, "seed": 1}
+    return PrefixCache(capacity_blocks=capacity_blocks, **{**defaults, **options})
+
+
+def run(name, tokens=10, content="hi"):
+    body = chat(content, max_tokens=tokens)
+    return ModelRun(
+        request_id=name, account="", generation=generation_of(body), arrived_s=0.0
+    )
+
+
+class TestBatch:
+    def test_rate_of_each_request_falls_with_the_batch_and_rises_with_speed(self):
+        slow, fast = EngineSpeed(), EngineSpeed(factor=8)
+
+        assert slow.step_s(1) < slow.step_s(16)
+        assert 16 / slow.step_s(16) > 1 / slow.step_s(1)
+        assert fast.step_s(4) == pytest.approx(slow.step_s(4) / 8)
+
+    def test_admits_in_the_order_of_arrival_above_its_limit(self):
+        batch = Batch(EngineSpeed(max_batch=2, prompt_tokens_per_s=1e9), cache())
+        runs = [run("a", 2), run("b", 1), run("c", 1), run("d", 1)]
+        for each in runs:
+            batch.add(each, now_s=0.0)
+        batch.sample(now_s=0.0)
+        ended = []
+        while (due_s := batch.next_step_s) is not None:
+            ended += [e.request_id for e in batch.step(now_s=due_s) if e.is_over]
+
+        load = batch.reported_load(now_s=5.0, lag_s=0.5)
+        assert (load.running, load.waiting) == (2, 2)
+        assert ended == ["b", "a", "c", "d"]
+        assert runs[2].started_s == runs[1].ended_s
+
+    def test_cached_prefix_shortens_the_prompt_time(self):
+        batch = Batch(EngineSpeed(), cache())
+        first, second = run("a", content="x" * 4000), run("b", content="x" * 4000)
+        batch.add(first, now_s=0.0)
+        batch.add(second, now_s=0.0)
+
+        assert second.cached_blocks > 0
+        assert second.prompt_done_s < first.prompt_done_s / 2
+
+
+class TestPrefixCache:
+    def test_memory_is_limited_and_events_are_late_with_gaps(self):
+        blocks = block_ids("".join(f"{n:08}" for n in range(640)))
+        small = cache(5, event_lag_s=1.0, event_gap_probability=0.3)
+        small.store(blocks, now_s=0.0)
+        events = small.events(after=-1, now_s=1.0)
+
+        assert small.hit_count(blocks) == 0 and small.hit_count(blocks[-5:]) == 5
+        assert small.events(after=-1, now_s=0.9) == []
+        assert 0 < len(events) < events[-1].index + 1
+        assert small.events(after=events[-2].index, now_s=1.0) == [events[-1]]
+
+
+class TestOrderBook:
+    def book(self, checks_fencing=True):
+        weights = WeightStore(loads_per_s=1.0)
+        return OrderBook(checks_fencing=checks_fencing, load_s=2.0, weights=weights)
+
+    def load(self, token, name="m"):
+        return Order(kind="load_model", name=name, version="2", fencing_token=token)
+
+    @pytest.mark.parametrize(("checks", "status"), [(True, 409), (False, 200)])
+    def test_old_fencing_token(self, checks, status):
+        book = self.book(checks)
+        assert book.receive(self.load(7), now_s=0.0).status == 200
+        assert book.receive(self.load(6), now_s=5.0).status == status
+        assert len(book.state(now_s=9.0)["orders"]) == 2
+
+    def test_load_takes_time_and_the_weight_store_is_limited(self):
+        book = self.book()
+        book.receive(self.load(1), now_s=0.0)
+        assert book.receive(self.load(1, "n"), now_s=0.5).status == 429
+        assert book.state(now_s=1.9)["loading"] == ["m"]
+        assert book.state(now_s=2.0)["models"] == {"m": "2"}
+        assert not book.serves("n", now_s=2.0)
+
+
+@pytest.fixture(scope="class")
+def engines():
+    flags = {"engines": 2, "speeds": "3,8", "max_batch": 4, "resume_grace_s": 20}
+    with StandinProcess.start("engine", **flags) as process:
+        yield process
+
+
+@pytest.fixture
+def engine(engines):
+    yield engines
+    engines.set_faults()
+
+
+def post(engine, body, request_id="r", **options):
+    headers = {"X-Request-Id": request_id, "X-Account": "archive"}
+    return HTTP.request(
+        "POST",
+        engine.url + "/v1/chat/completions",
+        body=json.dumps(body).encode(),
+        headers=headers,
+        **options,
+    )
+
+
+def events_of(data):
+    return [each.removeprefix("data: ") for each in data.decode().split("\n\n")[:-1]]
+
+
+class TestEngine:
+    def test_two_speeds_listen_on_two_ports(self, engines):
+        assert [fields["speed"] for fields in engines.listening] == ["3", "8"]
+
+    def test_streams_whole_answers_under_the_callers_id(self, engine):
+        body = chat("tag this", stream=True, max_tokens=50, standin_tokens=7)
+        answer = post(engine, body, "r1")
+        *tokens, last, end = events_of(answer.data)
+        parsed = [json.loads(token) for token in tokens]
+        text = "".join(each["choices"][0]["delta"]["content"] for each in parsed)
+
+        assert answer.headers["X-Request-Id"] == "r1"
+        assert text == expected_text(body) and len(tokens) == 7
+        assert [each["index"] for each in parsed] == list(range(7))
+        assert {each["id"] for each in parsed} == {"r1"}
+        assert json.loads(last)["usage"]["completion_tokens"] == 7
+        assert end == "[DONE]"
+        journal = engine.read("/control/runs")["runs"][-1]
+        assert (journal["account"], journal["outcome"]) == ("archive", "done")
+
+    @pytest.mark.parametrize("close_delimited", [False, True])
+    def test_whole_answer_without_stream(self, engine, close_delimited):
+        engine.set_faults(close_delimited=close_delimited)
+        body = chat("summary", max_tokens=5)
+        answer = post(engine, body)
+
+        assert ("Content-Length" in answer.headers) is not close_delimited
+        message = answer.json()["choices"][0]["message"]
+        assert message["content"] == expected_text(body)
+
+    def test_death_in_mid_stream_and_resume(self, engine):
+        engine.set_faults(die_after_tokens=3, die_count=1)
+        body = chat("long", stream=True, max_tokens=20)
+        answer = post(engine, body, "r2", preload_content=False)
+        with pytest.raises(urllib3.exceptions.HTTPError):
+            answer.read()
+        url = engine.url + "/v1/requests/r2/stream?after=2"
+        *tokens, _, end = events_of(HTTP.request("GET", url).data)
+
+        assert json.loads(tokens[0])["index"] == 3 and len(tokens) == 17
+        assert end == "[DONE]"
+
+    def test_cancel_frees_the_slot(self, engine):
+        body = chat("endless", stream=True, max_tokens=100_000)
+        answer = post(engine, body, "r3", preload_content=False)
+        cancelled = engine.post("/v1/requests/r3/cancel", {})
+
+        assert cancelled["outcome"] == "cancelled"
+        with pytest.raises(urllib3.exceptions.HTTPError):
+            answer.read()
+        assert HTTP.request("GET", engine.url + "/v1/requests/r3/stream").status == 404
+
+    def test_refusal_did_not_run_and_wrong_id_shows(self, engine):
+        engine.set_faults(refuse_count=1, wrong_id_count=1)
+        body = chat("x", max_tokens=1)
+        refused = post(engine, body, "r4")
+        crossed = post(engine, body, "r5")
+
+        assert (refused.status, refused.headers["X-Ran"]) == (503, "no")
+        assert crossed.headers["X-Request-Id"] == crossed.json()["id"] == "wrong-r5"
+        ran = [each["request_id"] for each in engine.read("/control/runs")["runs"]]
+        assert "r4" not in ran and "r5" in ran
+
+    def test_frozen_engine_answers_nothing_until_it_thaws(self, engine):
+        engine.set_faults(freeze=True)
+        body = chat("x", max_tokens=1)
+        with pytest.raises(urllib3.exceptions.ReadTimeoutError):
+            post(engine, body, timeout=0.2)
+        engine.set_faults()
+        assert post(engine, body).status == 200
+
+    def test_cache_moves_between_engines(self, engines):
+        post(engines, chat("y" * 2000, max_tokens=1), "r6")
+        exported = engines.read("/v1/kv/r6")
+        imported = engines.post("/v1/kv", exported, index=1)
+
+        assert imported["imported"] == len(exported["blocks"]) > 0
+
+
+class TestCancelOnClose:
+    def test_closing_the_connection_cancels(self):
+        with StandinProcess.start("engine") as engine:
+            body = chat("endless", stream=True, max_tokens=100_000)
+            answer = post(engine, body, preload_content=False)
+            answer.close()
+            deadline_s = time.monotonic() + 20
+            while engine.read("/control/runs")["runs"][0]["outcome"] != "cancelled":
+                assert time.monotonic() < deadline_s
+                time.sleep(0.01)
