Fault-injecting TCP proxy

Cause: cuts, one-way loss and half-closes between real processes need something between them that causes each on demand and ends it again. Change: FaultProxy inside a process (one loop thread for all of them) and the same in a process of its own with a control port. A cut resets connections with RST and refuses new ones while the port stays held; loss holds bytes until it ends, since TCP would send them again; faults can be in force together.

--- a/packages/citrondock-standins/src/citrondock_standins/processes.py
+++ b/packages/citrondock-standins/src/citrondock_standins/processes.py
@@ -183,12 +183,13 @@
 
     @property
     def url(self) -> str:
-        """Where its first port is."""
+        """Where its first HTTP port is."""
         return self.url_of(0)
 
     def url_of(self, index: int) -> str:
-        """Return where one of its ports is."""
-        return f"http://127.0.0.1:{self.ports[index]}"
+        """Return where one of its HTTP ports is."""
+        fields = self.listening[index]
+        return f"http://127.0.0.1:{fields.get('control_port', fields['port'])}"
 
     def read(self, path: str, *, index: int = 0) -> Any:
         """Return the JSON document at a path."""
--- /dev/null
+++ b/packages/citrondock-standins/src/citrondock_standins/proxy.py
@@ -0,0 +1,392 @@
+"""A TCP proxy that causes faults between two processes."""
+
+import asyncio
+import enum
+import socket
+import struct
+import threading
+import time
+from collections.abc import Coroutine, Sequence
+from typing import Any, Self, TypeVar
+
+import attrs
+from absl import flags
+
+from citrondock_standins.http_server import HttpRequest, Reply, StandIn
+
+LISTEN = flags.DEFINE_integer("listen", 0, "Port of the proxy; 0 is a free one.")
+TARGET = flags.DEFINE_string("target", "", "HOST:PORT to connect to.")
+
+READ_BYTES = 65_536
+QUEUE_PARTS = 64
+BACKLOG = 256
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+T = TypeVar("T")
+
+
+class FaultKind(enum.Enum):
+    """What a proxy does to the traffic.
+
+    ``CUT`` resets connections and refuses new ones. ``BLACKHOLE`` accepts and
+    forwards nothing. ``LOSS`` holds one direction's bytes until it ends, as lost
+    segments are sent again. ``HALF_CLOSE`` ends one direction of the present
+    connections. ``CUT_AFTER`` resets a connection after a number of bytes in a
+    direction. ``DELAY`` and ``BANDWIDTH`` slow a direction.
+    """
+
+    CUT = "cut"
+    BLACKHOLE = "blackhole"
+    LOSS = "loss"
+    HALF_CLOSE = "half_close"
+    CUT_AFTER = "cut_after"
+    DELAY = "delay"
+    BANDWIDTH = "bandwidth"
+
+
+class Direction(enum.Enum):
+    """Whose bytes a fault concerns."""
+
+    BOTH = "both"
+    TO_TARGET = "to_target"
+    TO_CLIENT = "to_client"
+
+
+@attrs.frozen(kw_only=True)
+class Fault:
+    """One fault.
+
+    Parameters
+    ----------
+    kind : FaultKind
+        What happens.
+    direction : Direction
+        To whose bytes.
+    delay_ms : float
+        Delay of each part.
+    byte_count : int
+        Bytes after which a connection is cut, counted from when the fault was set.
+    bandwidth_bytes_per_s : float
+        Rate of each connection.
+    """
+
+    kind: FaultKind = attrs.field(converter=FaultKind)
+    direction: Direction = attrs.field(default=Direction.BOTH, converter=Direction)
+    delay_ms: float = 0.0
+    byte_count: int = 0
+    bandwidth_bytes_per_s: float = 0.0
+
+    def concerns(self, direction: Direction) -> bool:
+        """Whether it concerns the bytes of one direction."""
+        return self.direction in (Direction.BOTH, direction)
+
+
+class _Faults:
+    """The faults in force, and who waits for them to change."""
+
+    def __init__(self) -> None:
+        self.in_force: Sequence[Fault] = ()
+        self.changed = asyncio.Event()
+
+    def replace(self, faults: Sequence[Fault]) -> None:
+        self.in_force = faults
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def find(self, kind: FaultKind, direction: Direction) -> Fault | None:
+        for fault in self.in_force:
+            if fault.kind is kind and fault.concerns(direction):
+                return fault
+        return None
+
+    def holds(self, direction: Direction) -> bool:
+        kinds = (FaultKind.BLACKHOLE, FaultKind.LOSS)
+        return any(self.find(kind, direction) for kind in kinds)
+
+
+class _Pump:
+    """Moves the bytes of one direction of one connection."""
+
+    def __init__(
+        self,
+        faults: _Faults,
+        direction: Direction,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.byte_count = 0
+        self._faults = faults
+        self._direction = direction
+        self._reader = reader
+        self._writer = writer
+        self._parts: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(QUEUE_PARTS)
+
+    async def run(self) -> None:
+        """Move bytes until the sender ends; raise ConnectionError on a cut."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._read())
+            group.create_task(self._write())
+
+    def end(self) -> None:
+        """Tell the receiver that no more bytes will come."""
+        if self._writer.can_write_eof():
+            self._writer.write_eof()
+
+    async def _read(self) -> None:
+        while True:
+            data = await self._reader.read(READ_BYTES)
+            delay = self._faults.find(FaultKind.DELAY, self._direction)
+            delay_s = delay.delay_ms / 1000 if delay else 0.0
+            await self._parts.put((time.monotonic() + delay_s, data))
+            if not data:
+                return
+
+    async def _write(self) -> None:
+        while True:
+            due_s, data = await self._parts.get()
+            await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+            while self._faults.holds(self._direction):
+                await self._faults.changed.wait()
+            if not data:
+                self.end()
+                return
+            await self._forward(data)
+
+    async def _forward(self, data: bytes) -> None:
+        cut = self._faults.find(FaultKind.CUT_AFTER, self._direction)
+        left = len(data) if cut is None else max(0, cut.byte_count - self.byte_count)
+        self._writer.write(data[:left])
+        self.byte_count += min(left, len(data))
+        await self._writer.drain()
+        if cut is not None and self.byte_count >= cut.byte_count:
+            raise ConnectionResetError("cut after its bytes")
+        slow = self._faults.find(FaultKind.BANDWIDTH, self._direction)
+        if slow is not None:
+            await asyncio.sleep(len(data) / slow.bandwidth_bytes_per_s)
+
+
+class _Connection:
+    """A client's connection and the one to the target."""
+
+    def __init__(
+        self,
+        faults: _Faults,
+        client: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+        target: tuple[asyncio.StreamReader, asyncio.StreamWriter],
+    ) -> None:
+        self._writers = (client[1], target[1])
+        self.pumps = {
+            Direction.TO_TARGET: _Pump(
+                faults, Direction.TO_TARGET, client[0], target[1]
+            ),
+            Direction.TO_CLIENT: _Pump(
+                faults, Direction.TO_CLIENT, target[0], client[1]
+            ),
+        }
+
+    async def run(self) -> None:
+        """Move bytes both ways until both ends are done or one breaks."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                for pump in self.pumps.values():
+                    group.create_task(pump.run())
+            for writer in self._writers:
+                writer.close()
+        except* OSError:
+            self.reset()
+
+    def reset(self) -> None:
+        """Reset both sides."""
+        for writer in self._writers:
+            _reset(writer)
+
+
+class _ProxyLoop:
+    """The proxy's work inside an event loop."""
+
+    def __init__(self, host: str, port: int, target: tuple[str, int]) -> None:
+        self._target = target
+        self._faults = _Faults()
+        self._connections: set[_Connection] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._server: asyncio.Server | None = None
+        self._held = _bound(host, port)
+        self.address: tuple[str, int] = self._held.getsockname()[:2]
+
+    async def open(self) -> None:
+        """Accept connections."""
+        if self._server is None:
+            self._server = await asyncio.start_server(
+                self._accept, sock=self._held, backlog=BACKLOG
+            )
+
+    async def close(self) -> None:
+        """Reset all connections and give the port up."""
+        self._refuse_new()
+        self._held.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def replace(self, faults: Sequence[Fault]) -> None:
+        """Put faults in force in place of the former ones."""
+        for connection in self._connections:
+            for direction, pump in connection.pumps.items():
+                pump.byte_count = 0
+                for fault in faults:
+                    is_end = fault.kind is FaultKind.HALF_CLOSE
+                    if is_end and fault.concerns(direction):
+                        pump.end()
+        self._faults.replace(faults)
+        if any(fault.kind is FaultKind.CUT for fault in faults):
+            self._refuse_new()
+            for connection in self._connections:
+                connection.reset()
+        else:
+            await self.open()
+
+    def _refuse_new(self) -> None:
+        if self._server is None:
+            return
+        self._server.close()
+        self._server = None
+        self._held = _bound(*self.address)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            await self._carry(reader, writer)
+        except asyncio.CancelledError:
+            _reset(writer)
+        finally:
+            self._tasks.discard(task)
+
+    async def _carry(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while self._faults.find(FaultKind.BLACKHOLE, Direction.BOTH):
+            await self._faults.changed.wait()
+        try:
+            target = await asyncio.open_connection(*self._target)
+        except OSError:
+            _reset(writer)
+            return
+        connection = _Connection(self._faults, (reader, writer), target)
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
+            connection.reset()
+
+
+class _LoopThread:
+    """An event loop in a thread of its own, shared by a process's proxies."""
+
+    _shared: "_LoopThread | None" = None
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        threading.Thread(target=self._loop.run_forever, daemon=True).start()
+
+    @classmethod
+    def shared(cls) -> "_LoopThread":
+        if cls._shared is None:
+            cls._shared = cls()
+        return cls._shared
+
+    def run(self, work: Coroutine[Any, Any, T]) -> T:
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result(10.0)
+
+
+class FaultProxy:
+    """A proxy inside this process, for tests.
+
+    Parameters
+    ----------
+    target_host, target_port : str, int
+        Where to connect to.
+
+    Examples
+    --------
+    >>> proxy = FaultProxy("127.0.0.1", 7000).start()
+    >>> proxy.set_faults(Fault(kind=FaultKind.DELAY, delay_ms=50))
+    >>> proxy.stop()
+    """
+
+    def __init__(self, target_host: str, target_port: int) -> None:
+        self._proxy = _ProxyLoop("127.0.0.1", 0, (target_host, target_port))
+
+    @property
+    def port(self) -> int:
+        """Port on which it listens."""
+        return self._proxy.address[1]
+
+    def start(self) -> Self:
+        """Accept connections."""
+        _LoopThread.shared().run(self._proxy.open())
+        return self
+
+    def stop(self) -> None:
+        """Reset all connections and stop listening."""
+        _LoopThread.shared().run(self._proxy.close())
+
+    def set_faults(self, *faults: Fault) -> None:
+        """Replace the faults in force; none given lets everything pass."""
+        _LoopThread.shared().run(self._proxy.replace(faults))
+
+    def __enter__(self) -> Self:
+        return self.start()
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+
+class ProxyStandIn(StandIn):
+    """A proxy in a process of its own, with its control port."""
+
+    def __init__(self, proxy: _ProxyLoop) -> None:
+        self._proxy = proxy
+        self._control_port = 0
+
+    async def start(self, host: str, port: int) -> int:
+        """Listen for control and for clients, and return the clients' port."""
+        await self._proxy.open()
+        self._control_port = await super().start(host, port)
+        return self._proxy.address[1]
+
+    def details(self) -> str:
+        """Return the control port for the listening line."""
+        return f" control_port={self._control_port}"
+
+    async def handle(self, request: HttpRequest, reply: Reply) -> None:
+        """Replace the faults in force."""
+        faults = [Fault(**fields) for fields in request.json().get("faults", ())]
+        await self._proxy.replace(faults)
+        reply.send_json(200, {})
+
+
+def create() -> ProxyStandIn:
+    """Create the stand-in from its flags."""
+    host, _, port = TARGET.value.rpartition(":")
+    return ProxyStandIn(_ProxyLoop("127.0.0.1", LISTEN.value, (host, int(port))))
+
+
+def _bound(host: str, port: int) -> socket.socket:
+    """Return a socket that holds a port, and refuses connections until it listens."""
+    held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.bind((host, port))
+    return held
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset."""
+    if writer.is_closing():
+        return
+    held = writer.get_extra_info("socket")
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
