--- a/packages/citrondock-wire/peer.thrift
+++ b/packages/citrondock-wire/peer.thrift
@@ -56,6 +56,7 @@
   6: bool leaving
   7: i64 configuration_revision
   8: i64 sequence
+  9: optional bool gone = false
 }
 
 struct Batch {
--- a/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_peer/ttypes.py
+++ b/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_peer/ttypes.py
@@ -642,11 +642,12 @@
      - leaving
      - configuration_revision
      - sequence
+     - gone
 
     """
 
 
-    def __init__(self, vm_name=None, availability_zone=None, incarnation=None, host=None, port=None, leaving=None, configuration_revision=None, sequence=None,):
+    def __init__(self, vm_name=None, availability_zone=None, incarnation=None, host=None, port=None, leaving=None, configuration_revision=None, sequence=None, gone=False,):
         self.vm_name = vm_name
         self.availability_zone = availability_zone
         self.incarnation = incarnation
@@ -655,6 +656,7 @@
         self.leaving = leaving
         self.configuration_revision = configuration_revision
         self.sequence = sequence
+        self.gone = gone
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -705,6 +707,11 @@
                     self.sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.gone = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -747,6 +754,10 @@
             oprot.writeFieldBegin('sequence', TType.I64, 8)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.BOOL, 9)
+            oprot.writeBool(self.gone)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1362,6 +1373,7 @@
     (6, TType.BOOL, 'leaving', None, None, ),  # 6
     (7, TType.I64, 'configuration_revision', None, None, ),  # 7
     (8, TType.I64, 'sequence', None, None, ),  # 8
+    (9, TType.BOOL, 'gone', None, False, ),  # 9
 )
 all_structs.append(Batch)
 Batch.thrift_spec = (
