Dispatch requests by lowest normalised service, with lent slots

The router had no dispatcher. Messages get additive fields: ServiceCounter.stream, Summary.totals/sequence/acknowledged/wants_totals, SlotReturn.unused and InFlight.first_token_s.

Several routers together are not measured yet.

--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/concurrency_limit.py
@@ -0,0 +1,78 @@
+"""How many requests a target runs at once without queueing them inside."""
+
+SLOW_FIRST_TOKEN_FACTOR = 3.0
+FIRST_TOKEN_SLACK_S = 0.1
+DECREASE_FACTOR = 0.8
+DECREASE_PAUSE_S = 1.0
+BASELINE_GROWTH = 1.001
+
+
+class ConcurrencyLimit:
+    """Learned limit of one target, between 1 and ``max_count``.
+
+    It grows while all slots are in use and first tokens come as fast as they do
+    on an empty target; it shrinks when they are late, or when the target says that
+    requests queue inside it.
+
+    Parameters
+    ----------
+    max_count : int
+        Upper bound given by the operators.
+    starts_full : bool
+        Whether the limit starts at the bound, not at half of it.
+    """
+
+    def __init__(self, max_count: int, *, starts_full: bool = False) -> None:
+        self._max_count = max_count
+        start = max_count if starts_full else max_count / 2
+        self._limit = max(1.0, float(start))
+        self._growing_fast = True
+        self._best_first_token_s: float | None = None
+        self._decrease_after_s = 0.0
+
+    @property
+    def count(self) -> int:
+        """Requests that may be in flight."""
+        return int(self._limit)
+
+    def set_max_count(self, max_count: int) -> None:
+        """Take a new upper bound."""
+        self._max_count = max_count
+        self._limit = min(self._limit, float(max_count))
+
+    def observe_first_token(
+        self, first_token_s: float, *, in_flight_count: int, now_s: float
+    ) -> None:
+        """Learn from the time between a start and its first token, in seconds."""
+        best = self._best_first_token_s
+        if best is None or first_token_s < best:
+            best = first_token_s
+        self._best_first_token_s = best * BASELINE_GROWTH
+        late_s = SLOW_FIRST_TOKEN_FACTOR * best + FIRST_TOKEN_SLACK_S
+        if first_token_s > late_s:
+            self._decrease(now_s)
+        elif in_flight_count >= self.count:
+            self._increase()
+
+    def observe_load(
+        self, *, running_count: int, queued_count: int, now_s: float
+    ) -> None:
+        """Learn from the target's own report of running and queued requests."""
+        if queued_count > 0 and running_count > 0:
+            self._growing_fast = False
+            if now_s >= self._decrease_after_s:
+                self._decrease_after_s = now_s + DECREASE_PAUSE_S
+                self._limit = min(self._limit, float(running_count))
+        elif running_count >= self.count:
+            self._increase()
+
+    def _increase(self) -> None:
+        step = 1.0 if self._growing_fast else 1.0 / self._limit
+        self._limit = min(self._limit + step, float(self._max_count))
+
+    def _decrease(self, now_s: float) -> None:
+        self._growing_fast = False
+        if now_s < self._decrease_after_s:
+            return
+        self._decrease_after_s = now_s + DECREASE_PAUSE_S
+        self._limit = max(1.0, self._limit * DECREASE_FACTOR)
--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/demand_table.py
@@ -0,0 +1,184 @@
+"""Requests that wait at other routers, as far as they said so."""
+
+import heapq
+import math
+from collections.abc import Callable, Container, Iterator
+
+import attrs
+
+from citrondock_core.messages import Demand
+
+DemandKey = tuple[str, str]
+"""Pool and account."""
+
+
+@attrs.define
+class RemoteDemand:
+    """Latest statement of one router about one pool and account."""
+
+    statement: Demand
+    granted_count: int = 0
+    granted_until_s: float = 0.0
+    until_s: float = math.inf
+
+    def open_count(self, now_s: float) -> int:
+        """Return how many more slots the router can use."""
+        if now_s >= self.granted_until_s:
+            self.granted_count = 0
+        return self.statement.waiting_count - self.granted_count
+
+
+class DemandTable:
+    """Demand of other routers by pool, account and router."""
+
+    def __init__(self) -> None:
+        self._by_pool: dict[str, dict[str, dict[str, RemoteDemand]]] = {}
+        self._positive: dict[str, set[str]] = {}
+        self._expiring: list[tuple[float, str, str, str]] = []
+
+    def accounts(self, pool: str) -> set[str]:
+        """Return accounts with demand for a pool elsewhere."""
+        return self._positive.get(pool, set())
+
+    def waits_elsewhere(self, pool: str, account: str) -> bool:
+        """Return whether an account waits for a pool at another router."""
+        return account in self._positive.get(pool, ())
+
+    def merge(self, demand: Demand, *, until_s: float = math.inf) -> bool:
+        """Take a statement unless it is older.
+
+        Parameters
+        ----------
+        demand : Demand
+            The statement.
+        until_s : float
+            Time at which it is dropped unless the relay has confirmed it.
+
+        Returns
+        -------
+        bool
+            Whether it changed anything.
+        """
+        entries = self._by_pool.setdefault(demand.pool, {})
+        by_vm = entries.setdefault(demand.account, {})
+        known = by_vm.get(demand.vm_name)
+        if known is None:
+            known = by_vm[demand.vm_name] = RemoteDemand(demand)
+        elif _number(demand) < _number(known.statement):
+            return False
+        elif demand == known.statement:
+            known.until_s = max(known.until_s, until_s)
+            return False
+        known.statement = demand
+        known.until_s = until_s
+        if until_s < math.inf:
+            heapq.heappush(
+                self._expiring,
+                (until_s, demand.pool, demand.account, demand.vm_name),
+            )
+        self._note(demand.pool, demand.account)
+        return True
+
+    def expire(self, *, now_s: float) -> None:
+        """Drop statements that no relay has confirmed in time."""
+        while self._expiring and self._expiring[0][0] <= now_s:
+            _, pool, account, vm_name = heapq.heappop(self._expiring)
+            by_vm = self._by_pool.get(pool, {}).get(account, {})
+            known = by_vm.get(vm_name)
+            if known is not None and known.until_s <= now_s:
+                del by_vm[vm_name]
+                self._note(pool, account)
+
+    def keep_members(self, vm_names: set[str]) -> list[DemandKey]:
+        """Drop statements of routers that are gone; return what changed."""
+        return self._drop(lambda demand: demand.vm_name not in vm_names)
+
+    def drop_pool_of(self, vm_name: str, pool: str) -> list[DemandKey]:
+        """Drop what one router said of a pool, after it used no slot."""
+        return self._drop(lambda d: d.vm_name == vm_name and d.pool == pool)
+
+    def statements(self, pool: str, account: str) -> list[Demand]:
+        """Return all statements about one pool and account."""
+        by_vm = self._by_pool.get(pool, {}).get(account, {})
+        return [remote.statement for remote in by_vm.values()]
+
+    def keys(self) -> Iterator[DemandKey]:
+        """Return pools and accounts with any statement."""
+        for pool, entries in self._by_pool.items():
+            for account in entries:
+                yield pool, account
+
+    def lowest(
+        self, pool: str, level: Callable[[str], float], *, now_s: float
+    ) -> str | None:
+        """Return the account of the lowest level that can use a slot elsewhere."""
+        usable = [a for a in self.accounts(pool) if self._usable(pool, a, now_s)]
+        return min(usable, key=lambda a: (level(a), a), default=None)
+
+    def grant(
+        self,
+        pool: str,
+        account: str,
+        *,
+        near: Container[str],
+        until_s: float,
+        now_s: float,
+    ) -> str | None:
+        """Count one slot as lent for an account.
+
+        Parameters
+        ----------
+        pool, account : str
+            For what and for whom.
+        near : container of str
+            Routers that go first.
+        until_s : float
+            Time until which the slot counts against the demand.
+        now_s : float
+            Time now.
+
+        Returns
+        -------
+        str or None
+            The router to lend to.
+        """
+        by_vm = self._by_pool.get(pool, {}).get(account, {})
+        usable = [r for r in by_vm.values() if r.open_count(now_s) > 0]
+        if not usable:
+            return None
+        best = max(
+            usable, key=lambda r: (r.statement.vm_name in near, r.open_count(now_s))
+        )
+        best.granted_count += 1
+        best.granted_until_s = until_s
+        return best.statement.vm_name
+
+    def _usable(self, pool: str, account: str, now_s: float) -> bool:
+        by_vm = self._by_pool[pool][account]
+        return any(remote.open_count(now_s) > 0 for remote in by_vm.values())
+
+    def _drop(self, gone: Callable[[Demand], bool]) -> list[DemandKey]:
+        changed = []
+        for pool, account in list(self.keys()):
+            by_vm = self._by_pool[pool][account]
+            names = [n for n, r in by_vm.items() if gone(r.statement)]
+            for name in names:
+                del by_vm[name]
+            if names:
+                changed.append((pool, account))
+                self._note(pool, account)
+        return changed
+
+    def _note(self, pool: str, account: str) -> None:
+        by_vm = self._by_pool[pool][account]
+        positive = self._positive.setdefault(pool, set())
+        if any(r.statement.waiting_count > 0 for r in by_vm.values()):
+            positive.add(account)
+        else:
+            positive.discard(account)
+        if not by_vm:
+            del self._by_pool[pool][account]
+
+
+def _number(demand: Demand) -> tuple[int, int]:
+    return demand.incarnation, demand.sequence
--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/fair_queue.py
@@ -0,0 +1,70 @@
+"""Requests that wait for one pool, by account."""
+
+from collections.abc import Callable, Iterator
+
+from citrondock_core.request import WaitingRequest
+
+
+class FairQueue:
+    """Waiting requests of one pool, in order of arrival within each account."""
+
+    def __init__(self) -> None:
+        self._by_account: dict[str, dict[str, WaitingRequest]] = {}
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def __iter__(self) -> Iterator[WaitingRequest]:
+        for waiting in self._by_account.values():
+            yield from waiting.values()
+
+    @property
+    def accounts(self) -> list[str]:
+        """Accounts with a waiting request."""
+        return list(self._by_account)
+
+    def count(self, account: str) -> int:
+        """Return how many requests of an account wait."""
+        return len(self._by_account.get(account, ()))
+
+    def push(self, request: WaitingRequest) -> None:
+        """Add a request; one that waited before takes its old place."""
+        waiting = self._by_account.setdefault(request.account, {})
+        last = next(reversed(waiting.values()), None)
+        waiting[request.request_id] = request
+        self._count += 1
+        if last is not None and last.arrived_at_s > request.arrived_at_s:
+            ordered = sorted(waiting.values(), key=lambda r: r.arrived_at_s)
+            self._by_account[request.account] = {r.request_id: r for r in ordered}
+
+    def remove(self, request: WaitingRequest) -> bool:
+        """Take a request out; return whether it was waiting."""
+        waiting = self._by_account.get(request.account, {})
+        if waiting.pop(request.request_id, None) is None:
+            return False
+        self._count -= 1
+        if not waiting:
+            del self._by_account[request.account]
+        return True
+
+    def head(self, account: str) -> WaitingRequest:
+        """Return the request of an account that waits longest."""
+        return next(iter(self._by_account[account].values()))
+
+    def first(self, account: str, count: int) -> list[WaitingRequest]:
+        """Return up to ``count`` requests of an account, longest wait first."""
+        waiting = iter(self._by_account[account].values())
+        return [request for request, _ in zip(waiting, range(count), strict=False)]
+
+    def lowest(self, level: Callable[[str], float]) -> str | None:
+        """Return the waiting account of the lowest level, or None."""
+        return min(self._by_account, key=level, default=None)
+
+    def oldest(self) -> str | None:
+        """Return the account whose head arrived first, or None."""
+        return min(
+            self._by_account,
+            key=lambda account: self.head(account).arrived_at_s,
+            default=None,
+        )
--- a/packages/citrondock-core/src/citrondock_core/messages.py
+++ b/packages/citrondock-core/src/citrondock_core/messages.py
@@ -38,6 +38,8 @@
         Account.
     charged_tokens, refunded_tokens : float
         Service charged, and estimates given back at settlement.
+    stream : int
+        Grows when the counters start from zero again for another receiver.
     """
 
     vm_name: str
@@ -45,6 +47,7 @@
     account: str
     charged_tokens: float
     refunded_tokens: float
+    stream: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -71,12 +74,56 @@
     sequence: int
 
 
+@attrs.frozen(kw_only=True)
+class ServiceTotal:
+    """Service of one account over the whole fleet, as a relay knows it.
+
+    All parts only grow, so that merging is taking the maximum.
+
+    Parameters
+    ----------
+    account : str
+        Account.
+    charged_tokens, refunded_tokens : float
+        Sums over all routers and incarnations.
+    lifted_tokens, clamped_tokens : float
+        How far its normalised service was raised out of idleness, and lowered after
+        a partition; 0 where it did not change.
+    """
+
+    account: str
+    charged_tokens: float
+    refunded_tokens: float
+    lifted_tokens: float = 0.0
+    clamped_tokens: float = 0.0
+
+
 @attrs.frozen(kw_only=True)
 class Summary:
-    """Changed counters and demand, on their way up to or down from a relay."""
+    """Changed counters and demand, on their way up to or down from a relay.
+
+    Parameters
+    ----------
+    counters : sequence of ServiceCounter
+        Service counted by the sender, or by the zone that it is the relay of.
+    demands : sequence of Demand
+        Requests that wait at the sender, or that it heard of.
+    totals : sequence of ServiceTotal
+        Sums over the fleet, on their way down.
+    sequence : int
+        Number of this message among those with counters of the sender; 0 for none.
+    acknowledged : tuple of int
+        Sequences of the receiver's messages that the sender merged lately.
+    wants_totals : bool
+        Whether the sender has no memory and asks for all totals.
+    """
 
     counters: Sequence[ServiceCounter] = ()
     demands: Sequence[Demand] = ()
+    totals: Sequence[ServiceTotal] = ()
+    sequence: int = 0
+    acknowledged: tuple[int, ...] = ()
+    wants_totals: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -117,20 +164,36 @@
         Where the slots are.
     returned_count : int
         Total returned so far of this grant, so that doubling is harmless.
+    unused : bool
+        Whether no request was started on any of them.
     """
 
     grant_id: str
     target: str
     returned_count: int
+    unused: bool = False
 
 
 @attrs.frozen(kw_only=True)
 class InFlight:
-    """Lent slots in use at the sender, for a new home of the target."""
+    """Requests of the sender at a target that another router is home of.
+
+    Parameters
+    ----------
+    target : str
+        Where they run.
+    in_flight_count : int
+        How many.
+    sequence : int
+        Grows with each statement of the sender; a late one is dropped.
+    first_token_s : float
+        Latest time between a start and its first token; 0 for none.
+    """
 
     target: str
     in_flight_count: int
     sequence: int
+    first_token_s: float = 0.0
 
 
 PeerMessage = Summary | SlotGrant | SlotReturn | InFlight
--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/rendezvous.py
@@ -0,0 +1,52 @@
+"""Rendezvous hashing: everyone who knows the same names makes the same choice."""
+
+from collections.abc import Iterable, Sequence
+
+import xxhash
+
+from citrondock_core.messages import Member
+
+
+def _score(key: str, name: str) -> int:
+    return xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
+
+
+def choose(key: str, names: Iterable[str]) -> str | None:
+    """Return the name that ``key`` falls to, or None when there is none.
+
+    Parameters
+    ----------
+    key : str
+        What is placed.
+    names : iterable of str
+        Who may take it.
+
+    Returns
+    -------
+    str or None
+        A name; removing another name never changes the choice.
+    """
+    return max(names, key=lambda name: (_score(key, name), name), default=None)
+
+
+def choose_member(
+    key: str, availability_zone: str, members: Sequence[Member]
+) -> str | None:
+    """Return the VM that ``key`` falls to, of its own zone where one lives there.
+
+    Parameters
+    ----------
+    key : str
+        What is placed.
+    availability_zone : str
+        Zone whose members go first.
+    members : sequence of Member
+        Live routers.
+
+    Returns
+    -------
+    str or None
+        Name of a VM, or None without members.
+    """
+    local = [m.vm_name for m in members if m.availability_zone == availability_zone]
+    return choose(key, local or [m.vm_name for m in members])
--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/target_slots.py
@@ -0,0 +1,162 @@
+"""Slots of one target as its home router sees them."""
+
+import attrs
+
+from citrondock_core.concurrency_limit import ConcurrencyLimit
+from citrondock_core.configuration import Target
+from citrondock_core.messages import InFlight, SlotReturn
+
+LOST_RETURN_GRACE_S = 1.0
+
+
+@attrs.define(kw_only=True)
+class LentSlots:
+    """One block of slots lent to a router.
+
+    Parameters
+    ----------
+    vm_name : str
+        Who holds them.
+    slot_count, returned_count : int
+        How many were lent, and came back.
+    deadline_s : float
+        Time after which no request is started on them.
+    """
+
+    vm_name: str
+    slot_count: int
+    deadline_s: float
+    returned_count: int = 0
+
+    @property
+    def outstanding_count(self) -> int:
+        """Slots not yet back."""
+        return self.slot_count - self.returned_count
+
+
+class TargetSlots:
+    """What is in flight at a target, and what more it may get.
+
+    Parameters
+    ----------
+    target : Target
+        Its configuration.
+    pool : str
+        Pool it belongs to.
+    learned : bool
+        Whether the limit starts low and is learned.
+    """
+
+    def __init__(self, target: Target, pool: str, *, learned: bool = True) -> None:
+        self.target = target
+        self.pool = pool
+        self.limit = ConcurrencyLimit(target.max_in_flight, starts_full=not learned)
+        self.local_count = 0
+        self.available = True
+        self.penalised_until_s = 0.0
+        self.router_count = 1
+        self.lent_count = 0
+        self._grants: dict[str, LentSlots] = {}
+        self._unattributed: dict[str, int] = {}
+        self._in_flight_sequence: dict[str, int] = {}
+
+    @property
+    def name(self) -> str:
+        """Name of the target."""
+        return self.target.name
+
+    @property
+    def in_flight_count(self) -> int:
+        """Requests in flight, and slots lent for more."""
+        return self.local_count + self.lent_count
+
+    @property
+    def limit_count(self) -> int:
+        """Requests that may be in flight from here."""
+        return max(1, self.limit.count // self.router_count)
+
+    def usable(self, now_s: float) -> bool:
+        """Return whether the target may get work at all."""
+        if not self.available or self.target.draining:
+            return False
+        return now_s >= self.penalised_until_s
+
+    def free_count(self, now_s: float) -> int:
+        """Return how many more requests the target may get now."""
+        if not self.usable(now_s):
+            return 0
+        return max(0, self.limit_count - self.local_count - self.lent_count)
+
+    def update(self, target: Target, pool: str) -> None:
+        """Take a new configuration of the target."""
+        self.target = target
+        self.pool = pool
+        self.limit.set_max_count(target.max_in_flight)
+
+    def penalise(self, until_s: float) -> None:
+        """Send nothing until a deadline, after a failed connect."""
+        self.penalised_until_s = until_s
+
+    def lend(self, grant_id: str, lent: LentSlots) -> None:
+        """Record a block of slots as lent."""
+        self._grants[grant_id] = lent
+        self._recount()
+
+    def take_back(self, message: SlotReturn) -> None:
+        """Merge a return; a doubled or late one changes nothing."""
+        lent = self._grants.get(message.grant_id)
+        if lent is None:
+            return
+        returned = min(message.returned_count, lent.slot_count)
+        lent.returned_count = max(lent.returned_count, returned)
+        if not lent.outstanding_count:
+            del self._grants[message.grant_id]
+        self._recount()
+
+    def merge_in_flight(self, vm_name: str, message: InFlight, *, now_s: float) -> None:
+        """Correct what a router holds by what it says that it has in flight."""
+        if message.sequence <= self._in_flight_sequence.get(vm_name, -1):
+            return
+        self._in_flight_sequence[vm_name] = message.sequence
+        self._reclaim(vm_name, message.in_flight_count, now_s)
+        held = sum(g.outstanding_count for g in self._held_by(vm_name))
+        self._unattributed[vm_name] = max(0, message.in_flight_count - held)
+        self._recount()
+
+    def keep_holders(self, vm_names: set[str]) -> None:
+        """Take back what routers held that are gone."""
+        for grant_id, lent in list(self._grants.items()):
+            if lent.vm_name not in vm_names:
+                del self._grants[grant_id]
+        for vm_name in set(self._in_flight_sequence) - vm_names:
+            del self._in_flight_sequence[vm_name]
+            self._unattributed.pop(vm_name, None)
+        self._recount()
+
+    def forget_lent(self) -> None:
+        """Forget all loans, when another router becomes the home."""
+        self._grants.clear()
+        self._unattributed.clear()
+        self._in_flight_sequence.clear()
+        self._recount()
+
+    def _held_by(self, vm_name: str) -> list[LentSlots]:
+        return [g for g in self._grants.values() if g.vm_name == vm_name]
+
+    def _reclaim(self, vm_name: str, in_flight_count: int, now_s: float) -> None:
+        """Take back expired slots whose return was lost."""
+        held = self._held_by(vm_name)
+        missing = sum(g.outstanding_count for g in held) - in_flight_count
+        for lent in held:
+            if missing <= 0 or lent.deadline_s + LOST_RETURN_GRACE_S > now_s:
+                continue
+            taken = min(missing, lent.outstanding_count)
+            lent.returned_count += taken
+            missing -= taken
+        for grant_id, lent in list(self._grants.items()):
+            if not lent.outstanding_count:
+                del self._grants[grant_id]
+
+    def _recount(self) -> None:
+        granted = sum(g.outstanding_count for g in self._grants.values())
+        self.lent_count = granted + sum(self._unattributed.values())
--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/waiting_requests.py
@@ -0,0 +1,127 @@
+"""Requests that wait at this router, with caps and deadlines."""
+
+import heapq
+from collections import Counter as CountOf
+from collections.abc import Mapping
+
+from citrondock_core.configuration import Configuration
+from citrondock_core.dispatch_options import DispatchOptions
+from citrondock_core.fair_queue import FairQueue
+from citrondock_core.request import RefusalReason, RequestRefusedError, WaitingRequest
+
+FULL_RETRY_AFTER_S = 1.0
+STEP = "queue"
+
+
+class WaitingRequests:
+    """Queues of all pools.
+
+    Parameters
+    ----------
+    options : DispatchOptions
+        Caps of the router.
+    """
+
+    def __init__(self, options: DispatchOptions) -> None:
+        self._options = options
+        self._queues: dict[str, FairQueue] = {}
+        self._requests: dict[str, WaitingRequest] = {}
+        self._deadlines: list[tuple[float, str]] = []
+        self._bytes = 0
+        self._bytes_by_account: CountOf[str] = CountOf()
+        self._count_by_account: CountOf[str] = CountOf()
+        self.changed: set[tuple[str, str]] = set()
+
+    def __len__(self) -> int:
+        return len(self._requests)
+
+    @property
+    def count_by_account(self) -> Mapping[str, int]:
+        """Waiting requests by account."""
+        return +self._count_by_account
+
+    def queue(self, pool: str) -> FairQueue:
+        """Return the queue of a pool."""
+        queue = self._queues.get(pool)
+        if queue is None:
+            queue = self._queues[pool] = FairQueue()
+        return queue
+
+    def get(self, request_id: str) -> WaitingRequest | None:
+        """Return a waiting request, or None."""
+        return self._requests.get(request_id)
+
+    def admit(self, request: WaitingRequest, configuration: Configuration) -> None:
+        """Add a request, or raise `RequestRefusedError` when a cap is reached."""
+        if request.pool not in configuration.pools:
+            raise self._refusal(RefusalReason.NO_TARGET, f"no pool {request.pool}")
+        account = configuration.accounts.get(request.account)
+        if account is None:
+            text = f"no account {request.account}"
+            raise self._refusal(RefusalReason.UNKNOWN_KEY, text)
+        waiting_bytes = self._bytes_by_account[request.account] + request.body_bytes
+        if (
+            self._count_by_account[request.account] >= account.max_waiting_requests
+            or waiting_bytes > account.max_waiting_bytes
+        ):
+            text = f"account {request.account} has too much waiting"
+            raise self._refusal(RefusalReason.ACCOUNT_QUEUE_FULL, text)
+        if (
+            len(self._requests) >= self._options.max_waiting_requests
+            or self._bytes + request.body_bytes > self._options.max_waiting_bytes
+        ):
+            text = "the router has too much waiting"
+            raise self._refusal(RefusalReason.ROUTER_QUEUE_FULL, text)
+        self.push(request)
+
+    @staticmethod
+    def _refusal(cause: RefusalReason, reason: str) -> RequestRefusedError:
+        return RequestRefusedError(
+            reason, step=STEP, cause=cause, retry_after_s=FULL_RETRY_AFTER_S
+        )
+
+    def push(self, request: WaitingRequest) -> None:
+        """Add a request without asking the caps; one that waited takes its place."""
+        self._requests[request.request_id] = request
+        self.queue(request.pool).push(request)
+        heapq.heappush(self._deadlines, (request.deadline_s, request.request_id))
+        self._count(request, 1)
+
+    def remove(self, request_id: str) -> WaitingRequest | None:
+        """Take a request out, or return None when it does not wait."""
+        request = self._requests.pop(request_id, None)
+        if request is not None:
+            self.queue(request.pool).remove(request)
+            self._count(request, -1)
+        return request
+
+    def _count(self, request: WaitingRequest, sign: int) -> None:
+        self._bytes += sign * request.body_bytes
+        self._bytes_by_account[request.account] += sign * request.body_bytes
+        self._count_by_account[request.account] += sign
+        if not self._count_by_account[request.account]:
+            del self._count_by_account[request.account]
+            del self._bytes_by_account[request.account]
+        self.changed.add((request.pool, request.account))
+
+    def expire(self, *, now_s: float) -> list[WaitingRequest]:
+        """Take out and return the requests whose deadline has passed."""
+        expired = []
+        while self._deadlines and self._deadlines[0][0] <= now_s:
+            _, request_id = heapq.heappop(self._deadlines)
+            request = self._requests.get(request_id)
+            if request is not None and request.deadline_s <= now_s:
+                self.remove(request_id)
+                expired.append(request)
+        return expired
+
+    def remove_unknown_pools(self, configuration: Configuration) -> list[str]:
+        """Take out requests of pools that are gone; return their ids."""
+        gone = [
+            request_id
+            for request_id, request in self._requests.items()
+            if request.pool not in configuration.pools
+        ]
+        for request_id in gone:
+            self.remove(request_id)
+        return gone
