Encode peer messages as columns in thrift's compact protocol

A struct for each counter repeats field headers, and account names in full cost more than the numbers. Summaries now travel as columns of small numbers with 31-bit hashes of the account names as ids; names unknown to the codec or with equal hashes travel in full. The entry structs CounterEntry and DemandEntry, which nothing used yet, are gone.

--- a/packages/citrondock-wire/peer.thrift
+++ b/packages/citrondock-wire/peer.thrift
@@ -1,29 +1,44 @@
 // Messages between routers. Unset optional fields keep their defaults.
 namespace py citrondock_peer
 
-struct CounterEntry {
+struct RouterRef {
+  1: string vm_name
+  2: i64 incarnation
+}
+
+// Accounts are the differences of sorted ids: of 0 and more a hash of the name, below
+// it an index into Batch.accounts (-1 is the first). Counters are whole tokens.
+struct CounterColumns {
   1: i16 router            // index into Batch.routers
-  2: i16 account           // index into Batch.accounts
-  3: i64 charged_millitokens
-  4: i64 refunded_millitokens
+  2: i64 stream
+  3: list<i64> accounts
+  4: list<i64> charged_tokens
+  5: list<i64> refunded_tokens
 }
 
-struct DemandEntry {
-  1: i16 router
-  2: i16 account
-  3: i16 pool              // index into Batch.pools
-  4: i32 waiting_count
-  5: i64 sequence
+struct TotalColumns {
+  1: list<i64> accounts
+  2: list<i64> charged_tokens
+  3: list<i64> refunded_tokens
+  4: list<i64> lifted_tokens
+  5: list<i64> clamped_tokens
 }
 
-struct RouterRef {
-  1: string vm_name
-  2: i64 incarnation
+struct DemandColumns {
+  1: i16 pool              // index into Batch.pools
+  2: list<i64> accounts
+  3: list<i16> routers     // indices into Batch.routers
+  4: list<i32> waiting_counts
+  5: list<i64> sequences
 }
 
 struct SummaryEntry {
-  1: list<CounterEntry> counters
-  2: list<DemandEntry> demands
+  3: optional list<CounterColumns> counter_columns
+  4: optional TotalColumns totals
+  5: optional list<DemandColumns> demand_columns
+  6: optional i64 sequence
+  7: optional list<i64> acknowledged
+  8: optional bool wants_totals
 }
 
 struct GrantEntry {
@@ -32,19 +47,21 @@
   3: string pool
   4: i32 slot_count
   5: i32 ttl_ms
-  6: string account
+  6: optional string account
 }
 
 struct ReturnEntry {
   1: string grant_id
   2: string target
   3: i32 returned_count
+  4: optional bool unused
 }
 
 struct InFlightEntry {
   1: string target
   2: i32 in_flight_count
   3: i64 sequence
+  4: optional i32 first_token_ms
 }
 
 struct HeartbeatEntry {
@@ -56,17 +73,18 @@
   6: bool leaving
   7: i64 configuration_revision
   8: i64 sequence
+  9: optional bool gone = false
 }
 
 struct Batch {
-  1: list<RouterRef> routers
-  2: list<string> accounts
-  3: list<string> pools
-  4: list<SummaryEntry> summaries
-  5: list<GrantEntry> grants
-  6: list<ReturnEntry> returns
-  7: list<InFlightEntry> in_flights
-  8: list<HeartbeatEntry> heartbeats
+  1: optional list<RouterRef> routers
+  2: optional list<string> accounts
+  3: optional list<string> pools
+  4: optional list<SummaryEntry> summaries
+  5: optional list<GrantEntry> grants
+  6: optional list<ReturnEntry> returns
+  7: optional list<InFlightEntry> in_flights
+  8: optional list<HeartbeatEntry> heartbeats
 }
 
 // The payload is a Batch in the compact protocol; the tag is an HMAC-SHA-256 of
--- a/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_peer/ttypes.py
+++ b/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_peer/ttypes.py
@@ -16,22 +16,92 @@
 all_structs = []
 
 
-class CounterEntry(object):
+class RouterRef(object):
+    """
+    Attributes:
+     - vm_name
+     - incarnation
+
+    """
+
+
+    def __init__(self, vm_name=None, incarnation=None,):
+        self.vm_name = vm_name
+        self.incarnation = incarnation
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.vm_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RouterRef')
+        if self.vm_name is not None:
+            oprot.writeFieldBegin('vm_name', TType.STRING, 1)
+            oprot.writeString(self.vm_name.encode('utf-8') if sys.version_info[0] == 2 else self.vm_name)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CounterColumns(object):
     """
     Attributes:
      - router
-     - account
-     - charged_millitokens
-     - refunded_millitokens
+     - stream
+     - accounts
+     - charged_tokens
+     - refunded_tokens
 
     """
 
 
-    def __init__(self, router=None, account=None, charged_millitokens=None, refunded_millitokens=None,):
+    def __init__(self, router=None, stream=None, accounts=None, charged_tokens=None, refunded_tokens=None,):
         self.router = router
-        self.account = account
-        self.charged_millitokens = charged_millitokens
-        self.refunded_millitokens = refunded_millitokens
+        self.stream = stream
+        self.accounts = accounts
+        self.charged_tokens = charged_tokens
+        self.refunded_tokens = refunded_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -48,18 +118,38 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I16:
-                    self.account = iprot.readI16()
+                if ftype == TType.I64:
+                    self.stream = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I64:
-                    self.charged_millitokens = iprot.readI64()
+                if ftype == TType.LIST:
+                    self.accounts = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readI64()
+                        self.accounts.append(_elem5)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I64:
-                    self.refunded_millitokens = iprot.readI64()
+                if ftype == TType.LIST:
+                    self.charged_tokens = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = iprot.readI64()
+                        self.charged_tokens.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.refunded_tokens = []
+                    (_etype15, _size12) = iprot.readListBegin()
+                    for _i16 in range(_size12):
+                        _elem17 = iprot.readI64()
+                        self.refunded_tokens.append(_elem17)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -71,22 +161,35 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('CounterEntry')
+        oprot.writeStructBegin('CounterColumns')
         if self.router is not None:
             oprot.writeFieldBegin('router', TType.I16, 1)
             oprot.writeI16(self.router)
             oprot.writeFieldEnd()
-        if self.account is not None:
-            oprot.writeFieldBegin('account', TType.I16, 2)
-            oprot.writeI16(self.account)
+        if self.stream is not None:
+            oprot.writeFieldBegin('stream', TType.I64, 2)
+            oprot.writeI64(self.stream)
+            oprot.writeFieldEnd()
+        if self.accounts is not None:
+            oprot.writeFieldBegin('accounts', TType.LIST, 3)
+            oprot.writeListBegin(TType.I64, len(self.accounts))
+            for iter18 in self.accounts:
+                oprot.writeI64(iter18)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.charged_millitokens is not None:
-            oprot.writeFieldBegin('charged_millitokens', TType.I64, 3)
-            oprot.writeI64(self.charged_millitokens)
+        if self.charged_tokens is not None:
+            oprot.writeFieldBegin('charged_tokens', TType.LIST, 4)
+            oprot.writeListBegin(TType.I64, len(self.charged_tokens))
+            for iter19 in self.charged_tokens:
+                oprot.writeI64(iter19)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.refunded_millitokens is not None:
-            oprot.writeFieldBegin('refunded_millitokens', TType.I64, 4)
-            oprot.writeI64(self.refunded_millitokens)
+        if self.refunded_tokens is not None:
+            oprot.writeFieldBegin('refunded_tokens', TType.LIST, 5)
+            oprot.writeListBegin(TType.I64, len(self.refunded_tokens))
+            for iter20 in self.refunded_tokens:
+                oprot.writeI64(iter20)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -106,24 +209,24 @@
         return not (self == other)
 
 
-class DemandEntry(object):
+class TotalColumns(object):
     """
     Attributes:
-     - router
-     - account
-     - pool
-     - waiting_count
-     - sequence
+     - accounts
+     - charged_tokens
+     - refunded_tokens
+     - lifted_tokens
+     - clamped_tokens
 
     """
 
 
-    def __init__(self, router=None, account=None, pool=None, waiting_count=None, sequence=None,):
-        self.router = router
-        self.account = account
-        self.pool = pool
-        self.waiting_count = waiting_count
-        self.sequence = sequence
+    def __init__(self, accounts=None, charged_tokens=None, refunded_tokens=None, lifted_tokens=None, clamped_tokens=None,):
+        self.accounts = accounts
+        self.charged_tokens = charged_tokens
+        self.refunded_tokens = refunded_tokens
+        self.lifted_tokens = lifted_tokens
+        self.clamped_tokens = clamped_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -135,28 +238,53 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I16:
-                    self.router = iprot.readI16()
+                if ftype == TType.LIST:
+                    self.accounts = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readI64()
+                        self.accounts.append(_elem26)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I16:
-                    self.account = iprot.readI16()
+                if ftype == TType.LIST:
+                    self.charged_tokens = []
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = iprot.readI64()
+                        self.charged_tokens.append(_elem32)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I16:
-                    self.pool = iprot.readI16()
+                if ftype == TType.LIST:
+                    self.refunded_tokens = []
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = iprot.readI64()
+                        self.refunded_tokens.append(_elem38)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I32:
-                    self.waiting_count = iprot.readI32()
+                if ftype == TType.LIST:
+                    self.lifted_tokens = []
+                    (_etype42, _size39) = iprot.readListBegin()
+                    for _i43 in range(_size39):
+                        _elem44 = iprot.readI64()
+                        self.lifted_tokens.append(_elem44)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
-                if ftype == TType.I64:
-                    self.sequence = iprot.readI64()
+                if ftype == TType.LIST:
+                    self.clamped_tokens = []
+                    (_etype48, _size45) = iprot.readListBegin()
+                    for _i49 in range(_size45):
+                        _elem50 = iprot.readI64()
+                        self.clamped_tokens.append(_elem50)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -168,26 +296,41 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('DemandEntry')
-        if self.router is not None:
-            oprot.writeFieldBegin('router', TType.I16, 1)
-            oprot.writeI16(self.router)
+        oprot.writeStructBegin('TotalColumns')
+        if self.accounts is not None:
+            oprot.writeFieldBegin('accounts', TType.LIST, 1)
+            oprot.writeListBegin(TType.I64, len(self.accounts))
+            for iter51 in self.accounts:
+                oprot.writeI64(iter51)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.account is not None:
-            oprot.writeFieldBegin('account', TType.I16, 2)
-            oprot.writeI16(self.account)
+        if self.charged_tokens is not None:
+            oprot.writeFieldBegin('charged_tokens', TType.LIST, 2)
+            oprot.writeListBegin(TType.I64, len(self.charged_tokens))
+            for iter52 in self.charged_tokens:
+                oprot.writeI64(iter52)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.pool is not None:
-            oprot.writeFieldBegin('pool', TType.I16, 3)
-            oprot.writeI16(self.pool)
+        if self.refunded_tokens is not None:
+            oprot.writeFieldBegin('refunded_tokens', TType.LIST, 3)
+            oprot.writeListBegin(TType.I64, len(self.refunded_tokens))
+            for iter53 in self.refunded_tokens:
+                oprot.writeI64(iter53)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.waiting_count is not None:
-            oprot.writeFieldBegin('waiting_count', TType.I32, 4)
-            oprot.writeI32(self.waiting_count)
+        if self.lifted_tokens is not None:
+            oprot.writeFieldBegin('lifted_tokens', TType.LIST, 4)
+            oprot.writeListBegin(TType.I64, len(self.lifted_tokens))
+            for iter54 in self.lifted_tokens:
+                oprot.writeI64(iter54)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.sequence is not None:
-            oprot.writeFieldBegin('sequence', TType.I64, 5)
-            oprot.writeI64(self.sequence)
+        if self.clamped_tokens is not None:
+            oprot.writeFieldBegin('clamped_tokens', TType.LIST, 5)
+            oprot.writeListBegin(TType.I64, len(self.clamped_tokens))
+            for iter55 in self.clamped_tokens:
+                oprot.writeI64(iter55)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -207,18 +350,24 @@
         return not (self == other)
 
 
-class RouterRef(object):
+class DemandColumns(object):
     """
     Attributes:
-     - vm_name
-     - incarnation
+     - pool
+     - accounts
+     - routers
+     - waiting_counts
+     - sequences
 
     """
 
 
-    def __init__(self, vm_name=None, incarnation=None,):
-        self.vm_name = vm_name
-        self.incarnation = incarnation
+    def __init__(self, pool=None, accounts=None, routers=None, waiting_counts=None, sequences=None,):
+        self.pool = pool
+        self.accounts = accounts
+        self.routers = routers
+        self.waiting_counts = waiting_counts
+        self.sequences = sequences
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -230,13 +379,48 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.vm_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I16:
+                    self.pool = iprot.readI16()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.incarnation = iprot.readI64()
+                if ftype == TType.LIST:
+                    self.accounts = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = iprot.readI64()
+                        self.accounts.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.routers = []
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = iprot.readI16()
+                        self.routers.append(_elem67)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.waiting_counts = []
+                    (_etype71, _size68) = iprot.readListBegin()
+                    for _i72 in range(_size68):
+                        _elem73 = iprot.readI32()
+                        self.waiting_counts.append(_elem73)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.sequences = []
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = iprot.readI64()
+                        self.sequences.append(_elem79)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -248,14 +432,38 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('RouterRef')
-        if self.vm_name is not None:
-            oprot.writeFieldBegin('vm_name', TType.STRING, 1)
-            oprot.writeString(self.vm_name.encode('utf-8') if sys.version_info[0] == 2 else self.vm_name)
+        oprot.writeStructBegin('DemandColumns')
+        if self.pool is not None:
+            oprot.writeFieldBegin('pool', TType.I16, 1)
+            oprot.writeI16(self.pool)
             oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.I64, 2)
-            oprot.writeI64(self.incarnation)
+        if self.accounts is not None:
+            oprot.writeFieldBegin('accounts', TType.LIST, 2)
+            oprot.writeListBegin(TType.I64, len(self.accounts))
+            for iter80 in self.accounts:
+                oprot.writeI64(iter80)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.routers is not None:
+            oprot.writeFieldBegin('routers', TType.LIST, 3)
+            oprot.writeListBegin(TType.I16, len(self.routers))
+            for iter81 in self.routers:
+                oprot.writeI16(iter81)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.waiting_counts is not None:
+            oprot.writeFieldBegin('waiting_counts', TType.LIST, 4)
+            oprot.writeListBegin(TType.I32, len(self.waiting_counts))
+            for iter82 in self.waiting_counts:
+                oprot.writeI32(iter82)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.sequences is not None:
+            oprot.writeFieldBegin('sequences', TType.LIST, 5)
+            oprot.writeListBegin(TType.I64, len(self.sequences))
+            for iter83 in self.sequences:
+                oprot.writeI64(iter83)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -278,15 +486,23 @@
 class SummaryEntry(object):
     """
     Attributes:
-     - counters
-     - demands
+     - counter_columns
+     - totals
+     - demand_columns
+     - sequence
+     - acknowledged
+     - wants_totals
 
     """
 
 
-    def __init__(self, counters=None, demands=None,):
-        self.counters = counters
-        self.demands = demands
+    def __init__(self, counter_columns=None, totals=None, demand_columns=None, sequence=None, acknowledged=None, wants_totals=None,):
+        self.counter_columns = counter_columns
+        self.totals = totals
+        self.demand_columns = demand_columns
+        self.sequence = sequence
+        self.acknowledged = acknowledged
+        self.wants_totals = wants_totals
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -297,28 +513,54 @@
             (fname, ftype, fid) = iprot.readFieldBegin()
             if ftype == TType.STOP:
                 break
-            if fid == 1:
+            if fid == 3:
                 if ftype == TType.LIST:
-                    self.counters = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = CounterEntry()
-                        _elem5.read(iprot)
-                        self.counters.append(_elem5)
+                    self.counter_columns = []
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = CounterColumns()
+                        _elem89.read(iprot)
+                        self.counter_columns.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 2:
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.totals = TotalColumns()
+                    self.totals.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
                 if ftype == TType.LIST:
-                    self.demands = []
-                    (_etype9, _size6) = iprot.readListBegin()
-                    for _i10 in range(_size6):
-                        _elem11 = DemandEntry()
-                        _elem11.read(iprot)
-                        self.demands.append(_elem11)
+                    self.demand_columns = []
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = DemandColumns()
+                        _elem95.read(iprot)
+                        self.demand_columns.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.acknowledged = []
+                    (_etype99, _size96) = iprot.readListBegin()
+                    for _i100 in range(_size96):
+                        _elem101 = iprot.readI64()
+                        self.acknowledged.append(_elem101)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.wants_totals = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -329,20 +571,39 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('SummaryEntry')
-        if self.counters is not None:
-            oprot.writeFieldBegin('counters', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRUCT, len(self.counters))
-            for iter12 in self.counters:
-                iter12.write(oprot)
+        if self.counter_columns is not None:
+            oprot.writeFieldBegin('counter_columns', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.counter_columns))
+            for iter102 in self.counter_columns:
+                iter102.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.totals is not None:
+            oprot.writeFieldBegin('totals', TType.STRUCT, 4)
+            self.totals.write(oprot)
+            oprot.writeFieldEnd()
+        if self.demand_columns is not None:
+            oprot.writeFieldBegin('demand_columns', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.demand_columns))
+            for iter103 in self.demand_columns:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.demands is not None:
-            oprot.writeFieldBegin('demands', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter13 in self.demands:
-                iter13.write(oprot)
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 6)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.acknowledged is not None:
+            oprot.writeFieldBegin('acknowledged', TType.LIST, 7)
+            oprot.writeListBegin(TType.I64, len(self.acknowledged))
+            for iter104 in self.acknowledged:
+                oprot.writeI64(iter104)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.wants_totals is not None:
+            oprot.writeFieldBegin('wants_totals', TType.BOOL, 8)
+            oprot.writeBool(self.wants_totals)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -479,14 +740,16 @@
      - grant_id
      - target
      - returned_count
+     - unused
 
     """
 
 
-    def __init__(self, grant_id=None, target=None, returned_count=None,):
+    def __init__(self, grant_id=None, target=None, returned_count=None, unused=None,):
         self.grant_id = grant_id
         self.target = target
         self.returned_count = returned_count
+        self.unused = unused
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -512,6 +775,11 @@
                     self.returned_count = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.unused = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -534,6 +802,10 @@
             oprot.writeFieldBegin('returned_count', TType.I32, 3)
             oprot.writeI32(self.returned_count)
             oprot.writeFieldEnd()
+        if self.unused is not None:
+            oprot.writeFieldBegin('unused', TType.BOOL, 4)
+            oprot.writeBool(self.unused)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -558,14 +830,16 @@
      - target
      - in_flight_count
      - sequence
+     - first_token_ms
 
     """
 
 
-    def __init__(self, target=None, in_flight_count=None, sequence=None,):
+    def __init__(self, target=None, in_flight_count=None, sequence=None, first_token_ms=None,):
         self.target = target
         self.in_flight_count = in_flight_count
         self.sequence = sequence
+        self.first_token_ms = first_token_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -591,6 +865,11 @@
                     self.sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.first_token_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -613,6 +892,10 @@
             oprot.writeFieldBegin('sequence', TType.I64, 3)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
+        if self.first_token_ms is not None:
+            oprot.writeFieldBegin('first_token_ms', TType.I32, 4)
+            oprot.writeI32(self.first_token_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -642,11 +925,12 @@
      - leaving
      - configuration_revision
      - sequence
+     - gone
 
     """
 
 
-    def __init__(self, vm_name=None, availability_zone=None, incarnation=None, host=None, port=None, leaving=None, configuration_revision=None, sequence=None,):
+    def __init__(self, vm_name=None, availability_zone=None, incarnation=None, host=None, port=None, leaving=None, configuration_revision=None, sequence=None, gone=False,):
         self.vm_name = vm_name
         self.availability_zone = availability_zone
         self.incarnation = incarnation
@@ -655,6 +939,7 @@
         self.leaving = leaving
         self.configuration_revision = configuration_revision
         self.sequence = sequence
+        self.gone = gone
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -705,6 +990,11 @@
                     self.sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.gone = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -747,6 +1037,10 @@
             oprot.writeFieldBegin('sequence', TType.I64, 8)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
+        if self.gone is not None:
+            oprot.writeFieldBegin('gone', TType.BOOL, 9)
+            oprot.writeBool(self.gone)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -802,86 +1096,86 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.routers = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = RouterRef()
-                        _elem19.read(iprot)
-                        self.routers.append(_elem19)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = RouterRef()
+                        _elem110.read(iprot)
+                        self.routers.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.accounts = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.accounts.append(_elem25)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.accounts.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.pools = []
-                    (_etype29, _size26) = iprot.readListBegin()
-                    for _i30 in range(_size26):
-                        _elem31 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.pools.append(_elem31)
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.pools.append(_elem122)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.summaries = []
-                    (_etype35, _size32) = iprot.readListBegin()
-                    for _i36 in range(_size32):
-                        _elem37 = SummaryEntry()
-                        _elem37.read(iprot)
-                        self.summaries.append(_elem37)
+                    (_etype126, _size123) = iprot.readListBegin()
+                    for _i127 in range(_size123):
+                        _elem128 = SummaryEntry()
+                        _elem128.read(iprot)
+                        self.summaries.append(_elem128)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.grants = []
-                    (_etype41, _size38) = iprot.readListBegin()
-                    for _i42 in range(_size38):
-                        _elem43 = GrantEntry()
-                        _elem43.read(iprot)
-                        self.grants.append(_elem43)
+                    (_etype132, _size129) = iprot.readListBegin()
+                    for _i133 in range(_size129):
+                        _elem134 = GrantEntry()
+                        _elem134.read(iprot)
+                        self.grants.append(_elem134)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.returns = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = ReturnEntry()
-                        _elem49.read(iprot)
-                        self.returns.append(_elem49)
+                    (_etype138, _size135) = iprot.readListBegin()
+                    for _i139 in range(_size135):
+                        _elem140 = ReturnEntry()
+                        _elem140.read(iprot)
+                        self.returns.append(_elem140)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.in_flights = []
-                    (_etype53, _size50) = iprot.readListBegin()
-                    for _i54 in range(_size50):
-                        _elem55 = InFlightEntry()
-                        _elem55.read(iprot)
-                        self.in_flights.append(_elem55)
+                    (_etype144, _size141) = iprot.readListBegin()
+                    for _i145 in range(_size141):
+                        _elem146 = InFlightEntry()
+                        _elem146.read(iprot)
+                        self.in_flights.append(_elem146)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.heartbeats = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = HeartbeatEntry()
-                        _elem61.read(iprot)
-                        self.heartbeats.append(_elem61)
+                    (_etype150, _size147) = iprot.readListBegin()
+                    for _i151 in range(_size147):
+                        _elem152 = HeartbeatEntry()
+                        _elem152.read(iprot)
+                        self.heartbeats.append(_elem152)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -898,57 +1192,57 @@
         if self.routers is not None:
             oprot.writeFieldBegin('routers', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.routers))
-            for iter62 in self.routers:
-                iter62.write(oprot)
+            for iter153 in self.routers:
+                iter153.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.accounts is not None:
             oprot.writeFieldBegin('accounts', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.accounts))
-            for iter63 in self.accounts:
-                oprot.writeString(iter63.encode('utf-8') if sys.version_info[0] == 2 else iter63)
+            for iter154 in self.accounts:
+                oprot.writeString(iter154.encode('utf-8') if sys.version_info[0] == 2 else iter154)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.pools is not None:
             oprot.writeFieldBegin('pools', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.pools))
-            for iter64 in self.pools:
-                oprot.writeString(iter64.encode('utf-8') if sys.version_info[0] == 2 else iter64)
+            for iter155 in self.pools:
+                oprot.writeString(iter155.encode('utf-8') if sys.version_info[0] == 2 else iter155)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.summaries is not None:
             oprot.writeFieldBegin('summaries', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.summaries))
-            for iter65 in self.summaries:
-                iter65.write(oprot)
+            for iter156 in self.summaries:
+                iter156.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.grants is not None:
             oprot.writeFieldBegin('grants', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.grants))
-            for iter66 in self.grants:
-                iter66.write(oprot)
+            for iter157 in self.grants:
+                iter157.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.returns is not None:
             oprot.writeFieldBegin('returns', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.returns))
-            for iter67 in self.returns:
-                iter67.write(oprot)
+            for iter158 in self.returns:
+                iter158.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.in_flights is not None:
             oprot.writeFieldBegin('in_flights', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.in_flights))
-            for iter68 in self.in_flights:
-                iter68.write(oprot)
+            for iter159 in self.in_flights:
+                iter159.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.heartbeats is not None:
             oprot.writeFieldBegin('heartbeats', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.heartbeats))
-            for iter69 in self.heartbeats:
-                iter69.write(oprot)
+            for iter160 in self.heartbeats:
+                iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1172,10 +1466,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.lines = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.lines.append(_elem75)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.lines.append(_elem166)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1192,8 +1486,8 @@
         if self.lines is not None:
             oprot.writeFieldBegin('lines', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.lines))
-            for iter76 in self.lines:
-                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            for iter167 in self.lines:
+                oprot.writeString(iter167.encode('utf-8') if sys.version_info[0] == 2 else iter167)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1298,34 +1592,50 @@
 
     def __ne__(self, other):
         return not (self == other)
-all_structs.append(CounterEntry)
-CounterEntry.thrift_spec = (
+all_structs.append(RouterRef)
+RouterRef.thrift_spec = (
     None,  # 0
-    (1, TType.I16, 'router', None, None, ),  # 1
-    (2, TType.I16, 'account', None, None, ),  # 2
-    (3, TType.I64, 'charged_millitokens', None, None, ),  # 3
-    (4, TType.I64, 'refunded_millitokens', None, None, ),  # 4
+    (1, TType.STRING, 'vm_name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
 )
-all_structs.append(DemandEntry)
-DemandEntry.thrift_spec = (
+all_structs.append(CounterColumns)
+CounterColumns.thrift_spec = (
     None,  # 0
     (1, TType.I16, 'router', None, None, ),  # 1
-    (2, TType.I16, 'account', None, None, ),  # 2
-    (3, TType.I16, 'pool', None, None, ),  # 3
-    (4, TType.I32, 'waiting_count', None, None, ),  # 4
-    (5, TType.I64, 'sequence', None, None, ),  # 5
+    (2, TType.I64, 'stream', None, None, ),  # 2
+    (3, TType.LIST, 'accounts', (TType.I64, None, False), None, ),  # 3
+    (4, TType.LIST, 'charged_tokens', (TType.I64, None, False), None, ),  # 4
+    (5, TType.LIST, 'refunded_tokens', (TType.I64, None, False), None, ),  # 5
 )
-all_structs.append(RouterRef)
-RouterRef.thrift_spec = (
+all_structs.append(TotalColumns)
+TotalColumns.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'vm_name', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (1, TType.LIST, 'accounts', (TType.I64, None, False), None, ),  # 1
+    (2, TType.LIST, 'charged_tokens', (TType.I64, None, False), None, ),  # 2
+    (3, TType.LIST, 'refunded_tokens', (TType.I64, None, False), None, ),  # 3
+    (4, TType.LIST, 'lifted_tokens', (TType.I64, None, False), None, ),  # 4
+    (5, TType.LIST, 'clamped_tokens', (TType.I64, None, False), None, ),  # 5
+)
+all_structs.append(DemandColumns)
+DemandColumns.thrift_spec = (
+    None,  # 0
+    (1, TType.I16, 'pool', None, None, ),  # 1
+    (2, TType.LIST, 'accounts', (TType.I64, None, False), None, ),  # 2
+    (3, TType.LIST, 'routers', (TType.I16, None, False), None, ),  # 3
+    (4, TType.LIST, 'waiting_counts', (TType.I32, None, False), None, ),  # 4
+    (5, TType.LIST, 'sequences', (TType.I64, None, False), None, ),  # 5
 )
 all_structs.append(SummaryEntry)
 SummaryEntry.thrift_spec = (
     None,  # 0
-    (1, TType.LIST, 'counters', (TType.STRUCT, [CounterEntry, None], False), None, ),  # 1
-    (2, TType.LIST, 'demands', (TType.STRUCT, [DemandEntry, None], False), None, ),  # 2
+    None,  # 1
+    None,  # 2
+    (3, TType.LIST, 'counter_columns', (TType.STRUCT, [CounterColumns, None], False), None, ),  # 3
+    (4, TType.STRUCT, 'totals', [TotalColumns, None], None, ),  # 4
+    (5, TType.LIST, 'demand_columns', (TType.STRUCT, [DemandColumns, None], False), None, ),  # 5
+    (6, TType.I64, 'sequence', None, None, ),  # 6
+    (7, TType.LIST, 'acknowledged', (TType.I64, None, False), None, ),  # 7
+    (8, TType.BOOL, 'wants_totals', None, None, ),  # 8
 )
 all_structs.append(GrantEntry)
 GrantEntry.thrift_spec = (
@@ -1343,6 +1653,7 @@
     (1, TType.STRING, 'grant_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'target', 'UTF8', None, ),  # 2
     (3, TType.I32, 'returned_count', None, None, ),  # 3
+    (4, TType.BOOL, 'unused', None, None, ),  # 4
 )
 all_structs.append(InFlightEntry)
 InFlightEntry.thrift_spec = (
@@ -1350,6 +1661,7 @@
     (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
     (2, TType.I32, 'in_flight_count', None, None, ),  # 2
     (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.I32, 'first_token_ms', None, None, ),  # 4
 )
 all_structs.append(HeartbeatEntry)
 HeartbeatEntry.thrift_spec = (
@@ -1362,6 +1674,7 @@
     (6, TType.BOOL, 'leaving', None, None, ),  # 6
     (7, TType.I64, 'configuration_revision', None, None, ),  # 7
     (8, TType.I64, 'sequence', None, None, ),  # 8
+    (9, TType.BOOL, 'gone', None, False, ),  # 9
 )
 all_structs.append(Batch)
 Batch.thrift_spec = (
--- /dev/null
+++ b/packages/citrondock-wire/src/citrondock_wire/message_codec.py
@@ -0,0 +1,207 @@
+"""Messages between routers as the thrift `Batch` of the compact protocol."""
+
+from collections.abc import Iterable, Iterator, Sequence
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.Thrift import TException
+from thrift.TSerialization import deserialize, serialize
+
+from citrondock_core.errors import CitrondockError
+from citrondock_core.heartbeat import Heartbeat
+from citrondock_core.messages import (
+    InFlight,
+    PeerMessage,
+    SlotGrant,
+    SlotReturn,
+    Summary,
+)
+from citrondock_wire.account_names import AccountNames
+from citrondock_wire.gen.citrondock_peer import ttypes
+from citrondock_wire.summary_columns import NameLists, SummaryColumns
+
+MS_PER_S = 1_000
+
+WireMessage = PeerMessage | Heartbeat
+
+
+class BadMessageError(CitrondockError):
+    """Bytes of a peer that are no batch of messages."""
+
+
+class MessageCodec:
+    """Encodes and decodes batches of messages.
+
+    Examples
+    --------
+    >>> codec = MessageCodec()
+    >>> payload = codec.encode([InFlight(target="t", in_flight_count=1, sequence=1)])
+    >>> codec.decode(payload)[0].in_flight_count
+    1
+    """
+
+    def __init__(self) -> None:
+        self._names = AccountNames()
+        self._columns = SummaryColumns(self._names)
+        self._factory = TCompactProtocolAcceleratedFactory()
+
+    def set_accounts(self, names: Iterable[str]) -> None:
+        """Take the account names of the configuration, which get short ids."""
+        self._names.set_names(names)
+
+    def encode(self, messages: Sequence[WireMessage]) -> bytes:
+        """Return a batch of messages as bytes."""
+        lists = NameLists()
+        batch = ttypes.Batch()
+        for message in messages:
+            self._append(batch, message, lists)
+        batch.routers = [
+            ttypes.RouterRef(vm_name=vm_name, incarnation=incarnation)
+            for vm_name, incarnation in lists.routers
+        ] or None
+        batch.accounts = lists.accounts or None
+        batch.pools = lists.pools or None
+        payload: bytes = serialize(batch, protocol_factory=self._factory)
+        return payload
+
+    def decode(self, payload: bytes, *, peer: str = "peer") -> list[WireMessage]:
+        """Return the messages of a batch.
+
+        Parameters
+        ----------
+        payload : bytes
+            What `encode` made.
+        peer : str
+            Who sent it, for the error.
+
+        Raises
+        ------
+        BadMessageError
+            When the bytes are no batch.
+        """
+        try:
+            batch = deserialize(ttypes.Batch(), payload, protocol_factory=self._factory)
+            return list(self._messages(batch))
+        except (
+            TException,
+            EOFError,
+            IndexError,
+            MemoryError,
+            OverflowError,
+            TypeError,
+            ValueError,
+        ) as error:
+            reason = f"bad batch of {len(payload)} bytes: {error}"
+            raise BadMessageError(reason, step="decode", peer=peer) from error
+
+    def _append(
+        self, batch: ttypes.Batch, message: WireMessage, lists: NameLists
+    ) -> None:
+        match message:
+            case Summary():
+                summary = self._columns.encode(message, lists)
+                batch.summaries = [*(batch.summaries or ()), summary]
+            case SlotGrant():
+                batch.grants = [*(batch.grants or ()), _grant_entry(message)]
+            case SlotReturn():
+                batch.returns = [*(batch.returns or ()), _return_entry(message)]
+            case InFlight():
+                in_flight = _in_flight_entry(message)
+                batch.in_flights = [*(batch.in_flights or ()), in_flight]
+            case Heartbeat():
+                heartbeat = _heartbeat_entry(message)
+                batch.heartbeats = [*(batch.heartbeats or ()), heartbeat]
+
+    def _messages(self, batch: ttypes.Batch) -> Iterator[WireMessage]:
+        lists = NameLists(
+            routers=[(r.vm_name, r.incarnation) for r in batch.routers or ()],
+            accounts=batch.accounts or [],
+            pools=batch.pools or [],
+        )
+        for heartbeat in batch.heartbeats or ():
+            yield _heartbeat(heartbeat)
+        for summary in batch.summaries or ():
+            yield self._columns.decode(summary, lists)
+        for grant in batch.grants or ():
+            yield _grant(grant)
+        for returned in batch.returns or ():
+            yield SlotReturn(
+                grant_id=returned.grant_id,
+                target=returned.target,
+                returned_count=returned.returned_count,
+                unused=bool(returned.unused),
+            )
+        for in_flight in batch.in_flights or ():
+            yield InFlight(
+                target=in_flight.target,
+                in_flight_count=in_flight.in_flight_count,
+                sequence=in_flight.sequence,
+                first_token_s=(in_flight.first_token_ms or 0) / MS_PER_S,
+            )
+
+
+def _grant_entry(grant: SlotGrant) -> ttypes.GrantEntry:
+    return ttypes.GrantEntry(
+        grant_id=grant.grant_id,
+        target=grant.target,
+        pool=grant.pool,
+        slot_count=grant.slot_count,
+        ttl_ms=round(grant.ttl_s * MS_PER_S),
+        account=grant.account or None,
+    )
+
+
+def _grant(entry: ttypes.GrantEntry) -> SlotGrant:
+    return SlotGrant(
+        grant_id=entry.grant_id,
+        target=entry.target,
+        pool=entry.pool,
+        slot_count=entry.slot_count,
+        ttl_s=entry.ttl_ms / MS_PER_S,
+        account=entry.account or "",
+    )
+
+
+def _return_entry(message: SlotReturn) -> ttypes.ReturnEntry:
+    return ttypes.ReturnEntry(
+        grant_id=message.grant_id,
+        target=message.target,
+        returned_count=message.returned_count,
+        unused=message.unused or None,
+    )
+
+
+def _in_flight_entry(message: InFlight) -> ttypes.InFlightEntry:
+    return ttypes.InFlightEntry(
+        target=message.target,
+        in_flight_count=message.in_flight_count,
+        sequence=message.sequence,
+        first_token_ms=round(message.first_token_s * MS_PER_S) or None,
+    )
+
+
+def _heartbeat_entry(heartbeat: Heartbeat) -> ttypes.HeartbeatEntry:
+    return ttypes.HeartbeatEntry(
+        vm_name=heartbeat.vm_name,
+        availability_zone=heartbeat.availability_zone,
+        incarnation=heartbeat.incarnation,
+        host=heartbeat.host,
+        port=heartbeat.port,
+        leaving=heartbeat.leaving,
+        configuration_revision=heartbeat.configuration_revision,
+        sequence=heartbeat.sequence,
+        gone=heartbeat.gone or None,
+    )
+
+
+def _heartbeat(entry: ttypes.HeartbeatEntry) -> Heartbeat:
+    return Heartbeat(
+        vm_name=entry.vm_name,
+        availability_zone=entry.availability_zone,
+        incarnation=entry.incarnation,
+        host=entry.host,
+        port=entry.port,
+        leaving=entry.leaving,
+        configuration_revision=entry.configuration_revision,
+        sequence=entry.sequence,
+        gone=bool(entry.gone),
+    )
