Commit edits of the configuration by one conditional update

Cause: an accepted edit must hold everywhere and never revert, operators race each other, answers of the store get lost after their effect, and the text outgrows the value limit of the store.

Conclusion: follower and command line can build on it.

--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/configuration_revisions.py
@@ -0,0 +1,165 @@
+"""Objects in the store that make up the history of the configuration.
+
+``configuration/head`` is the only object that changes. Everything that it refers to
+is written before it and never rewritten: a record of each edit, a manifest of each
+revision, and the parts of the text and of the snapshot.
+"""
+
+import attrs
+
+from citrondock_core.configuration_entries import Delta, dump
+from citrondock_core.configuration_parts import Part
+
+HEAD_KEY = "configuration/head"
+COLLECTED_KEY = "configuration/collected"
+EDITS_PREFIX = "configuration/edits/"
+MANIFESTS_PREFIX = "configuration/manifests/"
+PARTS_PREFIX = "configuration/parts/"
+
+MAX_RECENT_COUNT = 8
+MAX_RECENT_BYTES = 4_000
+MAX_RECORD_DELTA_BYTES = 200_000
+MAX_SHOWN_CHANGES = 12
+
+
+@attrs.frozen(kw_only=True)
+class Edit:
+    """Who changed what, why and when.
+
+    Parameters
+    ----------
+    revision : int
+        Revision that the edit made.
+    edit_id : str
+        Unique id, chosen by whoever made the edit.
+    parent_edit_id : str
+        Edit that it was based on; empty for the first.
+    author, reason : str
+        Who and why.
+    written_at_epoch_s : float
+        When, by the author's clock, in seconds since 1970.
+    changed : tuple of str
+        Keys of the first few changed entries.
+    changed_count : int
+        How many entries changed; 0 when only comments did.
+    delta : Delta or None
+        What changed; None where it is too large to stand here.
+    """
+
+    revision: int
+    edit_id: str
+    parent_edit_id: str
+    author: str
+    reason: str
+    written_at_epoch_s: float
+    changed: tuple[str, ...]
+    changed_count: int
+    delta: Delta | None = None
+
+    def __str__(self) -> str:
+        more = self.changed_count - len(self.changed)
+        changes = ", ".join(self.changed) or "comments only"
+        suffix = f" and {more} more" if more > 0 else ""
+        why = f" ({self.reason})" if self.reason else ""
+        return f"revision {self.revision} by {self.author}{why}: {changes}{suffix}"
+
+
+@attrs.frozen(kw_only=True)
+class EditRecord:
+    """The stored record of an edit, accepted or not.
+
+    Parameters
+    ----------
+    edit : Edit
+        The edit.
+    dropped_parts : tuple of Part
+        Parts of the revision before that this one no longer uses.
+    written_keys : tuple of str
+        Parts that the edit adds.
+    """
+
+    edit: Edit
+    dropped_parts: tuple[Part, ...] = ()
+    written_keys: tuple[str, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class Manifest:
+    """The parts of one revision.
+
+    Parameters
+    ----------
+    revision, edit_id : int, str
+        Which one.
+    text : tuple of Part
+        The operators' text, with comments.
+    snapshot : tuple of Part
+        The entries, one a line.
+    """
+
+    revision: int
+    edit_id: str
+    text: tuple[Part, ...] = ()
+    snapshot: tuple[Part, ...] = ()
+
+
+@attrs.frozen(kw_only=True)
+class Head:
+    """The revision in force.
+
+    Parameters
+    ----------
+    revision, edit_id : int, str
+        Which one.
+    recent : tuple of Edit
+        The last edits, oldest first; the last one made this revision.
+    """
+
+    revision: int = 0
+    edit_id: str = ""
+    recent: tuple[Edit, ...] = ()
+
+    def after(self, edit: Edit) -> "Head":
+        """Return the head that accepts an edit."""
+        recent = [*self.recent, edit][-MAX_RECENT_COUNT:]
+        sizes = [len(dump(item)) for item in recent]
+        while len(recent) > 1 and sum(sizes) > MAX_RECENT_BYTES:
+            recent.pop(0)
+            sizes.pop(0)
+        if sizes[0] > MAX_RECENT_BYTES:
+            recent = [attrs.evolve(recent[0], delta=None)]
+        return Head(revision=edit.revision, edit_id=edit.edit_id, recent=tuple(recent))
+
+
+def edit_key(revision: int, edit_id: str) -> str:
+    """Return the key of an edit's record."""
+    return f"{EDITS_PREFIX}{revision:012d}-{edit_id}"
+
+
+def edits_after_key(revision: int) -> str:
+    """Return the key after which the records of later revisions stand."""
+    return f"{EDITS_PREFIX}{revision:012d}~"
+
+
+def manifest_key(revision: int, edit_id: str) -> str:
+    """Return the key of a revision's manifest."""
+    return f"{MANIFESTS_PREFIX}{revision:012d}-{edit_id}"
+
+
+def part_key(revision: int, edit_id: str, index: int) -> str:
+    """Return the key of a part that an edit adds."""
+    return f"{PARTS_PREFIX}{revision:012d}-{edit_id}-{index:04d}"
+
+
+def chain_from(edit_id: str, edits: list[Edit]) -> list[Edit]:
+    """Return the accepted edits that lead to ``edit_id``, oldest first.
+
+    Records of edits that lost a race stand beside them; they are left out.
+    """
+    by_id = {edit.edit_id: edit for edit in edits}
+    chain: list[Edit] = []
+    while edit_id in by_id:
+        edit = by_id.pop(edit_id)
+        chain.append(edit)
+        edit_id = edit.parent_edit_id
+    return chain[::-1]
--- a/packages/citrondock-core/src/citrondock_core/configuration_text.py
+++ b/packages/citrondock-core/src/citrondock_core/configuration_text.py
@@ -13,6 +13,7 @@
     Service,
 )
 from citrondock_core.configuration_checks import check_configuration
+from citrondock_core.configuration_entries import configuration_of, entries_of
 from citrondock_core.faults import raise_faults
 from citrondock_core.located_json import parse_json
 from citrondock_core.structuring import structure_leniently
@@ -40,7 +41,7 @@
     Returns
     -------
     Configuration
-        With revision 0, since it is not accepted yet.
+        With revision 0, since it is not accepted yet; targets in order of names.
 
     Raises
     ------
@@ -66,4 +67,4 @@
         known_faults = {fault.path for fault in faults}
         faults += check_configuration(configuration, parsed.root, known_faults)
     raise_faults(faults, file=file)
-    return configuration
+    return configuration_of(entries_of(configuration), revision=0, edit_id="")
