Follow the configuration at a router

Cause: each router has to have an accepted revision in force within seconds, go on without the store, and never go back, whatever old store or peer answers. Change: ConfigurationFollower waits on one watch of the head on its own thread, applies only higher revisions by the cheapest way, and asks the peers while the store fails, with jittered backoff; its status says whether it may be old.

--- a/packages/citrondock-core/src/citrondock_core/configuration_reader.py
+++ b/packages/citrondock-core/src/citrondock_core/configuration_reader.py
@@ -1,6 +1,6 @@
 """Reads revisions of the configuration from the store."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 
 import attrs
 
@@ -57,6 +57,22 @@
     version: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class HeadWatch:
+    """What a watch of the head saw.
+
+    Parameters
+    ----------
+    found : HeadVersion or None
+        A newer head.
+    version : int
+        Store version up to which the answer is complete.
+    """
+
+    found: HeadVersion | None
+    version: int
+
+
 class ConfigurationReader:
     """Reads the head, deltas, snapshots, texts and the history.
 
@@ -66,11 +82,18 @@
         The platform's store.
     call_timeout_s : float
         Longest time for one call.
+
+    Attributes
+    ----------
+    call_count : int
+        Calls made so far.
     """
 
     def __init__(self, store: ObjectStore, *, call_timeout_s: float = 2.0) -> None:
+        self.call_count = 0
         self._store = store
         self._call_timeout_s = call_timeout_s
+        self._snapshot_parts: dict[str, bytes] = {}
 
     def read_head(self) -> HeadVersion:
         """Return the head in force."""
@@ -79,15 +102,17 @@
         except ObjectNotFoundError:
             return HeadVersion()
 
-    def wait_for_head(self, *, after_version: int, wait_s: float) -> HeadVersion | None:
-        """Wait for a head that is newer than a store version; None when none came."""
+    def wait_for_head(self, *, after_version: int, wait_s: float) -> HeadWatch:
+        """Wait for a head that is newer than a store version."""
+        self.call_count += 1
         result = self._store.watch(HEAD_KEY, after_version=after_version, wait_s=wait_s)
         heads = [
             change
             for change in result.changes
             if change.key == HEAD_KEY and not change.deleted
         ]
-        return decode_head(heads[-1]) if heads else None
+        found = decode_head(heads[-1]) if heads else None
+        return HeadWatch(found=found, version=result.version)
 
     def advance(self, configuration: Configuration, head: Head) -> Configuration:
         """Return the configuration of ``head``, in the cheapest way from an older one.
@@ -107,14 +132,20 @@
     def read_snapshot(self, revision: int, edit_id: str) -> Configuration:
         """Return one revision from its parts.
 
+        Parts that were read before the store failed are not read again.
+
         Raises
         ------
         RevisionMissingError
             The revision is not kept any more.
         """
         manifest = self.read_manifest(revision, edit_id)
-        content = b"".join(self._contents(manifest.snapshot))
-        entries = decode_entries(content.split(b"\n"))
+        for part in manifest.snapshot:
+            if part.digest not in self._snapshot_parts:
+                self._snapshot_parts[part.digest] = self._content(part)
+        parts = (self._snapshot_parts[part.digest] for part in manifest.snapshot)
+        entries = decode_entries(b"".join(parts).split(b"\n"))
+        self._snapshot_parts.clear()
         return configuration_of(entries, revision=revision, edit_id=edit_id)
 
     def read_text(self, revision: int, edit_id: str) -> bytes:
@@ -125,7 +156,8 @@
         RevisionMissingError
             The revision is not kept any more.
         """
-        return b"".join(self._contents(self.read_manifest(revision, edit_id).text))
+        manifest = self.read_manifest(revision, edit_id)
+        return b"".join(map(self._content, manifest.text))
 
     def read_manifest(self, revision: int, edit_id: str) -> Manifest:
         """Return the list of a revision's parts; empty for revision 0."""
@@ -145,6 +177,7 @@
         records: list[EditRecord] = []
         after_key = edits_after_key(after_revision)
         while True:
+            self.call_count += 1
             page = self._store.list(
                 EDITS_PREFIX,
                 after_key=after_key,
@@ -156,12 +189,11 @@
                 return records
             after_key = page[-1].key
 
-    def _contents(self, parts: Iterable[Part]) -> Iterable[bytes]:
-        for part in parts:
-            content = inflate(self._get_part(part.key))
-            if digest_of(content) != part.digest:
-                raise ConfigurationDecodeError(f"{part.key} is damaged", step="read")
-            yield content
+    def _content(self, part: Part) -> bytes:
+        content = inflate(self._get_part(part.key))
+        if digest_of(content) != part.digest:
+            raise ConfigurationDecodeError(f"{part.key} is damaged", step="read")
+        return content
 
     def _get_part(self, key: str) -> bytes:
         try:
@@ -170,6 +202,7 @@
             raise RevisionMissingError(f"{key} is not kept", step="read") from error
 
     def _get(self, key: str) -> StoredObject:
+        self.call_count += 1
         return self._store.get(key, timeout_s=self._call_timeout_s)
 
 
--- a/packages/citrondock-core/src/citrondock_core/configuration_repository.py
+++ b/packages/citrondock-core/src/citrondock_core/configuration_repository.py
@@ -253,6 +253,13 @@
         return None
 
     def _conflict(self, request: EditRequest, head: Head) -> EditConflictError:
+        if head.revision < request.base_revision:
+            return EditConflictError(
+                f"the text was made from revision {request.base_revision}, "
+                f"but the store has revision {head.revision}",
+                step="accept",
+                peer="object store",
+            )
         others = self._history_since(head, request.base_revision)
         told = "; ".join(map(str, others)) or f"revision {head.revision} is in force"
         return EditConflictError(
--- a/packages/citrondock-core/src/citrondock_core/configuration_revisions.py
+++ b/packages/citrondock-core/src/citrondock_core/configuration_revisions.py
@@ -119,6 +119,15 @@
     edit_id: str = ""
     recent: tuple[Edit, ...] = ()
 
+    def continues(self, edit_id: str) -> bool:
+        """Whether the recent edits lead from ``edit_id`` here with their deltas."""
+        following = iter(self.recent)
+        for edit in following:
+            if edit.parent_edit_id == edit_id:
+                rest = [edit, *following]
+                return all(later.delta is not None for later in rest)
+        return False
+
     def after(self, edit: Edit) -> "Head":
         """Return the head that accepts an edit."""
         recent = [*self.recent, edit][-MAX_RECENT_COUNT:]
--- /dev/null
+++ b/packages/citrondock-router/src/citrondock_router/configuration_follower.py
@@ -0,0 +1,325 @@
+"""Keeps the configuration in force up to date; it never goes back."""
+
+import enum
+import random
+import threading
+import time
+from collections.abc import Callable, Sequence
+
+import attrs
+from loguru import logger
+
+from citrondock_core.configuration import Configuration
+from citrondock_core.configuration_codec import (
+    decode_configuration,
+    encode_configuration,
+)
+from citrondock_core.configuration_reader import ConfigurationReader, HeadVersion
+from citrondock_core.errors import CitrondockError
+from citrondock_core.object_store import ObjectStore
+
+DEFAULT_WATCH_WAIT_S = 25.0
+DEFAULT_CALL_TIMEOUT_S = 2.0
+FIRST_BACKOFF_S = 0.25
+DEFAULT_MAX_BACKOFF_S = 5.0
+MAX_SNAPSHOT_DELAY_S = 1.0
+"""Spread of the reads that a change beyond the head's own deltas costs."""
+WATCH_MARGIN_S = 3.0
+MIN_WATCH_S = 1.0
+"""Pause where the store answers a watch at once without a change."""
+
+
+class ConfigurationSource(enum.Enum):
+    """Where the configuration in force came from."""
+
+    NONE = "none"
+    STORE = "store"
+    PEER = "peer"
+
+
+@attrs.frozen(kw_only=True)
+class PeerConfiguration:
+    """What another router holds.
+
+    Parameters
+    ----------
+    vm_name : str
+        Its VM.
+    revision : int
+        Revision that it says it holds.
+    document : bytes
+        Result of `encode_configuration`; may be empty when it holds nothing newer.
+    """
+
+    vm_name: str
+    revision: int
+    document: bytes
+
+
+PeerCopies = Callable[[int], Sequence[PeerConfiguration]]
+"""Asks the reachable peers for revisions above the given one."""
+
+
+@attrs.frozen(kw_only=True)
+class ConfigurationStatus:
+    """State of the configuration at one router.
+
+    Parameters
+    ----------
+    revision : int
+        Revision in force; 0 is none, and the router is not ready.
+    edit_id : str
+        Edit that made it.
+    source : ConfigurationSource
+        Where it came from.
+    applied_at_s : float or None
+        Monotonic time at which it came in force here.
+    confirmed_until_s : float
+        Monotonic time until which the store's last answer stands for its newest.
+    possibly_stale : bool
+        Whether the store may hold a newer revision.
+    store_behind : bool
+        Whether the store's last head was older than what is in force.
+    store_error : str
+        Last error of the store; empty after a success.
+    store_call_count : int
+        Calls that the follower made.
+    """
+
+    revision: int
+    edit_id: str
+    source: ConfigurationSource
+    applied_at_s: float | None
+    confirmed_until_s: float
+    possibly_stale: bool
+    store_behind: bool
+    store_error: str
+    store_call_count: int
+
+
+class ConfigurationFollower:
+    """Follows the head in the store by one waiting watch, on a thread of its own.
+
+    While the store is out, it takes the highest revision that reachable peers hold.
+    Only higher revisions are applied, whoever sends them.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        The platform's store.
+    on_configuration : callable
+        Called on the follower's thread with each new `Configuration`.
+    peer_copies : callable, optional
+        Asks the reachable peers for revisions above the given one.
+    watch_wait_s : float
+        Longest time of one watch; each costs the store one read.
+    call_timeout_s, max_backoff_s : float
+        Longest time of a call, and longest pause after a failed one.
+    clock : callable
+        Monotonic time in seconds.
+    rng : random.Random, optional
+        Source of jitter.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        on_configuration: Callable[[Configuration], None],
+        *,
+        peer_copies: PeerCopies = lambda _after_revision: (),
+        watch_wait_s: float = DEFAULT_WATCH_WAIT_S,
+        call_timeout_s: float = DEFAULT_CALL_TIMEOUT_S,
+        max_backoff_s: float = DEFAULT_MAX_BACKOFF_S,
+        clock: Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._reader = ConfigurationReader(store, call_timeout_s=call_timeout_s)
+        self._on_configuration = on_configuration
+        self._peer_copies = peer_copies
+        self._watch_wait_s = watch_wait_s
+        self._max_backoff_s = max_backoff_s
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._stopped = threading.Event()
+        self._lock = threading.Lock()
+        self._thread: threading.Thread | None = None
+        self._configuration = Configuration()
+        self._source = ConfigurationSource.NONE
+        self._applied_at_s: float | None = None
+        self._confirmed_until_s = -1.0
+        self._store_version = 0
+        self._store_behind = False
+        self._store_error = ""
+        self._failure_count = 0
+        self._encoded = (0, b"")
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread = threading.Thread(
+            target=self._run, name="configuration-follower", daemon=True
+        )
+        self._thread.start()
+
+    def stop(self, *, timeout_s: float = 0.0) -> None:
+        """Ask the thread to end; it does after its waiting watch."""
+        self._stopped.set()
+        if self._thread is not None and timeout_s > 0:
+            self._thread.join(timeout_s)
+
+    @property
+    def configuration(self) -> Configuration:
+        """The configuration in force; revision 0 is none."""
+        with self._lock:
+            return self._configuration
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether there is a configuration."""
+        return self.configuration.revision > 0
+
+    def status(self) -> ConfigurationStatus:
+        """Return the state at this moment."""
+        now_s = self._clock()
+        with self._lock:
+            return ConfigurationStatus(
+                revision=self._configuration.revision,
+                edit_id=self._configuration.edit_id,
+                source=self._source,
+                applied_at_s=self._applied_at_s,
+                confirmed_until_s=self._confirmed_until_s,
+                possibly_stale=now_s > self._confirmed_until_s,
+                store_behind=self._store_behind,
+                store_error=self._store_error,
+                store_call_count=self._reader.call_count,
+            )
+
+    def document(self, after_revision: int) -> bytes:
+        """Return the serialised configuration for a peer; empty if not newer."""
+        configuration = self.configuration
+        if configuration.revision <= after_revision:
+            return b""
+        revision, document = self._encoded
+        if revision != configuration.revision:
+            document = encode_configuration(configuration)
+            self._encoded = (configuration.revision, document)
+        return document
+
+    def step(self) -> float:
+        """Wait for one answer of the store and apply it, or ask the peers.
+
+        Returns
+        -------
+        float
+            Pause in seconds before the next step.
+        """
+        try:
+            return self._follow()
+        except CitrondockError as error:
+            return self._fall_back(error)
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            try:
+                pause_s = self.step()
+            except Exception as error:
+                logger.opt(exception=error).error("event=configuration_follower_failed")
+                pause_s = self._max_backoff_s
+            self._stopped.wait(pause_s)
+
+    def _follow(self) -> float:
+        if self._store_version == 0:
+            located = self._reader.read_head()
+            if located.version:
+                self._take(located)
+                self._confirm()
+                return 0.0
+        started_at_s = self._clock()
+        watched = self._reader.wait_for_head(
+            after_version=self._store_version, wait_s=self._watch_wait_s
+        )
+        if watched.found is not None:
+            self._take(watched.found)
+        elif watched.version < self._store_version:
+            self._store_behind = True
+            self._store_version = 0
+            return self._rng.uniform(0, MIN_WATCH_S)
+        self._store_version = max(self._store_version, watched.version)
+        self._confirm()
+        waited_s = self._clock() - started_at_s
+        is_idle = watched.found is None and waited_s < MIN_WATCH_S
+        return MIN_WATCH_S if is_idle else 0.0
+
+    def _take(self, located: HeadVersion) -> None:
+        current = self._configuration
+        head = located.head
+        self._store_behind = head.revision < current.revision
+        if head.revision > current.revision:
+            if current.revision and not head.continues(current.edit_id):
+                self._stopped.wait(self._rng.uniform(0, MAX_SNAPSHOT_DELAY_S))
+            self._apply(self._reader.advance(current, head), ConfigurationSource.STORE)
+        elif head.revision < current.revision:
+            logger.warning(
+                "event=configuration_head_ignored head_revision={} revision={}",
+                head.revision,
+                current.revision,
+            )
+        self._store_version = max(self._store_version, located.version)
+
+    def _confirm(self) -> None:
+        with self._lock:
+            self._confirmed_until_s = (
+                self._clock() + self._watch_wait_s + WATCH_MARGIN_S
+            )
+            self._store_error = ""
+        self._failure_count = 0
+
+    def _fall_back(self, error: CitrondockError) -> float:
+        with self._lock:
+            self._store_error = str(error)
+        if self._failure_count == 0:
+            logger.warning("event=configuration_store_failed error={!r}", str(error))
+        self._take_from_peers()
+        longest_s = min(self._max_backoff_s, FIRST_BACKOFF_S * 2**self._failure_count)
+        self._failure_count = min(self._failure_count + 1, 16)
+        return self._rng.uniform(longest_s / 2, longest_s)
+
+    def _take_from_peers(self) -> None:
+        try:
+            copies = self._peer_copies(self._configuration.revision)
+        except CitrondockError as error:
+            logger.warning("event=configuration_peers_failed error={!r}", str(error))
+            return
+        newest_first = sorted(copies, key=lambda copy: copy.revision, reverse=True)
+        for copy in newest_first:
+            if copy.revision <= self._configuration.revision:
+                return
+            if self._take_copy(copy):
+                return
+
+    def _take_copy(self, copy: PeerConfiguration) -> bool:
+        try:
+            configuration = decode_configuration(copy.document)
+        except CitrondockError as error:
+            logger.warning(
+                "event=configuration_copy_refused peer={} error={!r}",
+                copy.vm_name,
+                str(error),
+            )
+            return False
+        if configuration.revision <= self._configuration.revision:
+            return False
+        self._apply(configuration, ConfigurationSource.PEER)
+        return True
+
+    def _apply(self, configuration: Configuration, source: ConfigurationSource) -> None:
+        with self._lock:
+            self._configuration = configuration
+            self._source = source
+            self._applied_at_s = self._clock()
+        logger.info(
+            "event=configuration_applied revision={} edit_id={} source={}",
+            configuration.revision,
+            configuration.edit_id,
+            source.value,
+        )
+        self._on_configuration(configuration)
