--- a/packages/citrondock-standins/src/citrondock_standins/processes.py
+++ b/packages/citrondock-standins/src/citrondock_standins/processes.py
@@ -15,6 +15,7 @@
 from typing import Any, Self
 
 import attrs
+import psutil
 import urllib3
 
 START_TIMEOUT_S = 30.0
@@ -67,6 +68,14 @@
         """Whether it has not ended yet."""
         return self._process.poll() is None
 
+    def holds_address(self, address: tuple[str, int]) -> bool:
+        """Whether it has a TCP connection from an address."""
+        try:
+            held = psutil.Process(self.pid).net_connections("tcp")
+        except psutil.Error:
+            return False
+        return any(connection.laddr == address for connection in held)
+
     def wait_for_lines(
         self, text: str, *, count: int = 1, timeout_s: float = START_TIMEOUT_S
     ) -> Sequence[Mapping[str, str]]:
@@ -86,10 +95,14 @@
             raise ChildError(f"no line with {text!r} from {self.pid}:\n{tail}")
         return [dict(_FIELD.findall(line)) for line in lines]
 
-    def stop(self, *, timeout_s: float = STOP_TIMEOUT_S) -> int:
-        """End it with SIGTERM, or else with SIGKILL, and return its exit code."""
+    def terminate(self) -> None:
+        """Ask it to end with SIGTERM."""
         if self.is_running:
             self._process.terminate()
+
+    def stop(self, *, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """End it with SIGTERM, or else with SIGKILL, and return its exit code."""
+        self.terminate()
         try:
             code = self._process.wait(timeout_s)
         except subprocess.TimeoutExpired:
--- a/tests/standins/test_proxy.py
+++ b/tests/standins/test_proxy.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from citrondock_standins.fault import Direction, Fault, FaultKind
 from citrondock_standins.processes import StandinProcess
-from citrondock_standins.proxy import Direction, Fault, FaultKind, FaultProxy
+from citrondock_standins.proxy import FaultProxy
 
 LIMIT_S = 20.0
 
@@ -138,6 +139,33 @@
         exchange(client, b"x")
         assert time.monotonic() - started_s >= 0.1 + 20 / 50
 
+    def test_faults_of_one_sender_spare_the_others(self, echo):
+        senders = {}
+        with FaultProxy(
+            "127.0.0.1", echo.port, sender_of=lambda address: senders[address]
+        ) as proxy:
+
+            def connect(name):
+                client = socket.socket()
+                client.bind(("127.0.0.1", 0))
+                senders[client.getsockname()] = name
+                client.settimeout(LIMIT_S)
+                client.connect(("127.0.0.1", proxy.port))
+                return client
+
+            with connect("a") as a, connect("b") as b:
+                exchange(a, b"1")
+                exchange(b, b"1")
+                proxy.set_faults(Fault(kind="cut"), sender="a")
+                with pytest.raises(ConnectionResetError):
+                    a.recv(1)
+                with pytest.raises(ConnectionResetError):
+                    connect("a").recv(1)
+                exchange(b, b"2")
+                proxy.set_faults()
+                with connect("a") as again:
+                    exchange(again, b"3")
+
     def test_unreachable_target_resets(self):
         with socket.socket() as bound:
             bound.bind(("127.0.0.1", 0))
