--- a/packages/citrondock-standins/src/citrondock_standins/engine.py
+++ b/packages/citrondock-standins/src/citrondock_standins/engine.py
@@ -14,6 +14,7 @@
 from citrondock_standins.engine_text import generation_of
 from citrondock_standins.http_server import (
     NOT_RUN_HEADERS,
+    CountedFaults,
     HttpRequest,
     Reply,
     StandIn,
@@ -53,7 +54,7 @@
 
 
 @attrs.define(kw_only=True)
-class EngineFaults:
+class EngineFaults(CountedFaults):
     """Faults in force; counts are of the next requests.
 
     Parameters
@@ -77,13 +78,6 @@
     wrong_id_count: int = 0
     close_delimited: bool = False
 
-    def take(self, name: str) -> bool:
-        """Use up one of the counted faults."""
-        left_count = getattr(self, name)
-        if left_count:
-            setattr(self, name, left_count - 1)
-        return bool(left_count)
-
 
 class EngineStandIn(StandIn):
     """A model engine over HTTP.
--- a/packages/citrondock-standins/src/citrondock_standins/http_server.py
+++ b/packages/citrondock-standins/src/citrondock_standins/http_server.py
@@ -94,6 +94,17 @@
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
+class CountedFaults:
+    """Faults of which some concern the next so many requests."""
+
+    def take(self, name: str) -> bool:
+        """Use up one of the counted faults."""
+        left_count = getattr(self, name)
+        if left_count:
+            setattr(self, name, left_count - 1)
+        return bool(left_count)
+
+
 class StandIn(ABC):
     """Something that answers HTTP requests on one port."""
 
--- a/packages/citrondock-standins/src/citrondock_standins/memory_object_store.py
+++ b/packages/citrondock-standins/src/citrondock_standins/memory_object_store.py
@@ -1,8 +1,7 @@
 """An object store inside the process, for fast tests."""
 
 import time
-from collections.abc import Callable, Iterator, Sequence
-from contextlib import contextmanager
+from collections.abc import Callable, Sequence
 from typing import TypeVar
 
 from citrondock_core.object_store import (
@@ -47,39 +46,33 @@
 
     def get(self, key: str, *, timeout_s: float = 2.0) -> StoredObject:
         """Return the object."""
-        with self._call(StoreCallKind.GET, timeout_s):
-            found = self.core.get(key)
-        self._delay(StoreCallKind.GET, timeout_s)
-        return found
+        return self._call(StoreCallKind.GET, timeout_s, lambda: self.core.get(key))
 
     def create(self, key: str, value: bytes, *, timeout_s: float = 2.0) -> int:
         """Write a new object."""
-        return self._write(
-            StoreCallKind.CREATE,
-            key,
-            lambda: self.core.put(key, value, if_version=0),
-            timeout_s,
-        )
+
+        def put() -> int:
+            return self.core.put(key, value, if_version=0)
+
+        return self._call(StoreCallKind.CREATE, timeout_s, put, written_key=key)
 
     def update(
         self, key: str, value: bytes, *, if_version: int, timeout_s: float = 2.0
     ) -> int:
         """Replace the value of an object."""
-        return self._write(
-            StoreCallKind.UPDATE,
-            key,
-            lambda: self.core.put(key, value, if_version=if_version),
-            timeout_s,
-        )
+
+        def put() -> int:
+            return self.core.put(key, value, if_version=if_version)
+
+        return self._call(StoreCallKind.UPDATE, timeout_s, put, written_key=key)
 
     def delete(self, key: str, *, if_version: int, timeout_s: float = 2.0) -> None:
         """Delete an object."""
-        self._write(
-            StoreCallKind.DELETE,
-            key,
-            lambda: self.core.delete(key, if_version=if_version),
-            timeout_s,
-        )
+
+        def delete() -> None:
+            self.core.delete(key, if_version=if_version)
+
+        self._call(StoreCallKind.DELETE, timeout_s, delete, written_key=key)
 
     def list(
         self,
@@ -90,15 +83,17 @@
         timeout_s: float = 2.0,
     ) -> Sequence[StoredObject]:
         """Return objects under a prefix."""
-        with self._call(StoreCallKind.LIST, timeout_s):
-            found = self.core.list(prefix, after_key=after_key, limit=limit)
-        self._delay(StoreCallKind.LIST, timeout_s)
-        return found
+
+        def find() -> Sequence[StoredObject]:
+            return self.core.list(prefix, after_key=after_key, limit=limit)
+
+        return self._call(StoreCallKind.LIST, timeout_s, find)
 
     def watch(self, prefix: str, *, after_version: int, wait_s: float) -> WatchResult:
         """Wait for a change under a prefix."""
         deadline_s = time.monotonic() + wait_s
-        with self._call(StoreCallKind.WATCH, wait_s):
+
+        def wait() -> WatchResult:
             while True:
                 result = self.core.changes(prefix, after_version=after_version)
                 left_s = deadline_s - time.monotonic()
@@ -108,24 +103,16 @@
                 if self.core.faults.outage is not Outage.NONE:
                     raise StoreUnavailableError("outage", step="watch", peer=PEER)
 
-    def _write(
+        return self._call(StoreCallKind.WATCH, wait_s, wait)
+
+    def _call(
         self,
         kind: StoreCallKind,
-        key: str,
-        write: Callable[[], T],
         timeout_s: float,
+        work: Callable[[], T],
+        *,
+        written_key: str | None = None,
     ) -> T:
-        with self._call(kind, timeout_s):
-            written = write()
-            is_lost = self.core.loses_answer(key)
-            self.core.changed.notify_all()
-        self._delay(kind, timeout_s)
-        if is_lost:
-            raise AnswerLostError("answer lost", step=kind.value, peer=PEER)
-        return written
-
-    @contextmanager
-    def _call(self, kind: StoreCallKind, timeout_s: float) -> Iterator[None]:
         deadline_s = time.monotonic() + timeout_s
         with self.core.changed:
             self.core.admit(kind, client=self._client, now_s=time.monotonic())
@@ -134,10 +121,13 @@
                     raise AnswerLostError("timeout", step=kind.value, peer=PEER)
             if self.core.faults.outage is Outage.CLOSE:
                 raise AnswerLostError("closed", step=kind.value, peer=PEER)
-            yield
-
-    def _delay(self, kind: StoreCallKind, timeout_s: float) -> None:
+            result = work()
+            is_lost = False
+            if written_key is not None:
+                is_lost = self.core.loses_answer(written_key)
+                self.core.changed.notify_all()
         slow_s = self.core.faults.slow_ms / 1000
         time.sleep(min(slow_s, timeout_s))
-        if slow_s > timeout_s:
-            raise AnswerLostError("timeout", step=kind.value, peer=PEER)
+        if is_lost or slow_s > timeout_s:
+            raise AnswerLostError("answer lost", step=kind.value, peer=PEER)
+        return result
--- a/packages/citrondock-standins/src/citrondock_standins/plain_service.py
+++ b/packages/citrondock-standins/src/citrondock_standins/plain_service.py
@@ -11,6 +11,7 @@
 
 from citrondock_standins.http_server import (
     NOT_RUN_HEADERS,
+    CountedFaults,
     HttpRequest,
     Reply,
     StandIn,
@@ -24,7 +25,7 @@
 
 
 @attrs.define(kw_only=True)
-class PlainFaults:
+class PlainFaults(CountedFaults):
     """Faults in force; counts are of the next calls.
 
     Parameters
@@ -47,13 +48,6 @@
     slow_body_ms: float = 0.0
     delay_ms: float | None = None
 
-    def take(self, name: str) -> bool:
-        """Use up one of the counted faults."""
-        left_count = getattr(self, name)
-        if left_count:
-            setattr(self, name, left_count - 1)
-        return bool(left_count)
-
 
 @attrs.define(kw_only=True)
 class PlainRun:
--- a/tests/wire/test_http_object_store.py
+++ b/tests/wire/test_http_object_store.py
@@ -1,5 +1,6 @@
 import socket
 import threading
+import time
 from contextlib import contextmanager
 
 import pytest
@@ -15,7 +16,7 @@
 
 
 @contextmanager
-def answering(answer):
+def answering(answer, *, pause_s=0.0):
     """Answer each connection's first request with fixed bytes, then close."""
     with socket.create_server(("127.0.0.1", 0)) as server:
 
@@ -27,7 +28,7 @@
                     return
                 with connection:
                     connection.recv(65536)
-                    connection.sendall(answer)
+                    _send(connection, answer, pause_s)
 
         thread = threading.Thread(target=serve, daemon=True)
         thread.start()
@@ -36,6 +37,18 @@
         thread.join(5)
 
 
+def _send(connection, answer, pause_s):
+    if not pause_s:
+        connection.sendall(answer)
+        return
+    for byte in answer:
+        try:
+            connection.sendall(bytes([byte]))
+        except OSError:
+            return
+        time.sleep(pause_s)
+
+
 def answer(status, body, length=None):
     length = len(body) if length is None else length
     return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b" % (status, length, body)
@@ -80,6 +93,14 @@
 
         assert type(caught.value) is error
 
+    def test_dripping_answer_ends_by_the_timeout(self):
+        drips = answer(200, b"{" + b" " * 500, length=501)
+        started_s = time.monotonic()
+        with answering(drips, pause_s=0.02) as url, pytest.raises(AnswerLostError):
+            HttpObjectStore(url).get("a", timeout_s=0.3)
+
+        assert time.monotonic() - started_s < 5.0
+
     @pytest.mark.parametrize("entry", [b"1", b'{"key": "a"}', b'{"value": "?"}'])
     def test_malformed_objects_are_an_error_of_the_store(self, entry):
         body = b'{"version": 1, "objects": [%b]}' % entry
