Command line for operators

Cause: operators check, plan, apply and drain, and read what is in force, from one binary with exit codes for scripts.

--- /dev/null
+++ b/packages/citrondock-cli/src/citrondock_cli/__main__.py
@@ -0,0 +1,5 @@
+"""Runs ``python -m citrondock_cli``."""
+
+from citrondock_cli.main import run
+
+run()
--- /dev/null
+++ b/packages/citrondock-cli/src/citrondock_cli/read_commands.py
@@ -0,0 +1,208 @@
+"""Commands that show the configuration and its history."""
+
+import os
+import time
+from collections.abc import Sequence
+
+import attrs
+
+from citrondock_cli.command import Command, Context, UsageError
+from citrondock_cli.exit_code import ExitCode
+from citrondock_cli.output import table
+from citrondock_core.account_keys import (
+    SALT_BYTES,
+    SECRET_BYTES,
+    format_key,
+    format_key_hash,
+    hash_key,
+)
+from citrondock_core.configuration import Configuration
+from citrondock_core.configuration_reader import RevisionMissingError
+from citrondock_core.configuration_revisions import Edit, Head
+
+
+@attrs.frozen(kw_only=True)
+class ShownText:
+    """A text with the revision that it made."""
+
+    revision: int
+    edit_id: str
+    text: str
+
+
+@attrs.frozen(kw_only=True)
+class NewKey:
+    """A fresh key; only its hash is ever stored."""
+
+    account: str
+    key: str
+    key_hash: str
+
+
+class ShowCommand(Command):
+    """Prints the text in force."""
+
+    name = "show"
+    usage = "[--revision=N]"
+    summary = "Print the text in force, or of an earlier revision, with its comments."
+
+    def run(self, context: Context, arguments: Sequence[str]) -> ExitCode:
+        """Print the text."""
+        head = _head_in_force(context)
+        revision, edit_id = _revision_wanted(context, head)
+        text = context.repository.read_text(revision, edit_id).decode()
+        if context.output.as_json:
+            shown = ShownText(revision=revision, edit_id=edit_id, text=text)
+            context.output.result(shown, [])
+        else:
+            context.output.message(f"revision {revision}; apply with --base={revision}")
+            context.output.text(text)
+        return ExitCode.DONE
+
+
+class HistoryCommand(Command):
+    """Lists accepted edits."""
+
+    name = "history"
+    usage = "[--limit=N]"
+    summary = "List accepted edits: who, why, when and what changed."
+
+    def run(self, context: Context, arguments: Sequence[str]) -> ExitCode:
+        """List the edits."""
+        edits = recent_edits(context)
+        rows = [
+            (
+                edit.revision,
+                time_text(edit.written_at_epoch_s),
+                edit.author,
+                edit.reason,
+                changes_text(edit),
+            )
+            for edit in edits
+        ]
+        header = ("revision", "time", "who", "why", "changed")
+        summaries = [attrs.evolve(edit, delta=None) for edit in edits]
+        context.output.result(summaries, table(header, rows))
+        return ExitCode.DONE
+
+
+class AccountsCommand(Command):
+    """Lists client accounts, or makes a key for one."""
+
+    name = "accounts"
+    usage = "[new-key NAME]"
+    summary = "List client accounts, or print a fresh key and the hash to paste."
+    argument_counts = (0, 2)
+
+    def run(self, context: Context, arguments: Sequence[str]) -> ExitCode:
+        """List the accounts or make a key."""
+        if not arguments:
+            return self._list(context)
+        action, account = arguments
+        if action != "new-key":
+            raise UsageError(f"{action!r} is unknown; use accounts new-key NAME")
+        key = format_key(account, os.urandom(SECRET_BYTES))
+        key_hash = format_key_hash(hash_key(key, salt=os.urandom(SALT_BYTES)))
+        lines = [
+            f"key, shown only here; hand it to the account: {key}",
+            f'hash, to paste under "key_hashes" of {account!r}: "{key_hash}"',
+        ]
+        made = NewKey(account=account, key=key, key_hash=key_hash)
+        context.output.result(made, lines)
+        return ExitCode.DONE
+
+    def _list(self, context: Context) -> ExitCode:
+        accounts = sorted(
+            _configuration_in_force(context).accounts.values(), key=lambda a: a.name
+        )
+        rows = [
+            (
+                account.name,
+                account.weight,
+                len(account.key_hashes),
+                account.max_waiting_requests,
+                account.max_waiting_bytes,
+            )
+            for account in accounts
+        ]
+        header = ("account", "weight", "keys", "waiting requests", "waiting bytes")
+        shown = [attrs.evolve(account, key_hashes=()) for account in accounts]
+        context.output.result(shown, table(header, rows))
+        return ExitCode.DONE
+
+
+class ServicesCommand(Command):
+    """Lists services."""
+
+    name = "services"
+    summary = "List services with their pools, what they need, and whether to repeat."
+
+    def run(self, context: Context, arguments: Sequence[str]) -> ExitCode:
+        """List the services."""
+        services = sorted(
+            _configuration_in_force(context).services.values(), key=lambda s: s.name
+        )
+        rows = [
+            (
+                service.name,
+                service.kind.value,
+                service.pool,
+                service.model or service.path,
+                ", ".join(service.depends_on),
+                service.idempotent,
+                service.timeout_s,
+            )
+            for service in services
+        ]
+        header = (
+            "service",
+            "kind",
+            "pool",
+            "model or path",
+            "needs",
+            "idempotent",
+            "timeout s",
+        )
+        context.output.result(services, table(header, rows))
+        return ExitCode.DONE
+
+
+def _head_in_force(context: Context) -> Head:
+    head = context.repository.read_head().head
+    if head.revision == 0:
+        raise RevisionMissingError("no configuration is accepted yet", step="read")
+    return head
+
+
+def _configuration_in_force(context: Context) -> Configuration:
+    head = _head_in_force(context)
+    return context.repository.read_snapshot(head.revision, head.edit_id)
+
+
+def _revision_wanted(context: Context, head: Head) -> tuple[int, str]:
+    wanted = context.options.revision
+    if wanted is None:
+        return head.revision, head.edit_id
+    for edit in context.repository.history(head, after_revision=wanted - 1):
+        if edit.revision == wanted:
+            return wanted, edit.edit_id
+    raise RevisionMissingError(f"revision {wanted} is not kept", step="read")
+
+
+def recent_edits(context: Context) -> Sequence[Edit]:
+    """Return the newest accepted edits, oldest first."""
+    head = context.repository.read_head().head
+    after_revision = max(0, head.revision - context.options.limit)
+    return context.repository.history(head, after_revision=after_revision)
+
+
+def changes_text(edit: Edit) -> str:
+    """Return the keys of what an edit changed."""
+    more = edit.changed_count - len(edit.changed)
+    suffix = f" and {more} more" if more > 0 else ""
+    return f"{', '.join(edit.changed) or 'comments only'}{suffix}"
+
+
+def time_text(at_unix_s: float) -> str:
+    """Return a time in UTC for people."""
+    return time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(at_unix_s))
--- /dev/null
+++ b/packages/citrondock-cli/src/citrondock_cli/router_client.py
@@ -0,0 +1,145 @@
+"""The operators' port of routers."""
+
+import json
+from typing import Any
+from urllib.parse import quote
+
+import attrs
+import urllib3
+
+from citrondock_core.configuration_entries import load
+from citrondock_core.errors import CitrondockError
+
+
+class RouterUnreachableError(CitrondockError):
+    """No router answered."""
+
+
+class SubjectUnknownError(CitrondockError):
+    """The router knows no such request, account, VM or target."""
+
+
+@attrs.frozen(kw_only=True)
+class MemberStatus:
+    """What a router says of a router.
+
+    Parameters
+    ----------
+    vm_name, availability_zone : str
+        Which one.
+    incarnation : int
+        Differs after a restart.
+    configuration_revision : int
+        Revision that it has in force.
+    reachable : bool
+        Whether it answers.
+    """
+
+    vm_name: str
+    availability_zone: str = ""
+    incarnation: int = 0
+    configuration_revision: int = 0
+    reachable: bool = True
+
+
+@attrs.frozen(kw_only=True)
+class RouterStatus:
+    """State of the fleet as one router sees it.
+
+    Parameters
+    ----------
+    configuration_revision : int
+        Revision in force at the router itself.
+    members : tuple of MemberStatus
+        Routers that it knows, itself among them.
+    vm_name : str
+        The router itself.
+    """
+
+    configuration_revision: int = 0
+    members: tuple[MemberStatus, ...] = ()
+    vm_name: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class Explanation:
+    """What the routers know of a request or an account.
+
+    Parameters
+    ----------
+    subject : str
+        The request or account.
+    lines : tuple of str
+        One line for each event, oldest first.
+    """
+
+    subject: str = ""
+    lines: tuple[str, ...] = ()
+
+
+class RouterClient:
+    """Asks the first router that answers.
+
+    Parameters
+    ----------
+    urls : tuple of str
+        Operators' ports.
+    timeout_s : float
+        Longest time of one call.
+    """
+
+    def __init__(self, urls: tuple[str, ...], *, timeout_s: float) -> None:
+        self._urls = urls
+        self._http = urllib3.PoolManager(
+            retries=False, timeout=urllib3.Timeout(total=timeout_s)
+        )
+
+    def status(self) -> tuple[RouterStatus, Any]:
+        """Return the state of the fleet, typed and as the router wrote it."""
+        body = self._ask("GET", "/v1/status", step="status")
+        return load(body, RouterStatus), json.loads(body)
+
+    def explain(self, subject: str) -> Explanation:
+        """Return what the routers know of a request or an account."""
+        path = f"/v1/explain/{quote(subject, safe='')}"
+        explained: Explanation = load(
+            self._ask("GET", path, step="explain"), Explanation
+        )
+        return explained
+
+    def drain_vm(self, vm_name: str, *, author: str, reason: str) -> None:
+        """Tell a router to leave; each URL is tried until one is that router."""
+        request = {"vm_name": vm_name, "author": author, "reason": reason}
+        self._ask("POST", "/v1/drain", step="drain", body=json.dumps(request).encode())
+
+    def _ask(
+        self, method: str, path: str, *, step: str, body: bytes | None = None
+    ) -> bytes:
+        """Ask each router in turn; an answer that it knows nothing is kept."""
+        if not self._urls:
+            raise RouterUnreachableError(
+                "no router is named; use --router=URL", step=step
+            )
+        failure: CitrondockError | None = None
+        for url in self._urls:
+            try:
+                return self._ask_one(method, url, path, step=step, body=body)
+            except SubjectUnknownError as error:
+                failure = error
+            except RouterUnreachableError as error:
+                failure = failure or error
+        raise failure or RouterUnreachableError("no answer", step=step)
+
+    def _ask_one(
+        self, method: str, url: str, path: str, *, step: str, body: bytes | None
+    ) -> bytes:
+        try:
+            answer = self._http.request(method, url + path, body=body, redirect=False)
+        except urllib3.exceptions.HTTPError as error:
+            raise RouterUnreachableError(str(error), step=step, peer=url) from error
+        if answer.status in (404, 409):
+            reason = answer.data.decode(errors="replace").strip() or "unknown"
+            raise SubjectUnknownError(reason, step=step, peer=url)
+        if answer.status >= 300:
+            raise RouterUnreachableError(f"status {answer.status}", step=step, peer=url)
+        return answer.data
--- a/packages/citrondock-core/src/citrondock_core/configuration_collector.py
+++ b/packages/citrondock-core/src/citrondock_core/configuration_collector.py
@@ -20,7 +20,7 @@
 
 KEPT_REVISION_COUNT = 64
 """Revisions whose text and snapshot stay readable."""
-KEPT_EDIT_COUNT = 10_000
+KEPT_EDIT_COUNT = 600_000
 """Edits that stay in the history."""
 MAX_COLLECTED_PER_RUN = 16
 
