The router: whole path from the caller to a target and back

Cause: a request had no way through the fleet. Change: cheroot parses requests that a gatherer collected whole; admission identifies account and service; the dispatcher's actor decides; urllib3 sends and reads the head; one relay thread moves all answers, cut at event boundaries, with bounded buffers. Peers talk thrift in authenticated envelopes; the operators' port has health, readiness, metrics, status and explanations. VM addresses come from the platform's list first. Found on the way: urllib3 closes its reader with what it has buffered when the response object is dropped, so an answer that came along with its head was lost; the response is now held until the body has ended. cheroot's own body limit answered in plain text; the gatherer and admission bound bodies instead. Conclusion: the thin whole path stands; claims, orders and target health come next.

--- /dev/null
+++ b/packages/citrondock-router/src/citrondock_router/call_runner.py
@@ -0,0 +1,442 @@
+"""Carries a call from the dispatcher's decision to the end of its answer."""
+
+import time
+from collections.abc import Callable, Mapping, Sequence
+from concurrent.futures import ThreadPoolExecutor
+
+import pykka
+
+from citrondock_core.actions import Outcome, Refuse, Start
+from citrondock_core.configuration import Target
+from citrondock_core.event_stream import EventStreamScanner, usage_of
+from citrondock_core.request import Ran, RefusalReason, RequestRefusedError, Usage
+from citrondock_router.call import Call, CallPhase
+from citrondock_router.call_table import CallTable
+from citrondock_router.caller_response import error_event, render_head, render_refusal
+from citrondock_router.dispatch_actor import Progress, Requeue, Settle, Submit, Withdraw
+from citrondock_router.log import log_event
+from citrondock_router.metrics import RouterMetrics
+from citrondock_router.relay import CallProgress, Relay, RelayListener
+from citrondock_router.relayed_call import RelayEnd, RelayOutcome
+from citrondock_wire.body_decoder import BodyDecoder
+from citrondock_wire.target_connection import (
+    TargetAnswerError,
+    TargetConnection,
+    TargetError,
+    TargetHead,
+    TargetNotReachedError,
+    TargetRequest,
+)
+from citrondock_wire.target_connections import TargetConnections
+
+_MAX_ATTEMPTS = 3
+_MAX_RESUMES = 2
+_SEND_TIMEOUT_S = 5.0
+_HEAD_TIMEOUT_S = 5.0
+_RETRY_AFTER_S = 1.0
+_NOT_RUN_STATUSES = frozenset({429, 503})
+_EVENT_STREAM = "text/event-stream"
+_DROPPED_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "date",
+        "keep-alive",
+        "server",
+        "transfer-encoding",
+        "x-ran",
+        "x-request-id",
+    }
+)
+
+
+class CallRunner(RelayListener):
+    """Sends calls to targets and settles what became of them.
+
+    Parameters
+    ----------
+    table : CallTable
+        Live calls.
+    connections : TargetConnections
+        Connections to targets.
+    find_target : callable
+        Returns the target of a name, or None when the configuration dropped it.
+    metrics : RouterMetrics
+        Counts calls and refusals.
+    worker_count : int
+        Threads that connect, send and read heads; none waits for an answer's body.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: CallTable,
+        connections: TargetConnections,
+        find_target: Callable[[str], Target | None],
+        metrics: RouterMetrics,
+        worker_count: int = 32,
+        slow_reader_timeout_s: float = 10.0,
+    ) -> None:
+        self._table = table
+        self._connections = connections
+        self._find_target = find_target
+        self._metrics = metrics
+        self._workers = ThreadPoolExecutor(worker_count, thread_name_prefix="call")
+        self._dispatch: pykka.ActorRef | None = None
+        self.relay = Relay(listener=self, slow_reader_timeout_s=slow_reader_timeout_s)
+
+    def attach(self, dispatch: pykka.ActorRef) -> None:
+        """Name the actor that decides where calls run."""
+        self._dispatch = dispatch
+
+    def close(self) -> None:
+        """End the workers and the relay."""
+        self._workers.shutdown(wait=False, cancel_futures=True)
+        self.relay.stop()
+        self._connections.close()
+
+    # What the caller server and the dispatcher ask for
+
+    def submit(self, call: Call) -> None:
+        """Take over an admitted call."""
+        self._table.add(call)
+        self.relay.adopt(call)
+        self._tell(Submit(call.waiting))
+
+    def start(self, action: Start) -> None:
+        """Send a call to the target that the dispatcher chose."""
+        call = self._table.get(action.request_id)
+        target = self._find_target(action.target)
+        if call is None or call.caller_gone:
+            self._tell(Settle(action.request_id, Usage(), Outcome.CANCELLED))
+            return
+        if target is None:
+            self._tell(Requeue(action.request_id))
+            return
+        call.begin_attempt(target)
+        self._workers.submit(self._guarded, call, self._open)
+
+    def refuse(self, action: Refuse) -> None:
+        """Refuse a call that waited."""
+        call = self._table.get(action.request_id)
+        if call is not None:
+            self._refuse(call, action.error)
+
+    # What the relay tells
+
+    def on_caller_gone(self, call: Call) -> None:
+        """Withdraw or settle a call that nobody waits for."""
+        phase = call.phase
+        if phase is CallPhase.WAITING:
+            call.end_once()
+            self._tell(Withdraw(call.request_id))
+            self._log_end(call, "caller_gone")
+        elif phase in (CallPhase.SENT, CallPhase.ANSWERING):
+            self._settle(call, self._usage(call, None), Outcome.CANCELLED)
+            self._log_end(call, "caller_gone")
+
+    def on_head_ready(self, call: Call, upstream: TargetConnection) -> None:
+        """Read the head of an answer in a worker."""
+        self._workers.submit(
+            self._guarded, call, lambda c: self._read_head(c, upstream)
+        )
+
+    def on_head_late(self, call: Call, upstream: TargetConnection) -> None:
+        """Give up a call whose target did not begin to answer in time."""
+        upstream.close()
+        error = self._failure(call, "deadline passed", step="head")
+        error.cause = RefusalReason.DEADLINE_PASSED
+        self._settle(call, self._usage(call, None), Outcome.FAILED)
+        self._refuse(call, error)
+
+    def on_end(self, call: Call, upstream: TargetConnection, end: RelayEnd) -> None:
+        """Settle an answer that ended."""
+        if end.outcome is RelayOutcome.WHOLE:
+            self._workers.submit(
+                self._guarded, call, lambda c: self._finish(c, upstream, end)
+            )
+            return
+        upstream.close()
+        if end.outcome is RelayOutcome.CUT:
+            self._workers.submit(self._guarded, call, lambda c: self._recover(c, end))
+            return
+        self._give_up(call, end)
+
+    def on_released(self, call: Call) -> None:
+        """Forget a call whose caller has its answer."""
+        self._table.remove(call.request_id)
+
+    def on_progress(self, progress: Sequence[CallProgress]) -> None:
+        """Pass progress on to the ledger."""
+        self._tell(Progress(progress))
+
+    # Steps, each in a worker thread
+
+    def _open(self, call: Call) -> None:
+        if call.caller_gone:
+            self._cancel(call)
+            return
+        target = _target_of(call)
+        try:
+            upstream = self._connections.open(target, fresh=not call.repeatable)
+        except TargetNotReachedError as error:
+            self._retry_or_refuse(call, error, ran=Ran.NO)
+            return
+        if time.monotonic() >= call.waiting.deadline_s or call.caller_gone:
+            upstream.close()
+            self._cancel(call)
+            return
+        call.phase = CallPhase.SENT
+        try:
+            upstream.send(_target_request(call), timeout_s=_SEND_TIMEOUT_S)
+        except TargetAnswerError as error:
+            self._retry_or_refuse(call, error, ran=Ran.MAYBE)
+            return
+        self.relay.await_head(call, upstream)
+
+    def _read_head(self, call: Call, upstream: TargetConnection) -> None:
+        try:
+            head = upstream.read_head(call.method, timeout_s=_HEAD_TIMEOUT_S)
+        except TargetAnswerError as error:
+            self._retry_or_refuse(call, error, ran=Ran.MAYBE)
+            return
+        if _is_not_run(head):
+            upstream.close()
+            reason = f"refused with status {head.status}"
+            self._retry_or_refuse(call, _head_error(call, reason), ran=Ran.NO)
+            return
+        echoed = head.headers.get("x-request-id", call.request_id)
+        if echoed != call.request_id:
+            upstream.close()
+            error_of_head = _head_error(call, "answer to another request")
+            self._retry_or_refuse(call, error_of_head, ran=Ran.MAYBE)
+            return
+        self._begin(call, upstream, head)
+
+    def _begin(self, call: Call, upstream: TargetConnection, head: TargetHead) -> None:
+        streams = head.headers.get("content-type", "").startswith(_EVENT_STREAM)
+        call.phase = CallPhase.ANSWERING
+        call.streaming = streams
+        headers = _headers_for_caller(call, head)
+        rendered = render_head(call.http_request, status=head.status, headers=headers)
+        upstream.keep_alive = head.keep_alive
+        delay_s = time.monotonic() - call.waiting.arrived_at_s
+        self._metrics.observe_first_byte(call.service.name, delay_s)
+        self.relay.begin(
+            call,
+            upstream,
+            head=rendered,
+            decoder=_decoder_of(head),
+            scanner=EventStreamScanner(call.request_id) if streams else None,
+            buffered=upstream.take_buffered(),
+            keeps_body=not streams,
+        )
+
+    def _finish(self, call: Call, upstream: TargetConnection, end: RelayEnd) -> None:
+        if upstream.keep_alive:
+            self._connections.keep(upstream)
+        else:
+            upstream.close()
+        self._settle(call, self._usage(call, end), Outcome.DONE)
+        self._log_end(call, "whole")
+
+    def _recover(self, call: Call, end: RelayEnd) -> None:
+        """Resume a cut stream where the target offers it, or end it visibly."""
+        if not (call.is_chat and call.streaming and not call.caller_gone):
+            self._give_up(call, end)
+            return
+        target = _target_of(call)
+        path = f"/v1/requests/{call.request_id}/stream?after={end.event_count}"
+        request = TargetRequest(
+            method="GET", path=path, headers={"X-Request-Id": call.request_id}
+        )
+        try:
+            upstream = self._connections.open(target, fresh=True)
+            upstream.send(request, timeout_s=_SEND_TIMEOUT_S)
+            head = upstream.read_head("GET", timeout_s=_HEAD_TIMEOUT_S)
+        except TargetError:
+            self._give_up(call, end)
+            return
+        call.resume_count += 1
+        if head.status != 200 or call.resume_count > _MAX_RESUMES:
+            upstream.close()
+            self._give_up(call, end)
+            return
+        upstream.keep_alive = head.keep_alive
+        log_event("stream_resumed", request_id=call.request_id, target=target.name)
+        self.relay.resume(
+            call,
+            upstream,
+            decoder=_decoder_of(head),
+            buffered=upstream.take_buffered(),
+        )
+
+    def _give_up(self, call: Call, end: RelayEnd) -> None:
+        gone = end.outcome in (RelayOutcome.CALLER_GONE, RelayOutcome.CALLER_SLOW)
+        outcome = Outcome.CANCELLED if gone else Outcome.FAILED
+        self._settle(call, self._usage(call, end), outcome)
+        self._log_end(call, end.outcome.value)
+        if gone:
+            return
+        error = self._failure(call, f"answer {end.outcome.value}", step="relay")
+        event = error_event(error, call.request_id) if call.streaming else b""
+        self.relay.abort(call, event)
+
+    # Helpers
+
+    def _guarded(self, call: Call, step: Callable[[Call], None]) -> None:
+        try:
+            step(call)
+        except Exception as error:
+            log_event(
+                "call_error",
+                level="ERROR",
+                request_id=call.request_id,
+                error=type(error).__name__,
+                detail=str(error),
+            )
+            self._settle(call, self._usage(call, None), Outcome.FAILED)
+            self._refuse(call, self._failure(call, "internal error", step="run"))
+
+    def _retry_or_refuse(self, call: Call, error: TargetError, *, ran: Ran) -> None:
+        may_repeat = ran is Ran.NO or call.repeatable
+        late = time.monotonic() >= call.waiting.deadline_s
+        log_event(
+            "attempt_failed",
+            level="WARNING",
+            request_id=call.request_id,
+            target=error.peer,
+            step=error.step,
+            ran=ran.value,
+            detail=error.reason,
+        )
+        if call.caller_gone:
+            self._cancel(call)
+        elif may_repeat and not late and call.attempt_count < _MAX_ATTEMPTS:
+            call.phase = CallPhase.WAITING
+            self._tell(Requeue(call.request_id))
+        else:
+            self._settle(call, self._usage(call, None), Outcome.FAILED)
+            self._refuse(
+                call,
+                RequestRefusedError(
+                    error.reason,
+                    step=error.step,
+                    peer=error.peer,
+                    cause=RefusalReason.TARGET_FAILED,
+                    ran=ran,
+                    retry_after_s=_RETRY_AFTER_S,
+                ),
+            )
+
+    def _cancel(self, call: Call) -> None:
+        self._settle(call, self._usage(call, None), Outcome.CANCELLED)
+        if not call.caller_gone:
+            error = RequestRefusedError(
+                "deadline passed before the request was sent",
+                step="open",
+                cause=RefusalReason.DEADLINE_PASSED,
+            )
+            self._refuse(call, error)
+
+    def _refuse(self, call: Call, error: RequestRefusedError) -> None:
+        first = call.end_once()
+        if not first and call.caller_gone:
+            return
+        self._log_end(call, "refused", cause=error.cause.value, ran=error.ran.value)
+        self._metrics.count_refusal(error.cause.value, error.ran.value)
+        data = render_refusal(call.http_request, error, call.request_id)
+        self.relay.answer(call, data)
+
+    def _failure(self, call: Call, reason: str, *, step: str) -> RequestRefusedError:
+        peer = call.target.name if call.target else "local"
+        return RequestRefusedError(
+            reason,
+            step=step,
+            peer=peer,
+            cause=RefusalReason.TARGET_FAILED,
+            ran=Ran.MAYBE,
+        )
+
+    def _settle(self, call: Call, usage: Usage, outcome: Outcome) -> None:
+        call.end_once()
+        self._tell(Settle(call.request_id, usage, outcome))
+
+    def _usage(self, call: Call, end: RelayEnd | None) -> Usage:
+        slot_time_s = time.monotonic() - call.started_at_s if call.target else 0.0
+        if not call.is_chat:
+            return Usage(slot_time_s=slot_time_s)
+        reported = None
+        if end is not None:
+            reported = end.usage if call.streaming else usage_of(end.body)
+        if reported is None:
+            count = 0 if end is None else end.event_count
+            reported = Usage(generated_tokens=count)
+        return Usage(
+            prompt_tokens=reported.prompt_tokens,
+            generated_tokens=reported.generated_tokens,
+            slot_time_s=slot_time_s,
+        )
+
+    def _log_end(self, call: Call, outcome: str, **fields: str) -> None:
+        now_s = time.monotonic()
+        self._metrics.count_call(call.service.name, outcome)
+        log_event(
+            "call_ended",
+            request_id=call.request_id,
+            account=call.account.name,
+            service=call.service.name,
+            target=call.target.name if call.target else "",
+            outcome=outcome,
+            attempts=call.attempt_count,
+            total_s=now_s - call.waiting.arrived_at_s,
+            **fields,
+        )
+
+    def _tell(self, message: object) -> None:
+        if self._dispatch is not None:
+            self._dispatch.tell(message)
+
+
+def _target_of(call: Call) -> Target:
+    if call.target is None:
+        raise ValueError(f"request {call.request_id} has no target")
+    return call.target
+
+
+def _head_error(call: Call, reason: str) -> TargetError:
+    return TargetError(reason, step="head", peer=_target_of(call).name)
+
+
+def _target_request(call: Call) -> TargetRequest:
+    headers = dict(call.headers)
+    headers["X-Request-Id"] = call.request_id
+    headers["X-Client-Account"] = call.account.name
+    if call.idempotency_key:
+        headers["Idempotency-Key"] = call.idempotency_key
+    return TargetRequest(
+        method=call.method, path=call.path, headers=headers, body=call.body
+    )
+
+
+def _is_not_run(head: TargetHead) -> bool:
+    said_no = head.headers.get("x-ran", "").lower() == "no"
+    return said_no and head.status in _NOT_RUN_STATUSES
+
+
+def _headers_for_caller(call: Call, head: TargetHead) -> Mapping[str, str]:
+    headers = {
+        name: value
+        for name, value in head.headers.items()
+        if name not in _DROPPED_HEADERS
+    }
+    if head.content_length_bytes is not None:
+        headers["Content-Length"] = str(head.content_length_bytes)
+    headers["X-Request-Id"] = call.request_id
+    return headers
+
+
+def _decoder_of(head: TargetHead) -> BodyDecoder:
+    return BodyDecoder(
+        chunked=head.chunked, content_length_bytes=head.content_length_bytes
+    )
--- /dev/null
+++ b/packages/citrondock-router/src/citrondock_router/main.py
@@ -0,0 +1,46 @@
+"""The binary citrondock-router."""
+
+import sys
+
+from absl import app
+
+from citrondock_core.faults import SettingsError
+from citrondock_router.log import configure_logging, log_event
+from citrondock_router.router import Router
+from citrondock_router.settings import USAGE_EXIT_CODE
+from citrondock_router.settings_flags import define_flags, settings_from_flags
+from citrondock_router.stop_signal import StopSignal
+
+# Many threads share the interpreter; the relay's must get it back soon.
+_SWITCH_INTERVAL_S = 0.001
+
+
+def main(argv: list[str]) -> int:
+    """Run one router until it is told to stop."""
+    try:
+        settings = settings_from_flags()
+    except SettingsError as error:
+        for fault in error.exceptions:
+            print(fault, file=sys.stderr)
+        return USAGE_EXIT_CODE
+    configure_logging(level=settings.log.level)
+    sys.setswitchinterval(_SWITCH_INTERVAL_S)
+    stop_signal = StopSignal()
+    stop_signal.install()
+    router = Router(settings, stop_signal=stop_signal)
+    router.start()
+    while not stop_signal.wait(1.0):
+        continue
+    log_event("stop_requested")
+    router.stop()
+    return 0
+
+
+def run() -> None:
+    """Parse the flags and run."""
+    define_flags()
+    app.run(main)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/packages/citrondock-router/src/citrondock_router/peer_inbox.py
@@ -0,0 +1,92 @@
+"""Takes in what peer routers send."""
+
+from collections.abc import Callable, Sequence
+
+import pykka
+
+from citrondock_core.heartbeat import Heartbeat
+from citrondock_core.messages import Member
+from citrondock_router.configuration_follower import ConfigurationFollower
+from citrondock_router.dispatch_actor import Receive
+from citrondock_router.membership_actor import Heard
+from citrondock_router.metrics import RouterMetrics
+from citrondock_wire.envelope import Sender
+from citrondock_wire.gen.citrondock_peer.ttypes import ConfigurationCopy
+from citrondock_wire.message_codec import BadMessageError, MessageCodec
+from citrondock_wire.peer_server import PeerHandler
+
+_ENVELOPE_BYTES = 110
+
+
+class PeerInbox(PeerHandler):
+    """Hands messages of peers to the actors that they concern.
+
+    Parameters
+    ----------
+    codec : MessageCodec
+        Decodes what came.
+    dispatch : pykka.ActorRef
+        Gets all but heartbeats.
+    follower : ConfigurationFollower
+        Holds the configuration that peers may ask for.
+    find_member : callable
+        Returns the live member of a VM name, or None.
+    explain : callable
+        Returns what this router knows of a request or account.
+    metrics : RouterMetrics
+        Counts bytes.
+    """
+
+    def __init__(
+        self,
+        *,
+        codec: MessageCodec,
+        dispatch: pykka.ActorRef,
+        follower: ConfigurationFollower,
+        find_member: Callable[[str], Member | None],
+        explain: Callable[[str], list[str]],
+        metrics: RouterMetrics,
+    ) -> None:
+        self._codec = codec
+        self._membership: pykka.ActorRef | None = None
+        self._dispatch = dispatch
+        self._follower = follower
+        self._find_member = find_member
+        self._explain = explain
+        self._metrics = metrics
+
+    def attach(self, membership: pykka.ActorRef) -> None:
+        """Name the actor that gets heartbeats."""
+        self._membership = membership
+
+    def deliver(self, sender: Sender, payload: bytes) -> None:
+        """Take a batch in."""
+        try:
+            messages = self._codec.decode(payload, peer=sender.vm_name)
+        except BadMessageError as error:
+            raise ValueError(error.reason) from error
+        heartbeats = [m for m in messages if isinstance(m, Heartbeat)]
+        others = [m for m in messages if not isinstance(m, Heartbeat)]
+        if heartbeats and self._membership is not None:
+            self._membership.tell(Heard(sender.vm_name, heartbeats))
+        member = self._find_member(sender.vm_name)
+        if others and member is not None and member.incarnation == sender.incarnation:
+            self._dispatch.tell(Receive(member, others))
+        self._count(messages, len(payload))
+
+    def configuration_copy(self, after_revision: int) -> ConfigurationCopy:
+        """Return the configuration in force if it is newer."""
+        configuration = self._follower.configuration
+        document = self._follower.document(after_revision)
+        return ConfigurationCopy(revision=configuration.revision, document=document)
+
+    def explain(self, subject: str) -> list[str]:
+        """Return what this router knows of a request or account."""
+        return self._explain(subject)
+
+    def _count(self, messages: Sequence[object], payload_bytes: int) -> None:
+        kinds = {type(message).__name__ for message in messages}
+        kind = kinds.pop() if len(kinds) == 1 else "Mixed"
+        self._metrics.count_peer_batch(
+            "received", {kind: payload_bytes}, payload_bytes + _ENVELOPE_BYTES
+        )
--- /dev/null
+++ b/packages/citrondock-router/src/citrondock_router/peer_network.py
@@ -0,0 +1,220 @@
+"""Sends messages to peer routers without making anybody wait."""
+
+import queue
+import ssl
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable, Sequence
+
+from citrondock_core.heartbeat import Heartbeat
+from citrondock_core.messages import PeerMessage
+from citrondock_router.log import log_event
+from citrondock_router.metrics import RouterMetrics
+from citrondock_wire.envelope import EnvelopeSealer
+from citrondock_wire.message_codec import MessageCodec
+from citrondock_wire.peer_client import (
+    PeerAddress,
+    PeerClient,
+    PeerRefusedError,
+    PeerUnavailableError,
+)
+
+OutgoingMessage = PeerMessage | Heartbeat
+
+_MAX_QUEUED = 2_000
+_MAX_BATCH = 200
+_GATHER_S = 0.01
+_IDLE_S = 30.0
+_MIN_PAUSE_S = 0.2
+_MAX_PAUSE_S = 2.0
+
+
+class _PeerLink:
+    """Delivers to one peer in a thread of its own."""
+
+    def __init__(
+        self,
+        client: PeerClient,
+        codec: MessageCodec,
+        metrics: RouterMetrics,
+        on_idle: Callable[[], None],
+    ) -> None:
+        self.client = client
+        self._codec = codec
+        self._metrics = metrics
+        self._on_idle = on_idle
+        self._queue: queue.Queue[OutgoingMessage] = queue.Queue(_MAX_QUEUED)
+        self._stopping = threading.Event()
+        self._paused_until_s = 0.0
+        self._pause_s = _MIN_PAUSE_S
+        name = f"peer-{client.address.vm_name}"
+        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+        self._thread.start()
+
+    def send(self, message: OutgoingMessage) -> None:
+        try:
+            self._queue.put_nowait(message)
+        except queue.Full:
+            # Every message is repeated or expires; a lost one is harmless.
+            self._metrics.count_peer_drop(self.client.address.vm_name)
+
+    def stop(self) -> None:
+        self._stopping.set()
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                first = self._queue.get(timeout=_IDLE_S)
+            except queue.Empty:
+                self._on_idle()
+                break
+            time.sleep(_GATHER_S)
+            self._deliver([first, *self._drain()])
+        self.client.close()
+
+    def _drain(self) -> list[OutgoingMessage]:
+        messages: list[OutgoingMessage] = []
+        while len(messages) < _MAX_BATCH:
+            try:
+                messages.append(self._queue.get_nowait())
+            except queue.Empty:
+                break
+        return messages
+
+    def _deliver(self, messages: Sequence[OutgoingMessage]) -> None:
+        if time.monotonic() < self._paused_until_s:
+            return
+        payload = self._codec.encode(messages)
+        peer = self.client.address.vm_name
+        sent_before_bytes = self.client.sent_bytes
+        received_before_bytes = self.client.received_bytes
+        try:
+            self.client.deliver(payload)
+        except PeerUnavailableError as error:
+            self._pause()
+            self._metrics.count_peer_failure(peer)
+            log_event(
+                "peer_unavailable",
+                level="DEBUG",
+                peer=peer,
+                step=error.step,
+                detail=error.reason,
+            )
+            return
+        except PeerRefusedError as error:
+            self._metrics.count_peer_failure(peer)
+            log_event(
+                "peer_refused_us",
+                level="WARNING",
+                peer=peer,
+                step=error.step,
+                detail=error.reason,
+            )
+            return
+        self._pause_s = _MIN_PAUSE_S
+        sent_bytes = self.client.sent_bytes - sent_before_bytes
+        received_bytes = self.client.received_bytes - received_before_bytes
+        self._metrics.count_peer_batch("sent", self._sizes(messages), sent_bytes)
+        self._metrics.count_peer_batch("received", {}, received_bytes)
+
+    def _sizes(self, messages: Sequence[OutgoingMessage]) -> dict[str, int]:
+        sizes: Counter[str] = Counter()
+        for message in messages:
+            sizes[type(message).__name__] += len(self._codec.encode([message]))
+        return sizes
+
+    def _pause(self) -> None:
+        self._paused_until_s = time.monotonic() + self._pause_s
+        self._pause_s = min(2 * self._pause_s, _MAX_PAUSE_S)
+
+
+class PeerNetwork:
+    """Links to peers, opened when there is something to send.
+
+    Parameters
+    ----------
+    sealer : EnvelopeSealer
+        Seals what is sent.
+    codec : MessageCodec
+        Encodes what is sent.
+    metrics : RouterMetrics
+        Counts bytes and failures.
+    call_timeout_s : float
+        Longest time for one delivery.
+    tls : ssl.SSLContext or None
+        Context with the own certificate.
+    """
+
+    def __init__(
+        self,
+        *,
+        sealer: EnvelopeSealer,
+        codec: MessageCodec,
+        metrics: RouterMetrics,
+        call_timeout_s: float = 1.0,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._sealer = sealer
+        self._codec = codec
+        self._metrics = metrics
+        self._call_timeout_s = call_timeout_s
+        self._tls = tls
+        self._addresses: dict[str, PeerAddress] = {}
+        self._links: dict[str, _PeerLink] = {}
+        self._lock = threading.Lock()
+
+    def set_addresses(self, addresses: Sequence[PeerAddress]) -> None:
+        """Say where peers listen; links to others are closed."""
+        with self._lock:
+            self._addresses = {address.vm_name: address for address in addresses}
+            for name, link in list(self._links.items()):
+                if self._addresses.get(name) != link.client.address:
+                    link.stop()
+                    del self._links[name]
+
+    def addresses(self) -> list[PeerAddress]:
+        """Return where peers listen."""
+        with self._lock:
+            return list(self._addresses.values())
+
+    def send(self, vm_name: str, message: OutgoingMessage) -> None:
+        """Send a message soon; it may be lost."""
+        with self._lock:
+            address = self._addresses.get(vm_name)
+            if address is None:
+                return
+            link = self._links.get(vm_name)
+            if link is None:
+                link = _PeerLink(
+                    self.open_client(address),
+                    self._codec,
+                    self._metrics,
+                    lambda: self._forget(vm_name),
+                )
+                self._links[vm_name] = link
+        link.send(message)
+
+    def open_client(
+        self, address: PeerAddress, *, timeout_s: float | None = None
+    ) -> PeerClient:
+        """Return a client of its own for calls that need an answer."""
+        return PeerClient(
+            address,
+            sealer=self._sealer,
+            timeout_s=self._call_timeout_s if timeout_s is None else timeout_s,
+            tls=self._tls,
+        )
+
+    def stop(self) -> None:
+        """Close all links."""
+        with self._lock:
+            links = list(self._links.values())
+            self._links.clear()
+            self._addresses.clear()
+        for link in links:
+            link.stop()
+
+    def _forget(self, vm_name: str) -> None:
+        with self._lock:
+            self._links.pop(vm_name, None)
--- /dev/null
+++ b/packages/citrondock-router/src/citrondock_router/periodic.py
@@ -0,0 +1,58 @@
+"""A thread that does one thing again and again."""
+
+import random
+import threading
+from collections.abc import Callable
+
+from citrondock_router.log import log_event
+
+_JITTER = 0.1
+
+
+class Periodic:
+    """Calls a function at a period, until it is stopped.
+
+    Parameters
+    ----------
+    name : str
+        Name of the thread and of its error events.
+    function : callable
+        What to do; an exception is logged and does not end the thread.
+    period_s : float
+        Time between two calls; jittered, so that routers don't fall into step.
+    """
+
+    def __init__(
+        self, name: str, function: Callable[[], None], *, period_s: float
+    ) -> None:
+        self._name = name
+        self._function = function
+        self._period_s = period_s
+        self._rng = random.Random(name)
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name=name, daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self, *, timeout_s: float = 2.0) -> None:
+        """End the thread after the call that is running."""
+        self._stopped.set()
+        if self._thread.is_alive():
+            self._thread.join(timeout_s)
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            try:
+                self._function()
+            except Exception as error:
+                log_event(
+                    "periodic_error",
+                    level="ERROR",
+                    periodic=self._name,
+                    error=type(error).__name__,
+                    detail=str(error),
+                )
+            spread = 1 + self._rng.uniform(-_JITTER, _JITTER)
+            self._stopped.wait(self._period_s * spread)
--- a/packages/citrondock-standins/src/citrondock_standins/fleet.py
+++ b/packages/citrondock-standins/src/citrondock_standins/fleet.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Mapping
 from contextlib import ExitStack
 from pathlib import Path
-from typing import Self
+from typing import Any, Self
 
 import attrs
 import urllib3
@@ -186,6 +186,25 @@
                     raise ChildError(f"{router.name} is not ready:\n{tail}")
                 time.sleep(READY_PERIOD_S)
 
+    def wait_joined(self, *, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Wait until every running router counts all running ones as members."""
+        deadline_s = time.monotonic() + timeout_s
+        running = {n for n, each in self.routers.items() if each.process.is_running}
+        while any(self.member_names(name) != running for name in running):
+            if time.monotonic() > deadline_s:
+                raise ChildError("the routers do not know each other")
+            time.sleep(READY_PERIOD_S)
+
+    def member_names(self, name: str) -> set[str]:
+        """Return the live routers as one router sees them."""
+        return {member["vm_name"] for member in self.status(name)["members"]}
+
+    def status(self, name: str) -> Mapping[str, Any]:
+        """Return the status page of a router."""
+        url = self.routers[name].operators_url + "/v1/status"
+        page: Mapping[str, Any] = self._http.request("GET", url).json()
+        return page
+
     def is_ready(self, name: str) -> bool:
         """Whether a router says that it is ready."""
         url = self.routers[name].operators_url + "/readyz"
--- a/packages/citrondock-standins/src/citrondock_standins/plain_service.py
+++ b/packages/citrondock-standins/src/citrondock_standins/plain_service.py
@@ -4,7 +4,7 @@
 import hashlib
 import time
 from collections import Counter, deque
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import attrs
 from absl import flags
@@ -57,6 +57,7 @@
     idempotency_key: str
     method: str
     path: str
+    query: Mapping[str, str]
     body_digest: str
     started_s: float
     ended_s: float | None = None
@@ -99,6 +100,7 @@
             idempotency_key=request.headers.get("idempotency-key", ""),
             method=request.method,
             path=request.path,
+            query=request.query,
             body_digest=hashlib.sha256(request.body).hexdigest(),
             started_s=time.monotonic(),
         )
--- /dev/null
+++ b/packages/citrondock-wire/src/citrondock_wire/envelope.py
@@ -0,0 +1,124 @@
+"""Authenticated envelopes around what routers tell each other."""
+
+import hashlib
+import hmac
+import itertools
+import threading
+import time
+
+import attrs
+
+from citrondock_core.errors import CitrondockError
+from citrondock_wire.gen.citrondock_peer.ttypes import Envelope
+
+_SEPARATOR = b"\x00"
+
+
+class EnvelopeError(CitrondockError):
+    """An envelope is forged, replayed or meant for somebody else."""
+
+
+@attrs.frozen(kw_only=True)
+class Sender:
+    """Who sealed an envelope."""
+
+    vm_name: str
+    incarnation: int
+
+
+class EnvelopeSealer:
+    """Seals payloads under the routers' shared key.
+
+    Parameters
+    ----------
+    sender : Sender
+        The own router.
+    shared_key : bytes
+        Key of all routers of a deployment.
+    """
+
+    def __init__(self, sender: Sender, *, shared_key: bytes) -> None:
+        self._sender = sender
+        self._shared_key = shared_key
+        self._sequences = itertools.count(time.time_ns())
+
+    def seal(self, payload: bytes, *, receiver: str, method: str) -> Envelope:
+        """Return an envelope that only ``method`` of ``receiver`` accepts, once."""
+        envelope = Envelope(
+            sender=self._sender.vm_name,
+            incarnation=self._sender.incarnation,
+            sequence=next(self._sequences),
+            receiver=receiver,
+            payload=payload,
+        )
+        envelope.tag = _tag(envelope, method, self._shared_key)
+        return envelope
+
+
+class EnvelopeOpener:
+    """Checks envelopes that arrive at one router.
+
+    Parameters
+    ----------
+    receiver : str
+        Name of the own VM.
+    shared_key : bytes
+        Key of all routers of a deployment.
+    """
+
+    def __init__(self, receiver: str, *, shared_key: bytes) -> None:
+        self._receiver = receiver
+        self._shared_key = shared_key
+        self._latest: dict[tuple[str, str], tuple[int, int]] = {}
+        self._lock = threading.Lock()
+
+    def open(self, envelope: Envelope, *, method: str) -> Sender:
+        """Return who sealed the envelope.
+
+        Raises
+        ------
+        EnvelopeError
+            When the tag is wrong, the receiver is another or the envelope isn't newer
+            than the last one of its sender.
+        """
+        self._check_shape(envelope)
+        expected = _tag(envelope, method, self._shared_key)
+        if not hmac.compare_digest(expected, envelope.tag):
+            raise _refused("wrong tag", "unknown")
+        if envelope.receiver != self._receiver:
+            raise _refused(f"meant for {envelope.receiver!r}", envelope.sender)
+        freshness = (envelope.incarnation, envelope.sequence)
+        with self._lock:
+            key = (envelope.sender, method)
+            if freshness <= self._latest.get(key, (0, 0)):
+                raise _refused("not newer than the last envelope", envelope.sender)
+            self._latest[key] = freshness
+        return Sender(vm_name=envelope.sender, incarnation=envelope.incarnation)
+
+    @staticmethod
+    def _check_shape(envelope: Envelope) -> None:
+        texts = (envelope.sender, envelope.receiver)
+        numbers = (envelope.incarnation, envelope.sequence)
+        binaries = (envelope.payload, envelope.tag)
+        if not (
+            all(isinstance(text, str) for text in texts)
+            and all(isinstance(number, int) for number in numbers)
+            and all(isinstance(binary, bytes) for binary in binaries)
+        ):
+            raise _refused("a field is missing", "unknown")
+
+
+def _tag(envelope: Envelope, method: str, shared_key: bytes) -> bytes:
+    parts = (
+        method.encode(),
+        envelope.sender.encode(),
+        str(envelope.incarnation).encode(),
+        str(envelope.sequence).encode(),
+        envelope.receiver.encode(),
+    )
+    signed = _SEPARATOR.join(parts) + _SEPARATOR + envelope.payload
+    return hmac.new(shared_key, signed, hashlib.sha256).digest()
+
+
+def _refused(reason: str, peer: str) -> EnvelopeError:
+    return EnvelopeError(reason, step="envelope", peer=peer)
--- /dev/null
+++ b/packages/citrondock-wire/src/citrondock_wire/peer_client.py
@@ -0,0 +1,158 @@
+"""A connection to another router's thrift service."""
+
+import ssl
+
+import attrs
+from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
+from thrift.Thrift import TException
+from thrift.transport.TSocket import TSocket
+from thrift.transport.TSSLSocket import TSSLSocket
+from thrift.transport.TTransport import TFramedTransport
+
+from citrondock_core.errors import CitrondockError
+from citrondock_wire.envelope import EnvelopeSealer
+from citrondock_wire.gen.citrondock_peer import PeerService
+from citrondock_wire.gen.citrondock_peer.ttypes import ConfigurationCopy, PeerRefused
+from citrondock_wire.peer_server import MAX_FRAME_BYTES
+
+
+class PeerUnavailableError(CitrondockError):
+    """A peer was not reached or did not answer in time."""
+
+
+class PeerRefusedError(CitrondockError):
+    """A peer refused an envelope."""
+
+
+@attrs.frozen(kw_only=True)
+class PeerAddress:
+    """Where a router's peer service listens."""
+
+    vm_name: str
+    host: str
+    port: int
+
+
+class _CountingSocket(TSocket):
+    """A socket that counts the bytes of both directions."""
+
+    sent_bytes = 0
+    received_bytes = 0
+
+    def write(self, buff: bytes) -> None:
+        super().write(buff)
+        self.sent_bytes += len(buff)
+
+    def read(self, sz: int) -> bytes:
+        data: bytes = super().read(sz)
+        self.received_bytes += len(data)
+        return data
+
+
+class _CountingTlsSocket(TSSLSocket):
+    """A TLS socket that counts the plain bytes of both directions."""
+
+    sent_bytes = 0
+    received_bytes = 0
+
+    def write(self, buff: bytes) -> None:
+        super().write(buff)
+        self.sent_bytes += len(buff)
+
+    def read(self, sz: int) -> bytes:
+        data: bytes = super().read(sz)
+        self.received_bytes += len(data)
+        return data
+
+
+class PeerClient:
+    """Calls one peer; used by one thread at a time.
+
+    Parameters
+    ----------
+    address : PeerAddress
+        Whom to call.
+    sealer : EnvelopeSealer
+        Seals what is sent.
+    timeout_s : float
+        Longest time for each step of a call.
+    tls : ssl.SSLContext or None
+        Context with the own certificate; None for plain TCP.
+    """
+
+    def __init__(
+        self,
+        address: PeerAddress,
+        *,
+        sealer: EnvelopeSealer,
+        timeout_s: float = 1.0,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self.address = address
+        self._sealer = sealer
+        if tls is None:
+            sock = _CountingSocket(address.host, address.port)
+        else:
+            sock = _CountingTlsSocket(
+                address.host,
+                address.port,
+                ssl_context=tls,
+                server_hostname=address.host,
+                validate_callback=lambda *_: None,
+            )
+        sock.setTimeout(timeout_s * 1000)
+        self._socket = sock
+        self._transport = TFramedTransport(sock, MAX_FRAME_BYTES)
+        self._client = PeerService.Client(TCompactProtocolAccelerated(self._transport))
+
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes written so far, envelopes and framing included."""
+        return int(self._socket.sent_bytes)
+
+    @property
+    def received_bytes(self) -> int:
+        """Bytes read so far."""
+        return int(self._socket.received_bytes)
+
+    def deliver(self, payload: bytes) -> int:
+        """Deliver messages and return the peer's incarnation."""
+        envelope = self._sealer.seal(
+            payload, receiver=self.address.vm_name, method="deliver"
+        )
+        return int(self._call("deliver", lambda: self._client.deliver(envelope)))
+
+    def fetch_configuration(self, after_revision: int) -> ConfigurationCopy:
+        """Return the peer's configuration if it is newer."""
+        method = "fetch_configuration"
+        envelope = self._sealer.seal(b"", receiver=self.address.vm_name, method=method)
+        return self._call(
+            method, lambda: self._client.fetch_configuration(envelope, after_revision)
+        )
+
+    def explain(self, subject: str) -> list[str]:
+        """Return what the peer knows of a request or account."""
+        envelope = self._sealer.seal(
+            b"", receiver=self.address.vm_name, method="explain"
+        )
+        answer = self._call("explain", lambda: self._client.explain(envelope, subject))
+        return list(answer.lines)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._transport.close()
+
+    def _call(self, step: str, call):  # type: ignore[no-untyped-def]
+        try:
+            if not self._transport.isOpen():
+                self._transport.open()
+            return call()
+        except PeerRefused as error:
+            raise PeerRefusedError(
+                error.reason or "refused", step=step, peer=self.address.vm_name
+            ) from error
+        except (OSError, TException, EOFError) as error:
+            self.close()
+            raise PeerUnavailableError(
+                str(error) or type(error).__name__, step=step, peer=self.address.vm_name
+            ) from error
--- /dev/null
+++ b/packages/citrondock-wire/src/citrondock_wire/target_connections.py
@@ -0,0 +1,96 @@
+"""Idle connections to targets, kept for idempotent requests."""
+
+import ssl
+import threading
+import time
+from collections import defaultdict
+
+from citrondock_core.configuration import Target
+from citrondock_wire.target_connection import TargetConnection
+
+_MAX_IDLE_PER_TARGET = 16
+
+
+class TargetConnections:
+    """Opens connections and keeps idle ones for a while.
+
+    Parameters
+    ----------
+    connect_timeout_s : float
+        Longest time for connecting.
+    max_idle_s : float
+        Longest time for which an idle connection is kept.
+    tls : ssl.SSLContext or None
+        Context for TLS to targets.
+    """
+
+    def __init__(
+        self,
+        *,
+        connect_timeout_s: float = 2.0,
+        max_idle_s: float = 4.0,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._connect_timeout_s = connect_timeout_s
+        self._max_idle_s = max_idle_s
+        self._tls = tls
+        self._idle: dict[str, list[TargetConnection]] = defaultdict(list)
+        self._lock = threading.Lock()
+
+    def open(self, target: Target, *, fresh: bool) -> TargetConnection:
+        """Return a connected connection.
+
+        Parameters
+        ----------
+        target : Target
+            Whom to connect to.
+        fresh : bool
+            Whether an idle connection won't do, since one that the target closed
+            meanwhile fails only after the send.
+
+        Raises
+        ------
+        TargetNotReachedError
+            When the target was not reached in time.
+        """
+        connection = None if fresh else self._take_idle(target)
+        if connection is None:
+            connection = TargetConnection(
+                target, connect_timeout_s=self._connect_timeout_s, tls=self._tls
+            )
+            connection.connect()
+        return connection
+
+    def keep(self, connection: TargetConnection) -> None:
+        """Keep a connection whose answer was read to its end."""
+        connection.finish()
+        connection.idle_until_s = time.monotonic() + self._max_idle_s
+        with self._lock:
+            idle = self._idle[connection.target.name]
+            idle.append(connection)
+            surplus = idle.pop(0) if len(idle) > _MAX_IDLE_PER_TARGET else None
+        if surplus is not None:
+            surplus.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        with self._lock:
+            idle = [c for connections in self._idle.values() for c in connections]
+            self._idle.clear()
+        for connection in idle:
+            connection.close()
+
+    def _take_idle(self, target: Target) -> TargetConnection | None:
+        while True:
+            with self._lock:
+                idle = self._idle[target.name]
+                connection = idle.pop() if idle else None
+            if connection is None:
+                return None
+            same_place = (connection.target.host, connection.target.port) == (
+                target.host,
+                target.port,
+            )
+            if same_place and connection.is_quiet():
+                return connection
+            connection.close()
