Claims in the store before a keyed call is sent, written in groups per shard

Cause: a takedown or a booking must not run twice, also when its caller repeats it at another router, the store's answer is lost or the holder was paused. Change: ClaimBook with acquire, authorise_send, finish, give_up and release. One write comes before the send; a claim by another attempt is never taken over, so whoever finds it gets the first answer or "maybe". A lost answer is settled by reading back the attempt's own token; a claim that may have been written without being used is released later by a write that also overtakes a delayed one. Claims of one shard that wait together share one conditional update; outcomes outlive an outage in memory.

--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/claim_committer.py
@@ -0,0 +1,344 @@
+"""Threads that write the claims of one router, grouped by shard."""
+
+import random
+import threading
+import time
+from collections import deque
+from collections.abc import Callable, Sequence
+
+import attrs
+from loguru import logger
+
+from citrondock_core.claim_change import AcquireChange, ClaimChange, ReleaseChange
+from citrondock_core.claim_errors import ClaimUnavailableError
+from citrondock_core.claim_options import ClaimOptions
+from citrondock_core.claim_shard import ClaimShard
+from citrondock_core.object_store import (
+    AnswerLostError,
+    ObjectNotFoundError,
+    ObjectStore,
+    ObjectStoreError,
+    StoreUnavailableError,
+    VersionConflictError,
+)
+from citrondock_core.shard_cache import LoadedShard, ShardCache
+
+CLAIM_PREFIX = "claims/"
+CONFLICT_PAUSE_S = 0.02
+MAX_ATTEMPT_COUNT = 20
+
+
+@attrs.define(kw_only=True)
+class CommitStatistics:
+    """Calls to the store made for claims.
+
+    Parameters
+    ----------
+    read_count, write_count, conflict_count, failed_count : int
+        Calls by what became of them.
+    change_count : int
+        Changes that the writes carried.
+    dropped_count : int
+        Outcomes dropped because too many waited for the store.
+    """
+
+    read_count: int = 0
+    write_count: int = 0
+    conflict_count: int = 0
+    failed_count: int = 0
+    change_count: int = 0
+    dropped_count: int = 0
+
+
+@attrs.define
+class _Queue:
+    changes: deque[ClaimChange] = attrs.field(factory=deque)
+    busy: bool = False
+    failure_count: int = 0
+    not_before_s: float = 0.0
+
+
+class ClaimCommitter:
+    """Writes changes of claims; those of one shard in one conditional update.
+
+    While a write is under way, later changes of the shard gather for the next one.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        Where the shards are.
+    options : ClaimOptions
+        Limits and periods.
+    wall_clock : callable
+        Unix time in seconds.
+    rng : random.Random
+        Spreads retries.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        options: ClaimOptions,
+        *,
+        wall_clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._options = options
+        self._wall_clock = wall_clock
+        self._rng = rng
+        self._cache = ShardCache(max_bytes=options.max_cached_bytes)
+        self._queues: dict[int, _Queue] = {}
+        self._pending_count = 0
+        self._condition = threading.Condition()
+        self._closed = False
+        self.statistics = CommitStatistics()
+        self._threads = [
+            threading.Thread(target=self._run, name=f"claims-{number}", daemon=True)
+            for number in range(options.committer_count)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    @property
+    def pending_count(self) -> int:
+        """Changes that aren't written yet."""
+        return self._pending_count
+
+    def cached(self, shard_number: int) -> ClaimShard | None:
+        """Return a shard as last known; others may have changed it since."""
+        loaded = self._cache.get(shard_number)
+        return loaded.shard if loaded else None
+
+    def submit(self, change: ClaimChange) -> None:
+        """Have a change written."""
+        number = change.key.shard(self._options.shard_count)
+        with self._condition:
+            if self._pending_count >= self._options.max_pending_count:
+                self._drop(change)
+                return
+            self._queues.setdefault(number, _Queue()).changes.append(change)
+            self._pending_count += 1
+            self._condition.notify()
+
+    def flush(self, timeout_s: float) -> bool:
+        """Wait until everything is written; return whether it is."""
+        with self._condition:
+            return self._condition.wait_for(lambda: self._pending_count == 0, timeout_s)
+
+    def close(self, timeout_s: float) -> None:
+        """Stop the threads."""
+        with self._condition:
+            self._closed = True
+            self._condition.notify_all()
+        for thread in self._threads:
+            thread.join(timeout_s)
+
+    def _drop(self, change: ClaimChange) -> None:
+        self.statistics.dropped_count += 1
+        if isinstance(change, AcquireChange):
+            change.settle(ClaimUnavailableError.of("too many claims wait"))
+
+    def _run(self) -> None:
+        while True:
+            taken = self._take()
+            if taken is None:
+                return
+            number, changes = taken
+            try:
+                self._commit(number, changes)
+                kept: Sequence[ClaimChange] = ()
+            except ObjectStoreError as error:
+                kept = self._fail(changes, error)
+            except Exception as error:
+                logger.opt(exception=error).error("event=claim_commit_failed")
+                kept = self._fail(changes, error)
+            self._put_back(number, changes, kept)
+
+    def _take(self) -> tuple[int, list[ClaimChange]] | None:
+        with self._condition:
+            while not self._closed:
+                number = self._ready()
+                if number is not None:
+                    queue = self._queues[number]
+                    queue.busy = True
+                    count = min(len(queue.changes), self._options.max_group_count)
+                    return number, [queue.changes.popleft() for _ in range(count)]
+                self._condition.wait(self._idle_s())
+            return None
+
+    def _ready(self) -> int | None:
+        now_s = time.monotonic()
+        for number, queue in self._queues.items():
+            urgent = any(isinstance(c, AcquireChange) for c in queue.changes)
+            due = urgent or queue.not_before_s <= now_s
+            if queue.changes and not queue.busy and due:
+                return number
+        return None
+
+    def _idle_s(self) -> float | None:
+        waits = [
+            queue.not_before_s
+            for queue in self._queues.values()
+            if queue.changes and not queue.busy
+        ]
+        if not waits:
+            return None
+        return max(0.01, min(waits) - time.monotonic())
+
+    def _put_back(
+        self, number: int, taken: Sequence[ClaimChange], kept: Sequence[ClaimChange]
+    ) -> None:
+        with self._condition:
+            queue = self._queues.pop(number)
+            queue.busy = False
+            queue.changes.extendleft(reversed(kept))
+            self._pending_count -= len(taken) - len(kept)
+            self._back_off(queue, failed=bool(kept))
+            if queue.changes:
+                self._queues[number] = queue
+            self._condition.notify_all()
+
+    def _back_off(self, queue: _Queue, *, failed: bool) -> None:
+        if not failed:
+            queue.failure_count = 0
+            return
+        longest_s = min(
+            self._options.max_backoff_s,
+            self._options.min_backoff_s * 2.0 ** min(queue.failure_count, 20),
+        )
+        queue.failure_count += 1
+        queue.not_before_s = time.monotonic() + longest_s * self._rng.uniform(0.5, 1.0)
+
+    def _fail(
+        self, changes: Sequence[ClaimChange], error: Exception
+    ) -> list[ClaimChange]:
+        self.statistics.failed_count += 1
+        kept: list[ClaimChange] = []
+        for change in changes:
+            if not isinstance(change, AcquireChange):
+                kept.append(change)
+                continue
+            change.settle(
+                ClaimUnavailableError.of(
+                    f"the claim could not be written: {error}", peer="object store"
+                )
+            )
+            if change.maybe_written:
+                kept.append(ReleaseChange(change.key, change.token))
+        return kept
+
+    def _commit(self, number: int, changes: Sequence[ClaimChange]) -> None:
+        loaded = self._cache.get(number)
+        fresh = loaded is None
+        loaded = loaded or self._load(number)
+        for _ in range(MAX_ATTEMPT_COUNT):
+            wanted = [change for change in changes if not _is_abandoned(change)]
+            shard = loaded.shard.copy()
+            must_write = self._apply(shard, wanted)
+            if fresh or not any(_is_refused(change) for change in wanted):
+                if not must_write or self._write(number, loaded, shard, wanted):
+                    self._settle(changes)
+                    return
+                self._pause()
+            loaded, fresh = self._load(number), True
+        raise StoreUnavailableError(
+            "the shard could not be written", step="claim", peer="object store"
+        )
+
+    def _apply(self, shard: ClaimShard, changes: Sequence[ClaimChange]) -> bool:
+        now_unix_s = self._wall_clock()
+        shard.collect(now_unix_s=now_unix_s)
+        must_write = False
+        for change in changes:
+            must_write |= change.apply(shard, now_unix_s=now_unix_s)
+        return must_write
+
+    def _load(self, number: int) -> LoadedShard:
+        self.statistics.read_count += 1
+        self._cache.drop(number)
+        try:
+            stored = self._store.get(
+                _object_key(number), timeout_s=self._options.store_timeout_s
+            )
+        except ObjectNotFoundError:
+            return LoadedShard(shard=ClaimShard())
+        loaded = LoadedShard(
+            shard=ClaimShard.decode(stored.value),
+            version=stored.version,
+            size_bytes=len(stored.value),
+        )
+        self._cache.put(number, loaded)
+        return loaded
+
+    def _write(
+        self,
+        number: int,
+        loaded: LoadedShard,
+        shard: ClaimShard,
+        changes: Sequence[ClaimChange],
+    ) -> bool:
+        value = shard.encode(max_bytes=self._options.max_shard_bytes)
+        if value is None:
+            self._refuse_for_room(changes)
+            return False
+        self.statistics.write_count += 1
+        try:
+            version = self._put(_object_key(number), value, loaded.version)
+        except VersionConflictError:
+            self.statistics.conflict_count += 1
+            return False
+        except AnswerLostError:
+            self._cache.drop(number)
+            for change in _acquires(changes):
+                change.maybe_written |= change.entered
+            return False
+        self.statistics.change_count += len(changes)
+        for change in _acquires(changes):
+            change.maybe_written |= change.entered
+        self._cache.put(
+            number, LoadedShard(shard=shard, version=version, size_bytes=len(value))
+        )
+        return True
+
+    def _put(self, key: str, value: bytes, version: int) -> int:
+        timeout_s = self._options.store_timeout_s
+        if version == 0:
+            return self._store.create(key, value, timeout_s=timeout_s)
+        return self._store.update(key, value, if_version=version, timeout_s=timeout_s)
+
+    def _refuse_for_room(self, changes: Sequence[ClaimChange]) -> None:
+        acquires = _acquires(changes)
+        if not acquires:
+            raise StoreUnavailableError(
+                "the shard of claims is full", step="claim", peer="object store"
+            )
+        for change in acquires:
+            change.refuse(ClaimUnavailableError.of("the shard of claims is full"))
+
+    def _pause(self) -> None:
+        with self._condition:
+            self._condition.wait_for(
+                lambda: self._closed, self._rng.uniform(0, CONFLICT_PAUSE_S)
+            )
+
+    def _settle(self, changes: Sequence[ClaimChange]) -> None:
+        for change in _acquires(changes):
+            if not change.settle() and change.maybe_written:
+                self.submit(ReleaseChange(change.key, change.token))
+
+
+def _object_key(number: int) -> str:
+    return f"{CLAIM_PREFIX}{number:05}"
+
+
+def _acquires(changes: Sequence[ClaimChange]) -> list[AcquireChange]:
+    return [change for change in changes if isinstance(change, AcquireChange)]
+
+
+def _is_abandoned(change: ClaimChange) -> bool:
+    return isinstance(change, AcquireChange) and change.abandoned
+
+
+def _is_refused(change: ClaimChange) -> bool:
+    return isinstance(change, AcquireChange) and change.error is not None
--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/claim_options.py
@@ -0,0 +1,61 @@
+"""Windows, limits and periods of claims."""
+
+import attrs
+from attrs.validators import ge, gt, le
+
+from citrondock_core.object_store import MAX_VALUE_BYTES
+
+
+@attrs.frozen(kw_only=True)
+class ClaimOptions:
+    """Windows, limits and periods of claims.
+
+    Parameters
+    ----------
+    shard_count : int
+        Objects over which claims are spread; the same at every router.
+    window_s : float
+        Time for which a key is remembered.
+    send_within_s : float
+        Time from the attempt to claim within which the call must be sent.
+    send_margin_s : float
+        Part of `send_within_s` that is given up for the way to the target.
+    answer_within_s : float
+        Time after which a held claim's holder counts as dead.
+    acquire_timeout_s : float
+        Longest wait of a request for its claim.
+    store_timeout_s : float
+        Longest time of one call to the store.
+    committer_count : int
+        Threads that write shards.
+    max_group_count : int
+        Most changes in one write.
+    max_shard_bytes : int
+        Largest value of a shard.
+    max_body_bytes : int
+        Longest body of an answer that is kept.
+    max_pending_count : int
+        Most outcomes that wait in memory while the store is out.
+    max_cached_bytes : int
+        Most bytes of shards that a router keeps to save reads.
+    min_backoff_s, max_backoff_s : float
+        Wait before outcomes are written again.
+    """
+
+    shard_count: int = attrs.field(default=64, validator=ge(1))
+    window_s: float = attrs.field(default=3600.0, validator=gt(0))
+    send_within_s: float = attrs.field(default=10.0, validator=gt(0))
+    send_margin_s: float = attrs.field(default=1.0, validator=ge(0))
+    answer_within_s: float = attrs.field(default=120.0, validator=gt(0))
+    acquire_timeout_s: float = attrs.field(default=2.0, validator=gt(0))
+    store_timeout_s: float = attrs.field(default=1.0, validator=gt(0))
+    committer_count: int = attrs.field(default=2, validator=ge(1))
+    max_group_count: int = attrs.field(default=200, validator=ge(1))
+    max_shard_bytes: int = attrs.field(
+        default=900_000, validator=[ge(1), le(MAX_VALUE_BYTES)]
+    )
+    max_body_bytes: int = attrs.field(default=4096, validator=ge(0))
+    max_pending_count: int = attrs.field(default=10_000, validator=ge(1))
+    max_cached_bytes: int = attrs.field(default=2_000_000, validator=ge(0))
+    min_backoff_s: float = attrs.field(default=0.2, validator=gt(0))
+    max_backoff_s: float = attrs.field(default=5.0, validator=gt(0))
--- /dev/null
+++ b/tests/core/test_claim_book.py
@@ -0,0 +1,302 @@
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+
+from citrondock_core.claim import Claim, ClaimKey, ClaimOutcome
+from citrondock_core.claim_book import ClaimBook
+from citrondock_core.claim_errors import (
+    ClaimHeldError,
+    ClaimKeyError,
+    ClaimLapsedError,
+    ClaimUnavailableError,
+    ClaimUnresolvedError,
+)
+from citrondock_core.claim_options import ClaimOptions
+from citrondock_core.claim_shard import ClaimRecord, ClaimShard
+from citrondock_core.object_store import (
+    AnswerLostError,
+    ObjectNotFoundError,
+    ObjectStore,
+    StoredObject,
+    StoreUnavailableError,
+    VersionConflictError,
+)
+from citrondock_core.request import Ran
+
+BOOKED = ClaimOutcome(status=201, body=b"booked")
+OPTIONS = ClaimOptions(
+    shard_count=1, acquire_timeout_s=5.0, min_backoff_s=0.01, max_backoff_s=0.05
+)
+
+
+class ScriptedStore(ObjectStore):
+    """Objects in a dict; ``faults`` names what befalls the next writes."""
+
+    def __init__(self):
+        self.objects = {}
+        self.version = 0
+        self.faults = []
+        self.out = False
+        self.gate = threading.Event()
+        self.gate.set()
+        self.write_count = 0
+        self._lock = threading.Lock()
+
+    def get(self, key, *, timeout_s=2.0):
+        with self._lock:
+            if self.out:
+                raise StoreUnavailableError("out", step="get", peer="store")
+            if key not in self.objects:
+                raise ObjectNotFoundError("none", step="get", peer="store")
+            return self.objects[key]
+
+    def create(self, key, value, *, timeout_s=2.0):
+        return self.update(key, value, if_version=0, timeout_s=timeout_s)
+
+    def update(self, key, value, *, if_version, timeout_s=2.0):
+        self.gate.wait(5)
+        with self._lock:
+            if self.out:
+                raise StoreUnavailableError("out", step="update", peer="store")
+            fault = self.faults.pop(0) if self.faults else None
+            found = self.objects.get(key)
+            if (found.version if found else 0) != if_version:
+                raise VersionConflictError("other", step="update", peer="store")
+            if fault != "lost before":
+                self.version += 1
+                self.write_count += 1
+                self.objects[key] = StoredObject(
+                    key=key, version=self.version, value=value
+                )
+            if fault == "out after":
+                self.out = True
+            if fault:
+                raise AnswerLostError("lost", step="update", peer="store")
+            return self.version
+
+    def delete(self, key, *, if_version, timeout_s=2.0):
+        raise AssertionError("claims are never deleted object by object")
+
+    def list(self, prefix, *, after_key="", limit=500, timeout_s=2.0):
+        return []
+
+    def watch(self, prefix, *, after_version, wait_s):
+        raise AssertionError("claims are not watched")
+
+
+class Clocks:
+    def __init__(self):
+        self.now_s = 1000.0
+
+    def __call__(self):
+        return self.now_s
+
+
+@pytest.fixture
+def store():
+    return ScriptedStore()
+
+
+@pytest.fixture
+def clock():
+    return Clocks()
+
+
+@pytest.fixture
+def make_book(store, clock):
+    books = []
+
+    def make(holder="router-a", options=OPTIONS):
+        books.append(ClaimBook(store, holder, options, clock, wall_clock=clock))
+        return books[-1]
+
+    yield make
+    store.out = False
+    for book in books:
+        book.close(2.0)
+
+
+def acquire(book, key="k", digest="d"):
+    return book.acquire("acme", "bookings", key, digest)
+
+
+class TestOutcome:
+    def test_a_retry_elsewhere_gets_the_first_answer(self, make_book):
+        first, second = make_book("a"), make_book("b")
+        claim = acquire(first)
+        first.authorise_send(claim)
+        first.finish(claim, BOOKED)
+        assert first.flush(5)
+        assert acquire(second) == BOOKED
+
+    def test_a_long_body_is_not_kept_but_the_status_is(self, make_book):
+        book = make_book()
+        claim = acquire(book)
+        book.authorise_send(claim)
+        book.finish(claim, ClaimOutcome(status=200, body=b"x" * 5000))
+        assert book.flush(5)
+        outcome = acquire(book)
+        assert (outcome.status, outcome.body, outcome.body_kept) == (200, b"", False)
+
+    def test_a_released_key_may_be_claimed_anew(self, make_book):
+        first, second = make_book("a"), make_book("b")
+        first.release(acquire(first))
+        assert first.flush(5)
+        assert isinstance(acquire(second), Claim)
+
+    def test_the_same_key_for_another_request_is_refused(self, make_book):
+        first, second = make_book("a"), make_book("b")
+        acquire(first)
+        with pytest.raises(ClaimKeyError):
+            acquire(second, digest="other")
+        with pytest.raises(ClaimKeyError):
+            acquire(second, key="x" * 256)
+
+
+class TestExclusion:
+    def test_of_many_simultaneous_attempts_one_claims(self, make_book):
+        books = [make_book(name) for name in "abc"]
+
+        def attempt(number):
+            try:
+                return isinstance(acquire(books[number % 3], key="same"), Claim)
+            except ClaimHeldError as error:
+                assert error.ran is Ran.MAYBE
+                return False
+
+        with ThreadPoolExecutor(12) as pool:
+            assert sum(pool.map(attempt, range(24))) == 1
+
+    def test_a_claim_of_somebody_dead_stays_unresolved(self, make_book, clock):
+        first, second = make_book("a"), make_book("b")
+        acquire(first)
+        with pytest.raises(ClaimHeldError):
+            acquire(second)
+        clock.now_s += OPTIONS.answer_within_s + 1
+        with pytest.raises(ClaimUnresolvedError) as caught:
+            acquire(second)
+        assert caught.value.ran is Ran.MAYBE
+
+    def test_given_up_is_unresolved_at_once(self, make_book):
+        first, second = make_book("a"), make_book("b")
+        claim = acquire(first)
+        first.authorise_send(claim)
+        first.give_up(claim)
+        assert first.flush(5)
+        with pytest.raises(ClaimUnresolvedError):
+            acquire(second)
+
+
+class TestPausedHolder:
+    @pytest.mark.parametrize("pause_s", [9.0, 10.0, 4000.0])
+    def test_it_must_not_send(self, make_book, clock, pause_s):
+        book = make_book()
+        claim = acquire(book)
+        clock.now_s += pause_s
+        with pytest.raises(ClaimLapsedError) as caught:
+            book.authorise_send(claim)
+        assert caught.value.ran is Ran.NO
+
+    def test_a_claim_is_sent_once(self, make_book):
+        book = make_book()
+        claim = acquire(book)
+        book.authorise_send(claim)
+        with pytest.raises(ClaimLapsedError):
+            book.authorise_send(claim)
+
+
+class TestStoreFaults:
+    @pytest.mark.parametrize("fault", ["lost after", "lost before"])
+    def test_a_lost_answer_is_settled_by_reading_back(self, make_book, store, fault):
+        book, other = make_book("a"), make_book("b")
+        store.faults = [fault]
+        claim = acquire(book)
+        book.authorise_send(claim)
+        with pytest.raises(ClaimHeldError):
+            acquire(other)
+        assert store.write_count == 1
+
+    def test_an_outage_refuses_not_run_and_leaves_no_claim(self, make_book, store):
+        book = make_book()
+        store.out = True
+        with pytest.raises(ClaimUnavailableError) as caught:
+            acquire(book)
+        assert caught.value.ran is Ran.NO
+        store.out = False
+        assert isinstance(acquire(book), Claim)
+
+    def test_a_claim_written_before_an_outage_is_released_after_it(
+        self, make_book, store
+    ):
+        book, other = make_book("a"), make_book("b")
+        store.faults = ["out after"]
+        with pytest.raises(ClaimUnavailableError):
+            acquire(book)
+        store.out = False
+        assert book.flush(5)
+        assert isinstance(acquire(other), Claim)
+
+    def test_a_request_does_not_wait_past_its_timeout(self, make_book, store):
+        book = make_book(options=ClaimOptions(shard_count=1, acquire_timeout_s=0.05))
+        other = make_book("b")
+        store.gate.clear()
+        with pytest.raises(ClaimUnavailableError):
+            acquire(book)
+        store.gate.set()
+        assert book.flush(5)
+        assert isinstance(acquire(other), Claim)
+
+    def test_an_outcome_outlives_an_outage(self, make_book, store):
+        first, second = make_book("a"), make_book("b")
+        claim = acquire(first)
+        first.authorise_send(claim)
+        store.out = True
+        first.finish(claim, BOOKED)
+        assert not first.flush(0.1)
+        store.out = False
+        assert first.flush(5)
+        assert acquire(second) == BOOKED
+
+
+class TestGroups:
+    def test_claims_that_wait_together_share_a_write(self, make_book, store):
+        book = make_book()
+        store.gate.clear()
+        with ThreadPoolExecutor(20) as pool:
+            waiting = [pool.submit(acquire, book, f"k{n}") for n in range(20)]
+            while book.pending_count < 20:
+                pass
+            store.gate.set()
+            assert all(isinstance(f.result(), Claim) for f in waiting)
+        assert store.write_count <= 3
+
+
+class TestShard:
+    def record(self, number, body=b""):
+        return ClaimRecord(
+            key=ClaimKey(account="a", service="s", idempotency_key=f"k{number}"),
+            request_digest="d",
+            token=f"t{number}",
+            holder="h",
+            answer_deadline_unix_s=10.0,
+            expiry_deadline_unix_s=100.0 + number,
+            outcome=ClaimOutcome(status=200, body=body),
+        )
+
+    def test_bodies_go_before_claims_and_a_full_shard_says_so(self):
+        shard = ClaimShard(self.record(n, b"x" * 2000) for n in range(50))
+        value = shard.encode(max_bytes=50_000)
+        assert value is not None and len(value) <= 50_000
+        kept = [shard.find(self.record(n).key) for n in range(50)]
+        assert [r.outcome.body_kept for r in kept] == sorted(
+            r.outcome.body_kept for r in kept
+        )
+        assert ClaimShard.decode(value).find(self.record(3).key) == kept[3]
+        assert shard.encode(max_bytes=1000) is None
+
+    def test_expired_claims_are_collected_with_a_margin(self):
+        shard = ClaimShard([self.record(0), self.record(1)])
+        shard.collect(now_unix_s=160.5)
+        assert shard.find(self.record(0).key) is None
+        assert shard.find(self.record(1).key) is not None
