Audit trail in bounded segments, one writer each

Cause: who changed what, and why, has to be told later, also for changes made while the store was out. A segment belongs to one router incarnation, so that no two routers conflict; its key begins with its opening time, so that keys sort by time.

--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/audit_trail.py
@@ -0,0 +1,234 @@
+"""Writing the audit trail, also through an outage of the store."""
+
+import threading
+import time
+from collections import deque
+from collections.abc import Callable
+
+import attrs
+from attrs.validators import ge, gt, le
+
+from citrondock_core.audit_record import AuditKind, AuditRecord
+from citrondock_core.audit_segment import (
+    AUDIT_PREFIX,
+    MAX_SEGMENT_AGE_S,
+    AuditSegment,
+    encode_record,
+    opened_at_unix_s,
+)
+from citrondock_core.object_store import (
+    MAX_VALUE_BYTES,
+    AnswerLostError,
+    ObjectNotFoundError,
+    ObjectStore,
+    ObjectStoreError,
+    VersionConflictError,
+)
+
+COLLECT_COUNT = 5
+
+
+@attrs.frozen(kw_only=True)
+class AuditOptions:
+    """Limits of the audit trail.
+
+    Parameters
+    ----------
+    max_segment_bytes : int
+        Size from which a new segment is begun.
+    max_buffered_bytes : int
+        Most bytes kept in memory while the store is out.
+    retention_s : float
+        Age at which segments are deleted.
+    store_timeout_s : float
+        Longest time of one call to the store.
+    """
+
+    max_segment_bytes: int = attrs.field(
+        default=200_000, validator=[ge(1000), le(MAX_VALUE_BYTES)]
+    )
+    max_buffered_bytes: int = attrs.field(default=1_000_000, validator=ge(1000))
+    retention_s: float = attrs.field(default=90 * 86_400.0, validator=gt(0))
+    store_timeout_s: float = attrs.field(default=2.0, validator=gt(0))
+
+
+@attrs.define(kw_only=True)
+class _Open:
+    segment: AuditSegment
+    value: bytes = b""
+    version: int = 0
+
+
+class AuditTrail:
+    """Buffers records and appends them to segments that no other router writes.
+
+    `record` never waits for the store and may be called from any thread; one thread
+    calls `write` now and then.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        Where the segments go.
+    vm_name, incarnation : str, int
+        This router.
+    options : AuditOptions or None
+        Limits.
+    wall_clock : callable
+        Unix time in seconds.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        vm_name: str,
+        incarnation: int,
+        options: AuditOptions | None = None,
+        *,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._store = store
+        self._vm_name = vm_name
+        self._incarnation = incarnation
+        self._options = options or AuditOptions()
+        self._wall_clock = wall_clock
+        self._lock = threading.Lock()
+        self._buffer: deque[bytes] = deque()
+        self._buffered_bytes = 0
+        self._dropped_count = 0
+        self._total_dropped_count = 0
+        self._segment_count = 0
+        self._open: _Open | None = None
+
+    @property
+    def buffered_count(self) -> int:
+        """Records that aren't written yet."""
+        return len(self._buffer)
+
+    @property
+    def dropped_count(self) -> int:
+        """Records dropped since the start because the buffer was full."""
+        return self._total_dropped_count
+
+    def record(self, record: AuditRecord) -> None:
+        """Take a record for the next `write`; drop and count it if there's no room."""
+        line = encode_record(record)
+        with self._lock:
+            if self._buffered_bytes + len(line) > self._options.max_buffered_bytes:
+                self._dropped_count += 1
+                self._total_dropped_count += 1
+                return
+            self._buffer.append(line)
+            self._buffered_bytes += len(line)
+
+    def write(self) -> bool:
+        """Append what is buffered; return False while the store doesn't take it."""
+        try:
+            while self._has_work():
+                self._write_some()
+        except ObjectStoreError:
+            return False
+        return True
+
+    def _has_work(self) -> bool:
+        with self._lock:
+            return bool(self._buffer) or self._dropped_count > 0
+
+    def _write_some(self) -> None:
+        target = self._segment_to_write()
+        lines, dropped = self._next_lines(len(target.value))
+        value = target.value + b"".join(lines)
+        if dropped:
+            value += encode_record(self._dropped_record(dropped))
+        target.version = self._put(target, value)
+        target.value = value
+        with self._lock:
+            for line in lines:
+                self._buffer.popleft()
+                self._buffered_bytes -= len(line)
+            self._dropped_count -= dropped
+
+    def _next_lines(self, used_bytes: int) -> tuple[list[bytes], int]:
+        room_bytes = self._options.max_segment_bytes - used_bytes
+        lines: list[bytes] = []
+        with self._lock:
+            for line in self._buffer:
+                if lines and len(line) > room_bytes:
+                    break
+                lines.append(line)
+                room_bytes -= len(line)
+            dropped = self._dropped_count if len(lines) == len(self._buffer) else 0
+        return lines, dropped
+
+    def _segment_to_write(self) -> _Open:
+        now_unix_s = self._wall_clock()
+        opened = self._open
+        if opened is not None:
+            age_s = now_unix_s - opened.segment.opened_at_unix_s
+            full = len(opened.value) >= self._options.max_segment_bytes
+            if not full and age_s < MAX_SEGMENT_AGE_S:
+                return opened
+        self._collect(now_unix_s)
+        self._open = _Open(
+            segment=AuditSegment(
+                opened_at_unix_s=now_unix_s,
+                vm_name=self._vm_name,
+                incarnation=self._incarnation,
+                number=self._segment_count,
+            )
+        )
+        self._segment_count += 1
+        return self._open
+
+    def _put(self, target: _Open, value: bytes) -> int:
+        key, timeout_s = target.segment.key, self._options.store_timeout_s
+        try:
+            if target.version == 0:
+                return self._store.create(key, value, timeout_s=timeout_s)
+            return self._store.update(
+                key, value, if_version=target.version, timeout_s=timeout_s
+            )
+        except (AnswerLostError, VersionConflictError):
+            return self._read_back(target, value)
+
+    def _read_back(self, target: _Open, value: bytes) -> int:
+        """Return the version if the write took effect, or raise to try again."""
+        key, timeout_s = target.segment.key, self._options.store_timeout_s
+        try:
+            found = self._store.get(key, timeout_s=timeout_s)
+        except ObjectNotFoundError:
+            return self._store.create(key, value, timeout_s=timeout_s)
+        target.version = found.version
+        if found.value == value:
+            return found.version
+        return self._store.update(
+            key, value, if_version=found.version, timeout_s=timeout_s
+        )
+
+    def _dropped_record(self, count: int) -> AuditRecord:
+        return AuditRecord(
+            at_unix_s=self._wall_clock(),
+            kind=AuditKind.DROPPED,
+            who=self._vm_name,
+            what=f"{count} records were dropped",
+            why="the store was out and the buffer was full",
+            subject=self._vm_name,
+            step="audit",
+        )
+
+    def _collect(self, now_unix_s: float) -> None:
+        oldest = self._store.list(
+            AUDIT_PREFIX, limit=COLLECT_COUNT, timeout_s=self._options.store_timeout_s
+        )
+        for stored in oldest:
+            age_s = now_unix_s - opened_at_unix_s(stored.key)
+            if age_s <= self._options.retention_s:
+                return
+            self._delete(stored.key, stored.version)
+
+    def _delete(self, key: str, version: int) -> None:
+        try:
+            self._store.delete(
+                key, if_version=version, timeout_s=self._options.store_timeout_s
+            )
+        except (ObjectNotFoundError, VersionConflictError):
+            return
