Orders to engines under a lease with a fencing token

Cause: two routers that order the same engine undo each other's work, and a holder may be paused past its lease without knowing. Pool gains role.

--- a/packages/citrondock-core/src/citrondock_core/claim_book.py
+++ b/packages/citrondock-core/src/citrondock_core/claim_book.py
@@ -11,6 +11,7 @@
 from citrondock_core.claim_committer import ClaimCommitter, CommitStatistics
 from citrondock_core.claim_options import ClaimOptions
 from citrondock_core.claim_shard import ClaimRecord, answer_from
+from citrondock_core.clocks import boot_time_s
 from citrondock_core.object_store import ObjectStore
 
 
@@ -47,7 +48,7 @@
         store: ObjectStore,
         holder: str,
         options: ClaimOptions | None = None,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = boot_time_s,
         *,
         wall_clock: Callable[[], float] = time.time,
         rng: random.Random | None = None,
--- a/packages/citrondock-core/src/citrondock_core/configuration.py
+++ b/packages/citrondock-core/src/citrondock_core/configuration.py
@@ -111,6 +111,8 @@
         Adapters that the operators want loaded.
     model_version : str
         Version of the model that the operators want.
+    role : str
+        Role in which the engines are to serve; empty leaves it to them.
     """
 
     name: str
@@ -120,6 +122,7 @@
     model: str = ""
     adapters: tuple[str, ...] = ()
     model_version: str = ""
+    role: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/citrondock-core/src/citrondock_core/lease_holder.py
+++ b/packages/citrondock-core/src/citrondock_core/lease_holder.py
@@ -87,6 +87,10 @@
             self._seen = None if self._lease is None else self._seen
         return self.current()
 
+    def lose(self) -> None:
+        """Stop relying on the lease, as a target knows of a later holder."""
+        self._lease = None
+
     def release(self) -> None:
         """Give the lease up, after the last order under it has ended."""
         lease, self._lease = self.current(), None
@@ -132,9 +136,7 @@
 
     def _observe(self) -> None:
         try:
-            found = self._store.get(
-                self._key, timeout_s=self._options.store_timeout_s
-            )
+            found = self._store.get(self._key, timeout_s=self._options.store_timeout_s)
         except ObjectNotFoundError:
             self._seen = None
             return
--- /dev/null
+++ b/packages/citrondock-wire/src/citrondock_wire/http_engine_control.py
@@ -0,0 +1,105 @@
+"""Orders to model engines over HTTP."""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from citrondock_core.configuration import Target
+from citrondock_core.engine_control import (
+    EngineControl,
+    EngineControlError,
+    EngineOrder,
+    EngineState,
+    OrderFencedError,
+    OrderLimitedError,
+)
+
+ORDER_STEP = "order"
+STATE_STEP = "engine state"
+FENCED_STATUS = 409
+LIMITED_STATUS = 429
+
+
+class HttpEngineControl(EngineControl):
+    """Client of the engines' order interface; it never repeats an order.
+
+    Parameters
+    ----------
+    holder : str
+        Router whose name engines write in their logs.
+    """
+
+    def __init__(self, *, holder: str = "") -> None:
+        self._holder = holder
+        self._http = urllib3.PoolManager(num_pools=64, maxsize=1)
+
+    def state(self, target: Target, *, timeout_s: float) -> EngineState:
+        """Return the engine's state."""
+        answer = self._call(STATE_STEP, target, "GET", "/v1/state", None, timeout_s)
+        try:
+            return _state_of(json.loads(answer.data))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise EngineControlError(
+                f"malformed state: {error!r}", step=STATE_STEP, peer=target.name
+            ) from error
+
+    def order(
+        self,
+        target: Target,
+        order: EngineOrder,
+        *,
+        fencing_token: int,
+        order_id: str,
+        timeout_s: float,
+    ) -> None:
+        """Give one order once."""
+        document = {
+            "kind": order.kind.value,
+            "name": order.name,
+            "version": order.version,
+            "fencing_token": fencing_token,
+            "order_id": order_id,
+            "holder": self._holder,
+        }
+        self._call(ORDER_STEP, target, "POST", "/v1/orders", document, timeout_s)
+
+    def _call(
+        self,
+        step: str,
+        target: Target,
+        method: str,
+        path: str,
+        document: Mapping[str, object] | None,
+        timeout_s: float,
+    ) -> urllib3.BaseHTTPResponse:
+        try:
+            answer = self._http.request(
+                method,
+                f"http://{target.host}:{target.port}{path}",
+                body=json.dumps(document) if document else None,
+                headers={"Content-Type": "application/json"},
+                retries=False,
+                redirect=False,
+                timeout=urllib3.Timeout(total=timeout_s),
+            )
+        except HTTPError as error:
+            raise EngineControlError(str(error), step=step, peer=target.name) from error
+        if answer.status != 200:
+            kind = {
+                FENCED_STATUS: OrderFencedError,
+                LIMITED_STATUS: OrderLimitedError,
+            }.get(answer.status, EngineControlError)
+            raise kind(f"status {answer.status}", step=step, peer=target.name)
+        return answer
+
+
+def _state_of(document: Mapping[str, Any]) -> EngineState:
+    return EngineState(
+        models=dict(document["models"]),
+        adapters=frozenset(document["adapters"]),
+        role=document.get("role", ""),
+        loading=frozenset(document.get("loading", ())),
+    )
