--- /dev/null
+++ b/tests/core/test_guarded_store.py
@@ -0,0 +1,102 @@
+import random
+
+import pytest
+
+from citrondock_core.guarded_store import GuardedStore
+from citrondock_core.object_store import (
+    ObjectNotFoundError,
+    StoreUnavailableError,
+)
+from citrondock_core.retry_budget import RetryBudget, RetryOptions
+from citrondock_standins.memory_object_store import MemoryObjectStore
+from citrondock_standins.store_core import StoreCore, StoreFaults
+
+
+class Clock:
+    now_s = 50.0
+
+    def __call__(self):
+        return self.now_s
+
+
+class CountingStore(MemoryObjectStore):
+    call_count = 0
+
+    def __init__(self):
+        super().__init__(StoreCore(reads_per_s=1e9))
+
+    def get(self, key, *, timeout_s=2.0):
+        self.call_count += 1
+        return super().get(key, timeout_s=timeout_s)
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+def ask(store):
+    try:
+        store.get("nothing")
+    except (ObjectNotFoundError, StoreUnavailableError) as error:
+        return type(error)
+
+
+class TestCircuit:
+    def test_an_outage_is_probed_seldom_and_its_end_is_found(self, clock):
+        inner = CountingStore()
+        store = GuardedStore(inner, clock=clock, rng=random.Random(1))
+        inner.set_faults(StoreFaults(outage="refuse"))
+        for _ in range(3000):
+            assert ask(store) is StoreUnavailableError
+            clock.now_s += 0.01
+        assert store.is_open
+        assert 6 <= inner.call_count <= 20
+        inner.set_faults(StoreFaults())
+        clock.now_s += 5.1
+        assert ask(store) is ObjectNotFoundError
+        assert not store.is_open
+
+    def test_a_fleet_rejoins_without_a_herd(self, clock):
+        inner = CountingStore()
+        fleet = [
+            GuardedStore(inner, clock=clock, rng=random.Random(n)) for n in range(7)
+        ]
+        inner.set_faults(StoreFaults(outage="refuse"))
+        calls_by_second = []
+        for second in range(40):
+            if second == 20:
+                inner.set_faults(StoreFaults())
+            before = inner.call_count
+            for _ in range(50):
+                for store in fleet:
+                    ask(store)
+                clock.now_s += 0.02
+            calls_by_second.append(inner.call_count - before)
+        assert max(calls_by_second[1:22]) <= 7 * 12
+        assert calls_by_second[39] == 7 * 50
+
+    def test_answers_that_refuse_for_a_reason_do_not_open_it(self, clock):
+        store = GuardedStore(MemoryObjectStore(), clock=clock)
+        assert {ask(store) for _ in range(10)} == {ObjectNotFoundError}
+        assert not store.is_open
+
+
+class TestRetryBudget:
+    def test_retries_end_with_the_budget_and_are_earned_again(self, clock):
+        budget = RetryBudget(
+            RetryOptions(rate_per_s=1.0, max_saved_count=3), clock=clock
+        )
+        attempts = []
+
+        def fail():
+            attempts.append(1)
+            raise StoreUnavailableError("out", step="get", peer="store")
+
+        for expected in (4, 5, 6):
+            with pytest.raises(StoreUnavailableError):
+                budget.call(fail, timeout_s=9.0, sleep=lambda _s: None)
+            assert len(attempts) == expected
+        clock.now_s += 1.0
+        assert budget.take()
+        assert not budget.take()
