--- a/packages/citrondock-core/src/citrondock_core/membership.py
+++ b/packages/citrondock-core/src/citrondock_core/membership.py
@@ -3,56 +3,23 @@
 from collections.abc import Sequence
 
 import attrs
-import xxhash
 
 from citrondock_core.heartbeat import Heartbeat
+from citrondock_core.live_member import Contact, LiveMember
 from citrondock_core.member_event import MemberEvent, MemberEventKind
+from citrondock_core.member_news import MemberNews
 from citrondock_core.member_ring import Place, ring_contacts
 from citrondock_core.membership_options import MembershipOptions
 from citrondock_core.messages import Member
 from citrondock_core.vm_directory import Vm
 
 
-@attrs.frozen(kw_only=True)
-class LiveMember:
-    """A router that counts as live.
-
-    Parameters
-    ----------
-    member : Member
-        VM, zone and incarnation.
-    host, port : str, int
-        Address of its peer service.
-    leaving : bool
-        Whether it is stopping gracefully.
-    configuration_revision : int
-        Revision that it last said it has in force.
-    reachable : bool
-        Whether it isn't known to be out of direct reach.
-    """
-
-    member: Member
-    host: str
-    port: int
-    leaving: bool
-    configuration_revision: int
-    reachable: bool
-
-
-@attrs.frozen(kw_only=True)
-class Contact:
-    """A router to which heartbeats are to be sent; it may be dead."""
-
-    vm_name: str
-    host: str
-    port: int
-
-
 @attrs.define(kw_only=True)
 class _Known:
     heartbeat: Heartbeat
     direct_deadline_s: float
     deadline_s: float
+    live: LiveMember | None = None
 
 
 @attrs.define(kw_only=True)
@@ -88,9 +55,9 @@
         self._known: dict[str, _Known] = {}
         self._lost: dict[str, _Lost] = {}
         self._listed: dict[str, Vm] = {}
-        self._unsent: dict[str, dict[str, None]] = {}
-        self._refresh: list[str] = []
+        self._news = MemberNews(self_heartbeat.vm_name, self._options)
         self._events: list[MemberEvent] = []
+        self._contacts: list[Contact] | None = None
         self._checked_at_s: float | None = None
         self._beat_at_s: float | None = None
 
@@ -114,7 +81,10 @@
     def set_listed(self, vms: Sequence[Vm], *, now_s: float) -> None:
         """Take the platform's list of routers as hints whom to contact."""
         self._check(now_s)
-        self._listed = {vm.name: vm for vm in vms if vm.name != self._own.vm_name}
+        listed = {vm.name: vm for vm in vms if vm.name != self._own.vm_name}
+        if listed != self._listed:
+            self._listed = listed
+            self._contacts = None
 
     def heard(
         self, heartbeat: Heartbeat, *, now_s: float, sender: str | None = None
@@ -158,15 +128,8 @@
         """
         self._check(now_s)
         self._advance(now_s)
-        unsent = self._unsent.setdefault(vm_name, dict.fromkeys(self._known))
-        names = list(unsent)[: self._options.max_carried_count]
-        for name in names:
-            del unsent[name]
-        room = min(
-            self._options.refresh_count, self._options.max_carried_count - len(names)
-        )
-        names += [name for name in self._next_refresh(room) if name not in names]
-        carried = [self._news_of(name) for name in names if name != vm_name]
+        names = self._news.take(vm_name, self._known)
+        carried = [self._news_of(name) for name in names]
         return [self._own, *(news for news in carried if news is not None)]
 
     def farewell(self) -> Heartbeat:
@@ -182,15 +145,25 @@
         mesh = self._is_full_mesh()
         for known in self._known.values():
             silent = known.direct_deadline_s <= now_s
-            expected = mesh or known.direct_deadline_s > 0
-            lives.append(
-                self._live(known.heartbeat, reachable=not (silent and expected))
-            )
+            reachable = not (silent and (mesh or known.direct_deadline_s > 0))
+            if known.live is None or known.live.reachable != reachable:
+                known.live = self._live(known.heartbeat, reachable=reachable)
+            lives.append(known.live)
         return sorted(lives, key=lambda live: live.member.vm_name)
 
     def contacts(self, *, now_s: float) -> list[Contact]:
         """Return whom to send heartbeats to; constant in number in a large fleet."""
         self._check(now_s)
+        if self._contacts is None:
+            self._contacts = self._choose_contacts()
+        return list(self._contacts)
+
+    def take_events(self) -> list[MemberEvent]:
+        """Return the changes since the last call."""
+        events, self._events = self._events, []
+        return events
+
+    def _choose_contacts(self) -> list[Contact]:
         contacts = {
             name: Contact(
                 vm_name=name, host=known.heartbeat.host, port=known.heartbeat.port
@@ -211,14 +184,9 @@
                 availability_zone=self._own.availability_zone,
             )
             chosen = self._ring(own, list(contacts)) + self._ring(own, list(hints))
-        self._unsent = {k: v for k, v in self._unsent.items() if k in chosen}
+        self._news.keep_only(chosen)
         return [everyone[name] for name in chosen]
 
-    def take_events(self) -> list[MemberEvent]:
-        """Return the changes since the last call."""
-        events, self._events = self._events, []
-        return events
-
     def _ring(self, sender: Place, names: list[str]) -> list[str]:
         return ring_contacts(
             sender,
@@ -265,7 +233,9 @@
             known = _Known(heartbeat=heartbeat, direct_deadline_s=0.0, deadline_s=0.0)
             self._known[name] = known
             self._lost.pop(name, None)
+            self._contacts = None
         known.heartbeat = heartbeat
+        known.live = None
         if direct:
             known.direct_deadline_s = now_s + self._options.expiry_s * self._stretch()
             known.deadline_s = known.direct_deadline_s + self.heartbeat_period_s
@@ -301,12 +271,13 @@
             return
         refuted = heartbeat.freshness < known.heartbeat.freshness
         if refuted or known.direct_deadline_s > now_s:
-            self._spread(heartbeat.vm_name)
+            self._news.add(heartbeat.vm_name)
             return
         self._lose(heartbeat, now_s, f"lost by {sender}")
 
     def _lose(self, heartbeat: Heartbeat, now_s: float, reason: str) -> None:
         self._known.pop(heartbeat.vm_name, None)
+        self._contacts = None
         self._lost[heartbeat.vm_name] = _Lost(
             heartbeat=attrs.evolve(heartbeat, gone=True),
             forget_deadline_s=now_s
@@ -356,7 +327,7 @@
     def _change(
         self, kind: MemberEventKind, heartbeat: Heartbeat, reason: str, now_s: float
     ) -> None:
-        self._spread(heartbeat.vm_name)
+        self._news.add(heartbeat.vm_name)
         self._events.append(
             MemberEvent(
                 kind=kind,
@@ -368,20 +339,6 @@
             )
         )
 
-    def _spread(self, name: str) -> None:
-        for unsent in self._unsent.values():
-            unsent[name] = None
-
-    def _next_refresh(self, count: int) -> list[str]:
-        if len(self._refresh) < count:
-            self._refresh = sorted(self._known, key=self._turn)
-        names = self._refresh[:count]
-        del self._refresh[:count]
-        return names
-
-    def _turn(self, name: str) -> int:
-        return xxhash.xxh64_intdigest(f"{self._own.vm_name}/{name}".encode())
-
     def _news_of(self, name: str) -> Heartbeat | None:
         if name in self._known:
             return self._known[name].heartbeat
