Reuse lent slots while the level allows, and learn limits more gently

A lent slot went home after each request, and a limit shrank by a fifth at each late first token, so that slots idled and each request cost two messages. A holder now keeps a slot for the next account at the lowest level (within the band) until the loan's deadline; limits shrink by a twentieth and come back slowly to where they were too large; summaries are paced by what was sent and received.

--- a/packages/citrondock-core/src/citrondock_core/concurrency_limit.py
+++ b/packages/citrondock-core/src/citrondock_core/concurrency_limit.py
@@ -2,9 +2,11 @@
 
 SLOW_FIRST_TOKEN_FACTOR = 3.0
 FIRST_TOKEN_SLACK_S = 0.1
-DECREASE_FACTOR = 0.8
-DECREASE_PAUSE_S = 1.0
+DECREASE_FRACTION = 0.05
+DECREASE_PAUSE_S = 0.5
 BASELINE_GROWTH = 1.001
+CEILING_VALID_S = 60.0
+SLOW_GROWTH_FACTOR = 0.125
 
 
 class ConcurrencyLimit:
@@ -29,6 +31,8 @@
         self._growing_fast = True
         self._best_first_token_s: float | None = None
         self._decrease_after_s = 0.0
+        self._ceiling = float("inf")
+        self._ceiling_until_s = 0.0
 
     @property
     def count(self) -> int:
@@ -52,27 +56,34 @@
         if first_token_s > late_s:
             self._decrease(now_s)
         elif in_flight_count >= self.count:
-            self._increase()
+            self._increase(now_s)
 
     def observe_load(
         self, *, running_count: int, queued_count: int, now_s: float
     ) -> None:
         """Learn from the target's own report of running and queued requests."""
         if queued_count > 0 and running_count > 0:
-            self._growing_fast = False
             if now_s >= self._decrease_after_s:
-                self._decrease_after_s = now_s + DECREASE_PAUSE_S
-                self._limit = min(self._limit, float(running_count))
+                self._shrink(min(self._limit, running_count + 0.5), now_s)
         elif running_count >= self.count:
-            self._increase()
+            self._increase(now_s)
 
-    def _increase(self) -> None:
+    def _increase(self, now_s: float) -> None:
         step = 1.0 if self._growing_fast else 1.0 / self._limit
+        if self._limit + step >= self._ceiling and now_s < self._ceiling_until_s:
+            step *= SLOW_GROWTH_FACTOR
         self._limit = min(self._limit + step, float(self._max_count))
 
     def _decrease(self, now_s: float) -> None:
-        self._growing_fast = False
         if now_s < self._decrease_after_s:
             return
+        step = max(1.0, self._limit * DECREASE_FRACTION)
+        self._shrink(max(1.0, self._limit - step), now_s)
+
+    def _shrink(self, limit: float, now_s: float) -> None:
+        """Take a smaller limit, and come back slowly to where it was too large."""
+        self._growing_fast = False
         self._decrease_after_s = now_s + DECREASE_PAUSE_S
-        self._limit = max(1.0, self._limit * DECREASE_FACTOR)
+        self._ceiling = float(int(limit)) + 1.0
+        self._ceiling_until_s = now_s + CEILING_VALID_S
+        self._limit = limit
--- a/packages/citrondock-core/src/citrondock_core/counter_stream.py
+++ b/packages/citrondock-core/src/citrondock_core/counter_stream.py
@@ -129,7 +129,7 @@
         counters = []
         left = set()
         pending: dict[str, Counter] = {}
-        for account in accounts:
+        for account in sorted(accounts):
             value = self._source.get(account)
             if value is None:
                 continue
--- a/packages/citrondock-core/src/citrondock_core/dispatcher.py
+++ b/packages/citrondock-core/src/citrondock_core/dispatcher.py
@@ -314,9 +314,18 @@
                 account = self._policy.next_account(queue, self._ledger.level)
                 if account is None:
                     return
+                if held.used and not self._may_reuse(pool, account, now_s):
+                    break
                 request = self._choose_request(pool, account, slots.name, now_s)
                 self._start(request, slots.name, held, now_s)
 
+    def _may_reuse(self, pool: str, account: str, now_s: float) -> bool:
+        """Return whether an account may have a lent slot again without asking."""
+        floor = self._floor(pool, now_s)
+        if floor is None:
+            return True
+        return self._ledger.level(account) <= floor + self._options.band_tokens
+
     def _choose_request(
         self, pool: str, account: str, target: str, now_s: float
     ) -> WaitingRequest:
--- a/packages/citrondock-core/src/citrondock_core/slot_lending.py
+++ b/packages/citrondock-core/src/citrondock_core/slot_lending.py
@@ -72,8 +72,7 @@
                 ttl_s=self._options.grant_ttl_s,
                 account=self._lending_for[(target, vm_name)],
             )
-            deadline_s = now_s + grant.ttl_s
-            lent = LentSlots(vm_name=vm_name, slot_count=count, deadline_s=deadline_s)
+            lent = LentSlots(vm_name=vm_name, slot_count=count, lent_at_s=now_s)
             slots.lend(grant.grant_id, lent)
             sends.append(Send(vm_name, grant))
         self._lending.clear()
@@ -131,7 +130,7 @@
             self._next_statement_s = now_s + self._options.statement_period_s
             due |= {name for name, until in self._state_until_s.items()}
         sends = []
-        for name in due:
+        for name in sorted(due):
             slots = self._targets.get(name)
             if slots is None or self._targets.is_home(name):
                 self._state_until_s.pop(name, None)
--- a/packages/citrondock-core/src/citrondock_core/summary_exchange.py
+++ b/packages/citrondock-core/src/citrondock_core/summary_exchange.py
@@ -13,7 +13,7 @@
 from citrondock_core.service_ledger import Counter, ServiceLedger
 from citrondock_core.summary_relay import SummaryRelay
 
-ENTRY_BYTES = 10
+ENTRY_BYTES = 14
 HEADER_BYTES = 150
 LOST_PERIODS_COUNT = 3
 NOTICE_VALID_S = 5.0
@@ -70,6 +70,7 @@
         self._next_period_s = 0.0
         self._next_refresh_s = 0.0
         self._has_totals = False
+        self._received_bytes = 0
         self.relay = SummaryRelay(member, ledger, demand, options)
         self.relay.start()
 
@@ -133,6 +134,7 @@
 
     def receive(self, sender: Member, summary: Summary, *, now_s: float) -> list[Send]:
         """Merge a summary; return what it asks for."""
+        self._received_bytes += _estimated_bytes(summary)
         self._acknowledge(sender, summary)
         self._merge_demands(sender, summary, now_s)
         for total in summary.totals:
@@ -173,15 +175,17 @@
         self._unsent |= self._stream.expire(sent_before_s=lost_before_s)
         quantum_tokens = self._quantum(now_s)
         sends = self._up(quantum_tokens, now_s)
-        entry_count = sum(_entry_count(send.message) for send in sends)
-        header_bytes = HEADER_BYTES * len(sends)
-        pause_s = (entry_count * ENTRY_BYTES + header_bytes) / (
-            self._options.budget_bytes_per_s
-        )
+        self._pace(sends, now_s)
+        return sends
+
+    def _pace(self, sends: Sequence[Send], now_s: float) -> None:
+        """Wait longer the more was sent and received since the last period."""
+        sent_bytes = sum(_estimated_bytes(send.message) for send in sends)
+        pause_s = (sent_bytes + self._received_bytes) / self._options.budget_bytes_per_s
+        self._received_bytes = 0
         period_s = max(self._options.exchange_period_s, pause_s)
         self.period_s = min(period_s, self._options.max_period_s)
         self._next_period_s = now_s + self.period_s
-        return sends
 
     def _quantum(self, now_s: float) -> float:
         """Return the change worth sending; nothing is too small at a refresh."""
@@ -231,7 +235,7 @@
 
     def _changed_own_demands(self) -> list[Demand]:
         demands: list[Demand] = []
-        for key in self._changed_demand:
+        for key in sorted(self._changed_demand):
             own = self._own_demand.get(key)
             if own is not None:
                 demands.extend(self._up_demand.changed(key, [own]))
@@ -241,7 +245,8 @@
         return demands
 
 
-def _entry_count(message: object) -> int:
+def _estimated_bytes(message: object) -> int:
     if not isinstance(message, Summary):
         return 0
-    return len(message.counters) + len(message.demands) + len(message.totals)
+    count = len(message.counters) + len(message.demands) + len(message.totals)
+    return HEADER_BYTES + count * ENTRY_BYTES
--- a/packages/citrondock-core/src/citrondock_core/summary_relay.py
+++ b/packages/citrondock-core/src/citrondock_core/summary_relay.py
@@ -83,7 +83,7 @@
         """Point one stream at the relay of each other zone."""
         zones = {member.availability_zone for member in self._members.values()}
         zones.discard(self._member.availability_zone)
-        for zone in zones:
+        for zone in sorted(zones):
             name = choose_member(f"relay/{zone}", zone, list(self._members.values()))
             peer = self._members[name or ""]
             if self._peers.get(zone) == peer:
@@ -161,7 +161,7 @@
         self, keys: set[DemandKey], own_demand: Mapping[DemandKey, Demand]
     ) -> dict[DemandKey, list[Demand]]:
         statements = {}
-        for key in keys:
+        for key in sorted(keys):
             known = self._demand.statements(*key)
             if key in own_demand:
                 known.append(own_demand[key])
@@ -241,7 +241,7 @@
     def _changed_totals(self, quantum_tokens: float) -> list[ServiceTotal]:
         totals = []
         left = set()
-        for account in self._changed:
+        for account in sorted(self._changed):
             record = self._ledger.record(account)
             sent = self._sent_totals.get(account)
             net_tokens = record.fleet.net_tokens
--- a/packages/citrondock-core/src/citrondock_core/target_slots.py
+++ b/packages/citrondock-core/src/citrondock_core/target_slots.py
@@ -6,7 +6,7 @@
 from citrondock_core.configuration import Target
 from citrondock_core.messages import InFlight, SlotReturn
 
-LOST_RETURN_GRACE_S = 1.0
+LOST_RETURN_GRACE_S = 2.0
 
 
 @attrs.define(kw_only=True)
@@ -19,13 +19,13 @@
         Who holds them.
     slot_count, returned_count : int
         How many were lent, and came back.
-    deadline_s : float
-        Time after which no request is started on them.
+    lent_at_s : float
+        Monotonic time of the loan.
     """
 
     vm_name: str
     slot_count: int
-    deadline_s: float
+    lent_at_s: float
     returned_count: int = 0
 
     @property
@@ -73,7 +73,7 @@
     @property
     def limit_count(self) -> int:
         """Requests that may be in flight from here."""
-        return max(1, self.limit.count // self.router_count)
+        return -(-self.limit.count // self.router_count)
 
     def usable(self, now_s: float) -> bool:
         """Return whether the target may get work at all."""
@@ -144,11 +144,11 @@
         return [g for g in self._grants.values() if g.vm_name == vm_name]
 
     def _reclaim(self, vm_name: str, in_flight_count: int, now_s: float) -> None:
-        """Take back expired slots whose return was lost."""
+        """Take back slots that the router does not use: their return was lost."""
         held = self._held_by(vm_name)
         missing = sum(g.outstanding_count for g in held) - in_flight_count
         for lent in held:
-            if missing <= 0 or lent.deadline_s + LOST_RETURN_GRACE_S > now_s:
+            if missing <= 0 or lent.lent_at_s + LOST_RETURN_GRACE_S > now_s:
                 continue
             taken = min(missing, lent.outstanding_count)
             lent.returned_count += taken
