Drain only the router that was named, and log follower events as the router does

Cause: the operators' port drains whichever router is asked, so that a drain sent to the first URL could take out another VM; the follower wrote its own log lines. Change: citrondock drain VM asks each URL for its name and tells only that one; the follower uses log_event. Conclusion: a drain takes out the VM that it names or none.

--- a/packages/citrondock-cli/src/citrondock_cli/router_client.py
+++ b/packages/citrondock-cli/src/citrondock_cli/router_client.py
@@ -108,13 +108,33 @@
         return explained
 
     def drain_vm(self, vm_name: str, *, author: str, reason: str) -> None:
-        """Tell a router to leave; each URL is tried until one is that router."""
+        """Tell a router to leave; of the named ones, only itself is told.
+
+        Raises
+        ------
+        SubjectUnknownError
+            No URL is that router's.
+        """
         request = {"vm_name": vm_name, "author": author, "reason": reason}
-        self._ask("POST", "/v1/drain", step="drain", body=json.dumps(request).encode())
+        body = json.dumps(request).encode()
+        for url in self._urls:
+            if self._vm_name_at(url) == vm_name:
+                self._ask_one("POST", url, "/v1/drain", step="drain", body=body)
+                return
+        raise SubjectUnknownError(
+            f"{vm_name!r} is no target, and none of the routers that --router names",
+            step="drain",
+        )
 
-    def _ask(
-        self, method: str, path: str, *, step: str, body: bytes | None = None
-    ) -> bytes:
+    def _vm_name_at(self, url: str) -> str:
+        try:
+            body = self._ask_one("GET", url, "/v1/status", step="drain")
+        except CitrondockError:
+            return ""
+        status: RouterStatus = load(body, RouterStatus)
+        return status.vm_name
+
+    def _ask(self, method: str, path: str, *, step: str) -> bytes:
         """Ask each router in turn; an answer that it knows nothing is kept."""
         if not self._urls:
             raise RouterUnreachableError(
@@ -123,7 +143,7 @@
         failure: CitrondockError | None = None
         for url in self._urls:
             try:
-                return self._ask_one(method, url, path, step=step, body=body)
+                return self._ask_one(method, url, path, step=step)
             except SubjectUnknownError as error:
                 failure = error
             except RouterUnreachableError as error:
@@ -131,7 +151,13 @@
         raise failure or RouterUnreachableError("no answer", step=step)
 
     def _ask_one(
-        self, method: str, url: str, path: str, *, step: str, body: bytes | None
+        self,
+        method: str,
+        url: str,
+        path: str,
+        *,
+        step: str,
+        body: bytes | None = None,
     ) -> bytes:
         try:
             answer = self._http.request(method, url + path, body=body, redirect=False)
--- a/packages/citrondock-router/src/citrondock_router/configuration_follower.py
+++ b/packages/citrondock-router/src/citrondock_router/configuration_follower.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable, Sequence
 
 import attrs
-from loguru import logger
 
 from citrondock_core.configuration import Configuration
 from citrondock_core.configuration_codec import (
@@ -17,6 +16,7 @@
 from citrondock_core.configuration_reader import ConfigurationReader, HeadVersion
 from citrondock_core.errors import CitrondockError
 from citrondock_core.object_store import ObjectStore
+from citrondock_router.log import log_event
 
 DEFAULT_WATCH_WAIT_S = 7.0
 """With the time of its answer it stays below the 11 s in which an edit must hold, also
@@ -224,7 +224,9 @@
             try:
                 pause_s = self.step()
             except Exception as error:
-                logger.opt(exception=error).error("event=configuration_follower_failed")
+                log_event(
+                    "configuration_follower_failed", level="ERROR", error=repr(error)
+                )
                 pause_s = self._max_backoff_s
             self._stopped.wait(pause_s)
 
@@ -260,10 +262,11 @@
                 self._stopped.wait(self._rng.uniform(0, MAX_SNAPSHOT_DELAY_S))
             self._apply(self._reader.advance(current, head), ConfigurationSource.STORE)
         elif head.revision < current.revision:
-            logger.warning(
-                "event=configuration_head_ignored head_revision={} revision={}",
-                head.revision,
-                current.revision,
+            log_event(
+                "configuration_head_ignored",
+                level="WARNING",
+                head_revision=head.revision,
+                revision=current.revision,
             )
         self._store_version = max(self._store_version, located.version)
 
@@ -279,7 +282,7 @@
         with self._lock:
             self._store_error = str(error)
         if self._failure_count == 0:
-            logger.warning("event=configuration_store_failed error={!r}", str(error))
+            log_event("configuration_store_failed", level="WARNING", error=str(error))
         self._take_from_peers()
         longest_s = min(self._max_backoff_s, FIRST_BACKOFF_S * 2**self._failure_count)
         self._failure_count = min(self._failure_count + 1, 16)
@@ -289,7 +292,7 @@
         try:
             copies = self._peer_copies(self._configuration.revision)
         except CitrondockError as error:
-            logger.warning("event=configuration_peers_failed error={!r}", str(error))
+            log_event("configuration_peers_failed", level="WARNING", error=str(error))
             return
         newest_first = sorted(copies, key=lambda copy: copy.revision, reverse=True)
         for copy in newest_first:
@@ -302,10 +305,11 @@
         try:
             configuration = decode_configuration(copy.document)
         except CitrondockError as error:
-            logger.warning(
-                "event=configuration_copy_refused peer={} error={!r}",
-                copy.vm_name,
-                str(error),
+            log_event(
+                "configuration_copy_refused",
+                level="WARNING",
+                peer=copy.vm_name,
+                error=str(error),
             )
             return False
         if configuration.revision <= self._configuration.revision:
@@ -318,10 +322,10 @@
             self._configuration = configuration
             self._source = source
             self._applied_at_s = self._clock()
-        logger.info(
-            "event=configuration_applied revision={} edit_id={} source={}",
-            configuration.revision,
-            configuration.edit_id,
-            source.value,
+        log_event(
+            "configuration_applied",
+            revision=configuration.revision,
+            edit_id=configuration.edit_id,
+            source=source.value,
         )
         self._on_configuration(configuration)
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -207,10 +207,13 @@
         assert run.out == "waited 1 s\n"
         assert run("explain", "other", url) == ExitCode.NOT_FOUND
 
-    def test_drain_of_a_vm_is_told_to_the_router(self, run, router):
+    def test_drain_of_a_vm_is_told_to_that_router_alone(self, run, router):
         url, answers, posted = router
         answers["/v1/drain"] = {}
+        answers["/v1/status"] = {"vm_name": "router-a1"}
 
+        assert run("drain", "router-b1", url) == ExitCode.NOT_FOUND
+        assert posted == []
         assert run("drain", "router-a1", "--reason=old", url) == ExitCode.DONE
         assert posted == [{"vm_name": "router-a1", "author": "asha", "reason": "old"}]
 
