Keyed calls run once, engines get orders, targets are watched

Cause: claims, engine orders and the audit trail existed without a process that used them; targets' health and load were not known to the dispatcher. Change: a call with an idempotency key to a service that may not be repeated is claimed in the store right before its send, and its answer is awaited even when the caller went away; orders, audit and the VM list are duties of each router behind a guarded store; the home of a target polls its load; routers may talk TLS; operators' pages stand in a module of their own. Settings that nothing read were removed, and dispatch settings take their defaults from the dispatcher. Found on the way: an exception in an actor stops it, and the router went on without a dispatcher; the actor now logs and keeps going.

--- a/packages/citrondock-core/src/citrondock_core/rendezvous.py
+++ b/packages/citrondock-core/src/citrondock_core/rendezvous.py
@@ -29,6 +29,13 @@
     return max(names, key=lambda name: (_score(key, name), name), default=None)
 
 
+def home_of(
+    target: str, availability_zone: str, members: Sequence[Member]
+) -> str | None:
+    """Return the VM that is home of a target; see `choose_member`."""
+    return choose_member(f"home/{target}", availability_zone, members)
+
+
 def choose_member(
     key: str, availability_zone: str, members: Sequence[Member]
 ) -> str | None:
--- a/packages/citrondock-core/src/citrondock_core/target_table.py
+++ b/packages/citrondock-core/src/citrondock_core/target_table.py
@@ -4,7 +4,7 @@
 
 from citrondock_core.configuration import Configuration, PoolKind
 from citrondock_core.messages import Member
-from citrondock_core.rendezvous import choose_member
+from citrondock_core.rendezvous import home_of
 from citrondock_core.target_slots import TargetSlots
 
 
@@ -91,8 +91,8 @@
 
     def _place(self) -> None:
         self._homes = {
-            slots.name: choose_member(
-                f"home/{slots.name}", slots.target.availability_zone, self._members
+            slots.name: home_of(
+                slots.name, slots.target.availability_zone, self._members
             )
             or self._member.vm_name
             for slots in self._targets.values()
--- a/packages/citrondock-router/src/citrondock_router/call.py
+++ b/packages/citrondock-router/src/citrondock_router/call.py
@@ -8,9 +8,11 @@
 import attrs
 from cheroot.server import HTTPRequest
 
+from citrondock_core.claim import Claim
 from citrondock_core.configuration import ClientAccount, Service, ServiceKind, Target
 from citrondock_core.request import WaitingRequest
 from citrondock_router.caller_connection import CallerConnection
+from citrondock_wire.target_connection import TargetHead
 
 
 class CallPhase(enum.Enum):
@@ -55,6 +57,10 @@
         How often it was sent to a target, and how often its stream was resumed.
     target : Target or None
         Where it runs.
+    claim : Claim or None
+        Right to send it, while it holds one.
+    answer_head : TargetHead or None
+        Head of the target's answer.
     """
 
     request_id: str
@@ -75,6 +81,8 @@
     started_at_s: float = 0.0
     phase: CallPhase = CallPhase.WAITING
     caller_gone: bool = False
+    claim: Claim | None = None
+    answer_head: TargetHead | None = None
     _lock: threading.Lock = attrs.field(factory=threading.Lock, init=False)
 
     @property
@@ -82,6 +90,22 @@
         """Whether the call may be sent again after a failure."""
         return self.service.idempotent
 
+    @property
+    def needs_claim(self) -> bool:
+        """Whether it is kept from running twice by a claim in the store."""
+        return bool(self.idempotency_key) and not self.service.idempotent
+
+    @property
+    def outlives_caller(self) -> bool:
+        """Whether its answer is awaited though the caller went away.
+
+        The outcome of a claimed call is kept for the caller's next attempt.
+        """
+        return self.claim is not None and self.phase in (
+            CallPhase.SENT,
+            CallPhase.ANSWERING,
+        )
+
     @property
     def is_chat(self) -> bool:
         """Whether a model engine answers it."""
--- a/packages/citrondock-router/src/citrondock_router/call_runner.py
+++ b/packages/citrondock-router/src/citrondock_router/call_runner.py
@@ -11,8 +11,14 @@
 from citrondock_core.event_stream import EventStreamScanner, usage_of
 from citrondock_core.request import Ran, RefusalReason, RequestRefusedError, Usage
 from citrondock_router.call import Call, CallPhase
+from citrondock_router.call_claims import CallClaims
 from citrondock_router.call_table import CallTable
-from citrondock_router.caller_response import error_event, render_head, render_refusal
+from citrondock_router.caller_response import (
+    error_event,
+    render_head,
+    render_outcome,
+    render_refusal,
+)
 from citrondock_router.dispatch_actor import Progress, Requeue, Settle, Submit, Withdraw
 from citrondock_router.log import log_event
 from citrondock_router.metrics import RouterMetrics
@@ -61,6 +67,8 @@
         Connections to targets.
     find_target : callable
         Returns the target of a name, or None when the configuration dropped it.
+    claims : CallClaims
+        Keeps keyed calls from running twice.
     metrics : RouterMetrics
         Counts calls and refusals.
     worker_count : int
@@ -73,6 +81,7 @@
         table: CallTable,
         connections: TargetConnections,
         find_target: Callable[[str], Target | None],
+        claims: CallClaims,
         metrics: RouterMetrics,
         worker_count: int = 32,
         slow_reader_timeout_s: float = 10.0,
@@ -80,6 +89,7 @@
         self._table = table
         self._connections = connections
         self._find_target = find_target
+        self._claims = claims
         self._metrics = metrics
         self._workers = ThreadPoolExecutor(worker_count, thread_name_prefix="call")
         self._dispatch: pykka.ActorRef | None = None
@@ -144,6 +154,7 @@
     def on_head_late(self, call: Call, upstream: TargetConnection) -> None:
         """Give up a call whose target did not begin to answer in time."""
         upstream.close()
+        self._claims.give_up(call)
         error = self._failure(call, "deadline passed", step="head")
         error.cause = RefusalReason.DEADLINE_PASSED
         self._settle(call, self._usage(call, None), Outcome.FAILED)
@@ -186,6 +197,9 @@
             upstream.close()
             self._cancel(call)
             return
+        if not self._may_send(call):
+            upstream.close()
+            return
         call.phase = CallPhase.SENT
         try:
             upstream.send(_target_request(call), timeout_s=_SEND_TIMEOUT_S)
@@ -194,6 +208,22 @@
             return
         self.relay.await_head(call, upstream)
 
+    def _may_send(self, call: Call) -> bool:
+        """Whether the call's claim allows the send; answers the caller if not."""
+        try:
+            outcome = self._claims.acquire(call)
+            if outcome is None:
+                self._claims.authorise(call)
+                return True
+        except RequestRefusedError as error:
+            self._settle(call, Usage(), Outcome.CANCELLED)
+            self._refuse(call, error)
+            return False
+        self._settle(call, Usage(), Outcome.CANCELLED)
+        self._log_end(call, "replayed")
+        self.relay.answer(call, render_outcome(call, outcome))
+        return False
+
     def _read_head(self, call: Call, upstream: TargetConnection) -> None:
         try:
             head = upstream.read_head(call.method, timeout_s=_HEAD_TIMEOUT_S)
@@ -216,6 +246,7 @@
     def _begin(self, call: Call, upstream: TargetConnection, head: TargetHead) -> None:
         streams = head.headers.get("content-type", "").startswith(_EVENT_STREAM)
         call.phase = CallPhase.ANSWERING
+        call.answer_head = head
         call.streaming = streams
         headers = _headers_for_caller(call, head)
         rendered = render_head(call.http_request, status=head.status, headers=headers)
@@ -229,7 +260,7 @@
             decoder=_decoder_of(head),
             scanner=EventStreamScanner(call.request_id) if streams else None,
             buffered=upstream.take_buffered(),
-            keeps_body=not streams,
+            keeps_body=not streams or call.claim is not None,
         )
 
     def _finish(self, call: Call, upstream: TargetConnection, end: RelayEnd) -> None:
@@ -237,6 +268,8 @@
             self._connections.keep(upstream)
         else:
             upstream.close()
+        if call.answer_head is not None:
+            self._claims.finish(call, call.answer_head, end)
         self._settle(call, self._usage(call, end), Outcome.DONE)
         self._log_end(call, "whole")
 
@@ -274,6 +307,7 @@
     def _give_up(self, call: Call, end: RelayEnd) -> None:
         gone = end.outcome in (RelayOutcome.CALLER_GONE, RelayOutcome.CALLER_SLOW)
         outcome = Outcome.CANCELLED if gone else Outcome.FAILED
+        self._claims.give_up(call)
         self._settle(call, self._usage(call, end), outcome)
         self._log_end(call, end.outcome.value)
         if gone:
@@ -295,6 +329,8 @@
                 error=type(error).__name__,
                 detail=str(error),
             )
+            if call.phase is not CallPhase.OPENING:
+                self._claims.give_up(call)
             self._settle(call, self._usage(call, None), Outcome.FAILED)
             self._refuse(call, self._failure(call, "internal error", step="run"))
 
@@ -310,6 +346,7 @@
             ran=ran.value,
             detail=error.reason,
         )
+        self._end_claim(call, ran)
         if call.caller_gone:
             self._cancel(call)
         elif may_repeat and not late and call.attempt_count < _MAX_ATTEMPTS:
@@ -329,7 +366,14 @@
                 ),
             )
 
+    def _end_claim(self, call: Call, ran: Ran) -> None:
+        if ran is Ran.NO:
+            self._claims.release(call)
+        else:
+            self._claims.give_up(call)
+
     def _cancel(self, call: Call) -> None:
+        self._claims.release(call)
         self._settle(call, self._usage(call, None), Outcome.CANCELLED)
         if not call.caller_gone:
             error = RequestRefusedError(
--- a/packages/citrondock-router/src/citrondock_router/caller_response.py
+++ b/packages/citrondock-router/src/citrondock_router/caller_response.py
@@ -6,7 +6,9 @@
 
 from cheroot.server import HTTPRequest
 
+from citrondock_core.claim import ClaimOutcome
 from citrondock_core.request import RefusalReason, RequestRefusedError
+from citrondock_router.call import Call
 
 _STATUS_LINES = {
     200: "200 OK",
@@ -103,6 +105,16 @@
     return head if request.method == b"HEAD" else head + body
 
 
+def render_outcome(call: Call, outcome: ClaimOutcome) -> bytes:
+    """Return the answer that an earlier attempt under the same key got."""
+    headers = {header.name: header.value for header in outcome.headers}
+    headers["Content-Length"] = str(len(outcome.body))
+    headers["X-Request-Id"] = call.request_id
+    headers["Idempotency-Replayed"] = "true"
+    head = render_head(call.http_request, status=outcome.status, headers=headers)
+    return head if call.method == "HEAD" else head + outcome.body
+
+
 def error_event(error: RequestRefusedError, request_id: str) -> bytes:
     """Return the server-sent event that ends a broken stream."""
     return b"event: error\ndata: " + refusal_document(error, request_id) + b"\n\n"
--- a/packages/citrondock-router/src/citrondock_router/dispatch_actor.py
+++ b/packages/citrondock-router/src/citrondock_router/dispatch_actor.py
@@ -159,14 +159,17 @@
 
     def on_receive(
         self, message: DispatchMessage
-    ) -> bool | DispatchStatistics | list[str] | None:
+    ) -> DispatchStatistics | list[str] | None:
         """Apply one message, then let the dispatcher decide."""
         now_s = time.monotonic()
+        if isinstance(message, ReadStatistics | Explain):
+            return self._apply(message, now_s)
         try:
-            answer = self._apply(message, now_s)
+            self._apply(message, now_s)
             for action in self._dispatcher.step(now_s=now_s):
                 self._carry_out(action)
         except Exception as error:
+            # An actor stops at an exception, and the whole router would with it.
             log_event(
                 "dispatch_error",
                 level="ERROR",
@@ -174,22 +177,17 @@
                 error=type(error).__name__,
                 detail=str(error),
             )
-            raise
-        return answer
-
-    def on_failure(self, *details: object) -> None:
-        """Keep the reason in the log; the router's watchdog ends the process."""
-        log_event("dispatch_failed", level="CRITICAL", detail=str(details[1]))
+        return None
 
     def _apply(
         self, message: DispatchMessage, now_s: float
-    ) -> bool | DispatchStatistics | list[str] | None:
+    ) -> DispatchStatistics | list[str] | None:
         dispatcher = self._dispatcher
         match message:
             case Submit(request):
                 self._submit(request, now_s)
             case Withdraw(request_id):
-                return dispatcher.withdraw(request_id, now_s=now_s)
+                dispatcher.withdraw(request_id, now_s=now_s)
             case Progress(progress):
                 for item in progress:
                     dispatcher.progress(
--- a/packages/citrondock-router/src/citrondock_router/operators_server.py
+++ b/packages/citrondock-router/src/citrondock_router/operators_server.py
@@ -8,6 +8,7 @@
 from urllib.parse import unquote
 
 import attrs
+import cattrs
 from cheroot.wsgi import Server
 
 from citrondock_router.log import log_event
@@ -35,6 +36,23 @@
     body: bytes = b"{}\n"
 
 
+@attrs.frozen(kw_only=True)
+class DrainRequest:
+    """An operator's order to stop gracefully.
+
+    Parameters
+    ----------
+    vm_name : str
+        Router that is meant; empty for whoever gets the order.
+    author, reason : str
+        Who and why.
+    """
+
+    vm_name: str = ""
+    author: str = ""
+    reason: str = ""
+
+
 class OperatorHandler(ABC):
     """What a router tells its operators."""
 
@@ -55,8 +73,8 @@
         """Return what is known of a request or account."""
 
     @abstractmethod
-    def drain(self) -> None:
-        """Begin a graceful stop."""
+    def drain(self, request: "DrainRequest") -> bool:
+        """Begin a graceful stop; False when another router is meant."""
 
 
 class _QuietServer(Server):
@@ -113,7 +131,10 @@
     ) -> Iterable[bytes]:
         method = environ["REQUEST_METHOD"]
         path = unquote(environ["PATH_INFO"])
-        answer = self._answer(method, path)
+        if method == "POST" and path == "/v1/drain":
+            answer = self._drain(environ["wsgi.input"].read())
+        else:
+            answer = self._answer(method, path)
         headers = [
             ("Content-Type", answer.content_type),
             ("Content-Length", str(len(answer.body))),
@@ -122,9 +143,6 @@
         return [answer.body]
 
     def _answer(self, method: str, path: str) -> OperatorAnswer:
-        if method == "POST" and path == "/v1/drain":
-            self._handler.drain()
-            return _json({"draining": True}, status="202 Accepted")
         if method != "GET":
             return _json({"error": "use GET"}, status="405 Method Not Allowed")
         if path == "/healthz":
@@ -141,6 +159,15 @@
             return _json({"subject": subject, "lines": self._handler.explain(subject)})
         return _json({"error": f"no page {path!r}"}, status="404 Not Found")
 
+    def _drain(self, body: bytes) -> OperatorAnswer:
+        try:
+            request = cattrs.structure(json.loads(body or b"{}"), DrainRequest)
+        except (ValueError, cattrs.BaseValidationError) as error:
+            return _json({"error": str(error)}, status="400 Bad Request")
+        if not self._handler.drain(request):
+            return _json({"error": "another router"}, status="409 Conflict")
+        return _json({"draining": True}, status="202 Accepted")
+
     def _readiness(self) -> OperatorAnswer:
         if self._handler.is_ready():
             return _json({"ready": True})
--- a/packages/citrondock-router/src/citrondock_router/peer_inbox.py
+++ b/packages/citrondock-router/src/citrondock_router/peer_inbox.py
@@ -31,8 +31,6 @@
         Holds the configuration that peers may ask for.
     find_member : callable
         Returns the live member of a VM name, or None.
-    explain : callable
-        Returns what this router knows of a request or account.
     metrics : RouterMetrics
         Counts bytes.
     """
@@ -44,7 +42,6 @@
         dispatch: pykka.ActorRef,
         follower: ConfigurationFollower,
         find_member: Callable[[str], Member | None],
-        explain: Callable[[str], list[str]],
         metrics: RouterMetrics,
     ) -> None:
         self._codec = codec
@@ -52,12 +49,15 @@
         self._dispatch = dispatch
         self._follower = follower
         self._find_member = find_member
-        self._explain = explain
+        self._explain: Callable[[str], list[str]] = lambda _subject: []
         self._metrics = metrics
 
-    def attach(self, membership: pykka.ActorRef) -> None:
-        """Name the actor that gets heartbeats."""
+    def attach(
+        self, membership: pykka.ActorRef, *, explain: Callable[[str], list[str]]
+    ) -> None:
+        """Name the actor that gets heartbeats, and who explains requests."""
         self._membership = membership
+        self._explain = explain
 
     def deliver(self, sender: Sender, payload: bytes) -> None:
         """Take a batch in."""
--- a/packages/citrondock-router/src/citrondock_router/relay.py
+++ b/packages/citrondock-router/src/citrondock_router/relay.py
@@ -212,6 +212,9 @@
     def _on_caller_closed(self, relayed: RelayedCall) -> None:
         phase = relayed.phase
         relayed.call.caller_gone = True
+        if relayed.call.outlives_caller:
+            self._part_with_caller(relayed)
+            return
         if phase is RelayPhase.MOVING:
             self._end_upstream(relayed, RelayOutcome.CALLER_GONE)
             self._close(relayed)
@@ -226,7 +229,16 @@
             return
         self._close(relayed)
 
+    def _part_with_caller(self, relayed: RelayedCall) -> None:
+        relayed.caller_closed = True
+        self.selector.unregister(relayed.call.connection.socket)
+        relayed.call.connection.destroy()
+        self._flush(relayed)
+
     def _flush(self, relayed: RelayedCall) -> None:
+        if relayed.caller_closed:
+            self._flush_away(relayed)
+            return
         sock = relayed.call.connection.socket
         try:
             while relayed.out:
@@ -245,6 +257,14 @@
         if relayed.phase is RelayPhase.DRAINING:
             self._release(relayed)
 
+    def _flush_away(self, relayed: RelayedCall) -> None:
+        relayed.out.clear()
+        relayed.stalled_deadline_s = None
+        if relayed.paused:
+            self._resume(relayed)
+        if relayed.phase is RelayPhase.DRAINING:
+            self._close(relayed)
+
     def _wait_for_room(self, relayed: RelayedCall) -> None:
         if relayed.stalled_deadline_s is None:
             relayed.stalled_deadline_s = time.monotonic() + self._slow_reader_timeout_s
@@ -298,7 +318,8 @@
     def _detach_caller(self, relayed: RelayedCall) -> None:
         relayed.phase = RelayPhase.CLOSED
         self._calls.pop(relayed.call.request_id, None)
-        self.selector.unregister(relayed.call.connection.socket)
+        if not relayed.caller_closed:
+            self.selector.unregister(relayed.call.connection.socket)
 
     def _close(self, relayed: RelayedCall) -> None:
         if relayed.phase is RelayPhase.CLOSED:
--- a/packages/citrondock-router/src/citrondock_router/relayed_call.py
+++ b/packages/citrondock-router/src/citrondock_router/relayed_call.py
@@ -81,6 +81,7 @@
     stalled_deadline_s: float | None = None
     reported_event_count: int = 0
     keep_alive: bool = False
+    caller_closed: bool = False
 
     def take(self, data: bytes) -> None:
         """Decode bytes of the target and queue what the caller may see.
--- a/packages/citrondock-router/src/citrondock_router/router.py
+++ b/packages/citrondock-router/src/citrondock_router/router.py
@@ -3,24 +3,32 @@
 import random
 import time
 from collections.abc import Mapping, Sequence
-from typing import Any, cast
 
 import attrs
 
 from citrondock_core.actions import Send
-from citrondock_core.configuration import Configuration, Target
+from citrondock_core.audit_record import AuditKind, AuditRecord
+from citrondock_core.audit_trail import AuditTrail
+from citrondock_core.claim_book import ClaimBook
+from citrondock_core.claim_options import ClaimOptions
+from citrondock_core.clocks import boot_time_s
+from citrondock_core.configuration import Configuration, PoolKind, Target
 from citrondock_core.dispatch_options import DispatchOptions
 from citrondock_core.dispatch_policy import policy_named
-from citrondock_core.dispatch_statistics import DispatchStatistics
 from citrondock_core.dispatcher import Dispatcher
 from citrondock_core.errors import CitrondockError
+from citrondock_core.guarded_store import GuardedStore
 from citrondock_core.heartbeat import Heartbeat
+from citrondock_core.live_member import LiveMember
+from citrondock_core.load_report import LoadReport
 from citrondock_core.member_event import MemberEvent
-from citrondock_core.membership import Contact, LiveMember, MembershipView
+from citrondock_core.membership import Contact, MembershipView
 from citrondock_core.messages import Member
+from citrondock_core.rendezvous import choose, home_of
 from citrondock_core.request import RefusalReason
 from citrondock_core.vm_directory import Vm
 from citrondock_router.admission import Admission
+from citrondock_router.call_claims import CallClaims
 from citrondock_router.call_runner import CallRunner
 from citrondock_router.call_table import CallTable
 from citrondock_router.caller_front import CallerFront
@@ -30,29 +38,33 @@
 )
 from citrondock_router.dispatch_actor import (
     DispatchActor,
-    Explain,
-    ReadStatistics,
+    ReportLoad,
     SetConfiguration,
     SetMembers,
+    SetTargetAvailable,
     Tick,
 )
+from citrondock_router.engine_orders import EngineOrders
 from citrondock_router.log import log_event
 from citrondock_router.membership_actor import (
     Beat,
     Listed,
     MembershipActor,
-    ReadMembers,
     SayFarewell,
     UpdateSelf,
 )
 from citrondock_router.metrics import RouterMetrics
-from citrondock_router.operators_server import OperatorHandler, OperatorsServer
+from citrondock_router.operators_server import OperatorsServer
 from citrondock_router.peer_inbox import PeerInbox
 from citrondock_router.peer_network import PeerNetwork
+from citrondock_router.peer_tls import client_context, server_context
 from citrondock_router.periodic import Periodic
+from citrondock_router.router_operations import RouterOperations
 from citrondock_router.settings import RouterSettings
 from citrondock_router.stop_signal import StopSignal
+from citrondock_router.target_watch import TargetWatch
 from citrondock_wire.envelope import EnvelopeOpener, EnvelopeSealer, Sender
+from citrondock_wire.http_engine_control import HttpEngineControl
 from citrondock_wire.http_object_store import HttpObjectStore
 from citrondock_wire.http_vm_directory import HttpVmDirectory
 from citrondock_wire.message_codec import MessageCodec
@@ -60,13 +72,16 @@
 from citrondock_wire.peer_server import PeerServer
 from citrondock_wire.target_connections import TargetConnections
 
-_ASK_TIMEOUT_S = 2.0
 _MAX_ASKED_PEERS = 8
 _FAREWELL_S = 0.3
+_CLAIMS_CLOSE_S = 5.0
+_ORDER_PERIOD_S = 1.0
+_AUDIT_PERIOD_S = 2.0
+_TARGET_POLL_PERIOD_S = 0.5
 _MS_PER_S = 1000
 
 
-class Router(OperatorHandler):
+class Router:
     """One router of the fleet.
 
     Parameters
@@ -80,8 +95,8 @@
     def __init__(self, settings: RouterSettings, *, stop_signal: StopSignal) -> None:
         self._settings = settings
         self._stop_signal = stop_signal
-        self._leaving = False
         self._targets: Mapping[str, Target] = {}
+        self._target_kinds: Mapping[str, PoolKind] = {}
         self._members: dict[str, Member] = {}
         self._listed: Mapping[str, Vm] = {}
         self._rng = random.Random()
@@ -95,15 +110,17 @@
         self._build_platform()
         self._build_calls()
         self._build_peers()
+        self._build_operators()
         self._build_periodics()
 
     # Building
 
     def _build_platform(self) -> None:
         platform = self._settings.platform
-        self._store = HttpObjectStore(
-            platform.object_store_url, client=self._member.vm_name
-        )
+        name = self._member.vm_name
+        self._store = HttpObjectStore(platform.object_store_url, client=name)
+        # Nothing but the follower waits for a store that is out.
+        self._guarded_store = GuardedStore(self._store, clock=time.monotonic)
         self._vm_directory = HttpVmDirectory(platform.vm_directory_url)
         self._follower = ConfigurationFollower(
             self._store,
@@ -113,14 +130,32 @@
             call_timeout_s=platform.call_timeout_s,
             max_backoff_s=platform.max_backoff_s,
         )
+        self._audit = AuditTrail(self._guarded_store, name, self._member.incarnation)
+        self._orders = EngineOrders(
+            self._guarded_store,
+            HttpEngineControl(holder=name),
+            name,
+            self._member.incarnation,
+            audit=self._audit.record,
+        )
 
     def _build_calls(self) -> None:
         settings = self._settings
         self._table = CallTable()
+        self._claims = CallClaims(
+            ClaimBook(
+                self._guarded_store,
+                self._member.vm_name,
+                _claim_options(settings),
+                clock=boot_time_s,
+                wall_clock=time.time,
+            )
+        )
         self._runner = CallRunner(
             table=self._table,
             connections=TargetConnections(),
             find_target=lambda name: self._targets.get(name),
+            claims=self._claims,
             metrics=self._metrics,
             slow_reader_timeout_s=settings.limits.slow_reader_timeout_s,
         )
@@ -135,6 +170,9 @@
             on_send=self._on_send,
         )
         self._runner.attach(self._dispatch)
+        self._target_watch = TargetWatch(
+            on_load=self._on_load, on_available=self._on_available
+        )
         self._admission = Admission(max_body_bytes=settings.callers.max_body_bytes)
         self._front = CallerFront(
             settings=settings.callers,
@@ -142,12 +180,6 @@
             runner=self._runner,
             on_refused=self._on_refused,
         )
-        self._operators = OperatorsServer(
-            host=settings.operators.host,
-            port=settings.operators.port,
-            handler=self,
-            worker_count=settings.operators.worker_count,
-        )
 
     def _build_peers(self) -> None:
         peers = self._settings.peers
@@ -159,60 +191,70 @@
             codec=self._codec,
             metrics=self._metrics,
             call_timeout_s=peers.call_timeout_s,
+            tls=client_context(peers),
         )
-        heartbeat = Heartbeat(
-            vm_name=self._member.vm_name,
-            availability_zone=self._member.availability_zone,
-            incarnation=self._member.incarnation,
-            host=peers.host,
-            port=peers.port,
-        )
-        self._peer_server, self._peers_port = self._bind_peers(heartbeat)
-
-    def _bind_peers(self, heartbeat: Heartbeat) -> tuple[PeerServer, int]:
-        peers = self._settings.peers
-        inbox = PeerInbox(
+        self._inbox = PeerInbox(
             codec=self._codec,
             dispatch=self._dispatch,
             follower=self._follower,
             find_member=lambda name: self._members.get(name),
-            explain=self._explain_here,
             metrics=self._metrics,
         )
-        server = PeerServer(
+        self._peer_server = PeerServer(
             host=peers.host,
             port=peers.port,
-            handler=inbox,
+            handler=self._inbox,
             opener=EnvelopeOpener(self._member.vm_name, shared_key=peers.key_bytes()),
             incarnation=self._member.incarnation,
+            tls=server_context(peers),
+        )
+        self._peers_port = self._peer_server.bind()
+        heartbeat = Heartbeat(
+            **attrs.asdict(self._member), host=peers.host, port=self._peers_port
         )
-        port = server.bind()
-        view = MembershipView(attrs.evolve(heartbeat, port=port))
         self._membership = MembershipActor.start(
-            view=view,
+            view=MembershipView(heartbeat),
             on_members=self._on_members,
             on_heartbeat=self._network.send,
             on_event=self._on_member_event,
         )
-        inbox.attach(self._membership)
-        return server, port
+
+    def _build_operators(self) -> None:
+        operators = self._settings.operators
+        operations = RouterOperations(
+            member=self._member,
+            table=self._table,
+            follower=self._follower,
+            network=self._network,
+            store=self._store,
+            target_watch=self._target_watch,
+            audit=self._audit,
+            metrics=self._metrics,
+            dispatch=self._dispatch,
+            membership=self._membership,
+            stop_signal=self._stop_signal,
+        )
+        self._inbox.attach(self._membership, explain=operations.explain_here)
+        self._operators = OperatorsServer(
+            host=operators.host,
+            port=operators.port,
+            handler=operations,
+            worker_count=operators.worker_count,
+        )
 
     def _build_periodics(self) -> None:
         settings = self._settings
+        duties = (
+            ("dispatch-tick", self._tick, settings.dispatch.step_period_s),
+            ("heartbeat", self._beat, settings.peers.heartbeat_period_s),
+            ("vm-list", self._read_vms, settings.platform.vm_poll_period_s),
+            ("target-poll", self._poll_targets, _TARGET_POLL_PERIOD_S),
+            ("engine-orders", self._give_orders, _ORDER_PERIOD_S),
+            ("audit", self._write_audit, _AUDIT_PERIOD_S),
+        )
         self._periodics = [
-            Periodic(
-                "dispatch-tick",
-                lambda: self._dispatch.tell(Tick()),
-                period_s=settings.dispatch.step_period_s,
-            ),
-            Periodic(
-                "heartbeat",
-                lambda: self._membership.tell(Beat()),
-                period_s=settings.peers.heartbeat_period_s,
-            ),
-            Periodic(
-                "vm-list", self._read_vms, period_s=settings.platform.vm_poll_period_s
-            ),
+            Periodic(name, function, period_s=period_s)
+            for name, function, period_s in duties
         ]
 
     # Life
@@ -239,34 +281,79 @@
         """Leave without cutting off any request that ends in time."""
         shutdown = self._settings.shutdown
         log_event("leaving", live_calls=len(self._table))
-        self._leaving = True
         self._membership.tell(UpdateSelf(leaving=True))
         # The balancer learns from the readiness page; until then callers still come.
         time.sleep(shutdown.drain_grace_s)
         self._front.stop()
         empty = self._table.wait_until_empty(timeout_s=shutdown.deadline_s)
         log_event("drained", complete=empty, live_calls=len(self._table))
-        self._membership.tell(SayFarewell())
-        time.sleep(_FAREWELL_S)
-        self._follower.stop()
         for periodic in self._periodics:
             periodic.stop()
+        self._hand_over()
         self._operators.stop()
         self._peer_server.stop()
         self._network.stop()
         self._dispatch.stop()
         self._membership.stop()
+        self._target_watch.stop()
         self._runner.close()
         log_event("stopped")
 
+    def _hand_over(self) -> None:
+        self._orders.release()
+        self._claims.close(timeout_s=_CLAIMS_CLOSE_S)
+        self._audit.write()
+        self._membership.tell(SayFarewell())
+        time.sleep(_FAREWELL_S)
+        self._follower.stop()
+
+    # Duties that come again and again
+
+    def _tick(self) -> None:
+        self._dispatch.tell(Tick())
+
+    def _beat(self) -> None:
+        self._membership.tell(Beat())
+
+    def _read_vms(self) -> None:
+        try:
+            vms = self._vm_directory.list(
+                timeout_s=self._settings.platform.call_timeout_s
+            )
+        except CitrondockError as error:
+            log_event("vm_list_failed", level="DEBUG", detail=str(error))
+            return
+        routers = [vm for vm in vms if vm.name not in self._targets]
+        self._listed = {vm.name: vm for vm in routers}
+        self._membership.tell(Listed(routers))
+        self._target_watch.set_listed([vm for vm in vms if vm.name in self._targets])
+
+    def _poll_targets(self) -> None:
+        members = list(self._members.values())
+        own = [
+            target
+            for target in self._targets.values()
+            if home_of(target.name, target.availability_zone, members)
+            == self._member.vm_name
+        ]
+        self._target_watch.poll(own, self._target_kinds)
+
+    def _give_orders(self) -> None:
+        names = list(self._members)
+        self._orders.step(
+            self._follower.configuration,
+            is_candidate=lambda pool: choose(pool, names) == self._member.vm_name,
+        )
+
+    def _write_audit(self) -> None:
+        self._audit.write()
+
     # What the parts tell
 
     def _on_configuration(self, configuration: Configuration) -> None:
-        self._targets = {
-            target.name: target
-            for pool in configuration.pools.values()
-            for target in pool.targets
-        }
+        pools = configuration.pools.values()
+        self._targets = {t.name: t for pool in pools for t in pool.targets}
+        self._target_kinds = {t.name: pool.kind for pool in pools for t in pool.targets}
         self._codec.set_accounts(configuration.accounts)
         self._dispatch.tell(SetConfiguration(configuration))
         self._admission.set_configuration(configuration)
@@ -275,11 +362,10 @@
     def _on_members(
         self, members: Sequence[LiveMember], contacts: Sequence[Contact]
     ) -> None:
+        places = {contact.vm_name: contact for contact in contacts}
         addresses = {
-            contact.vm_name: PeerAddress(
-                vm_name=contact.vm_name, host=contact.host, port=contact.port
-            )
-            for contact in contacts
+            name: PeerAddress(vm_name=name, host=place.host, port=place.port)
+            for name, place in places.items()
         }
         for live in members:
             name = live.member.vm_name
@@ -295,6 +381,7 @@
         self._dispatch.tell(SetMembers(staying))
 
     def _on_member_event(self, event: MemberEvent) -> None:
+        what = f"router {event.vm_name} {event.kind.value}"
         log_event(
             "member",
             kind=event.kind.value,
@@ -303,25 +390,29 @@
             incarnation=event.incarnation,
             reason=event.reason,
         )
+        self._audit.record(
+            AuditRecord(
+                at_unix_s=time.time(),
+                kind=AuditKind.MEMBERSHIP,
+                who=self._member.vm_name,
+                what=what,
+                why=event.reason,
+                subject=event.vm_name,
+            )
+        )
 
     def _on_send(self, action: Send) -> None:
         self._network.send(action.vm_name, action.message)
 
+    def _on_load(self, target: str, report: LoadReport) -> None:
+        self._dispatch.tell(ReportLoad(target, report))
+
+    def _on_available(self, target: str, available: bool) -> None:
+        self._dispatch.tell(SetTargetAvailable(target, available))
+
     def _on_refused(self, cause: RefusalReason) -> None:
         self._metrics.count_refusal(cause.value, "no")
 
-    def _read_vms(self) -> None:
-        try:
-            vms = self._vm_directory.list(
-                timeout_s=self._settings.platform.call_timeout_s
-            )
-        except CitrondockError as error:
-            log_event("vm_list_failed", level="DEBUG", detail=str(error))
-            return
-        routers = [vm for vm in vms if vm.name not in self._targets]
-        self._listed = {vm.name: vm for vm in routers}
-        self._membership.tell(Listed(routers))
-
     def _peer_copies(self, after_revision: int) -> Sequence[PeerConfiguration]:
         addresses = self._network.addresses()
         self._rng.shuffle(addresses)
@@ -343,95 +434,15 @@
             )
         return copies
 
-    # What operators ask
 
-    def is_ready(self) -> bool:
-        """Whether the balancer may send callers here."""
-        return self._follower.is_ready and not self._leaving
-
-    def metrics(self) -> bytes:
-        """Return all metrics as text."""
-        self._metrics.set_statistics(self._statistics())
-        self._metrics.set_store_calls(self._store.calls.snapshot())
-        self._metrics.set_router(
-            live_call_count=len(self._table),
-            configuration_revision=self._follower.configuration.revision,
-        )
-        return self._metrics.render()
-
-    def status(self) -> Mapping[str, Any]:
-        """Return the router's state as a JSON document."""
-        configuration = self._follower.status()
-        statistics = self._statistics()
-        return {
-            "vm_name": self._member.vm_name,
-            "availability_zone": self._member.availability_zone,
-            "incarnation": self._member.incarnation,
-            "ready": self.is_ready(),
-            "leaving": self._leaving,
-            "configuration_revision": configuration.revision,
-            "configuration": {
-                "edit_id": configuration.edit_id,
-                "source": configuration.source.value,
-                "possibly_stale": configuration.possibly_stale,
-                "store_error": configuration.store_error,
-            },
-            "members": [self._member_document(live) for live in self._live_members()],
-            "live_call_count": len(self._table),
-            "slot_count": statistics.slot_count,
-            "busy_slot_count": statistics.busy_slot_count,
-            "idle_slot_s": statistics.idle_slot_s,
-            "waiting_count_by_account": dict(statistics.waiting_count_by_account),
-            "limit_by_target": dict(statistics.limit_by_target),
-        }
-
-    def explain(self, subject: str) -> list[str]:
-        """Return what this router and its peers know of a request or account."""
-        lines = [
-            f"{self._member.vm_name}: {line}" for line in self._explain_here(subject)
-        ]
-        for address in self._network.addresses():
-            client = self._network.open_client(address)
-            try:
-                answer = client.explain(subject)
-                lines += [f"{address.vm_name}: {line}" for line in answer]
-            except CitrondockError as error:
-                lines.append(f"{address.vm_name}: not reached ({error})")
-            finally:
-                client.close()
-        return lines
-
-    def drain(self) -> None:
-        """Begin a graceful stop."""
-        self._stop_signal.set()
-
-    def _explain_here(self, subject: str) -> list[str]:
-        lines = self._dispatch.ask(Explain(subject), timeout=_ASK_TIMEOUT_S)
-        return cast(list[str], lines)
-
-    def _statistics(self) -> DispatchStatistics:
-        statistics = self._dispatch.ask(ReadStatistics(), timeout=_ASK_TIMEOUT_S)
-        return cast(DispatchStatistics, statistics)
-
-    def _live_members(self) -> list[LiveMember]:
-        members = self._membership.ask(ReadMembers(), timeout=_ASK_TIMEOUT_S)
-        return cast(list[LiveMember], members)
-
-    def _member_document(self, live: LiveMember) -> Mapping[str, Any]:
-        own = live.member.vm_name == self._member.vm_name
-        revision = live.configuration_revision
-        return {
-            "vm_name": live.member.vm_name,
-            "availability_zone": live.member.availability_zone,
-            "incarnation": live.member.incarnation,
-            "host": live.host,
-            "port": live.port,
-            "leaving": live.leaving,
-            "reachable": live.reachable,
-            "configuration_revision": (
-                self._follower.configuration.revision if own else revision
-            ),
-        }
+def _claim_options(settings: RouterSettings) -> ClaimOptions:
+    claims = settings.claims
+    return ClaimOptions(
+        shard_count=claims.shard_count,
+        window_s=claims.window_s,
+        send_within_s=claims.lease_s,
+        send_margin_s=claims.margin_s,
+    )
 
 
 def _dispatch_options(settings: RouterSettings) -> DispatchOptions:
--- a/packages/citrondock-router/src/citrondock_router/settings.py
+++ b/packages/citrondock-router/src/citrondock_router/settings.py
@@ -8,6 +8,7 @@
 import attrs
 from attrs.validators import ge, gt, in_, le
 
+from citrondock_core.dispatch_options import DispatchOptions
 from citrondock_core.faults import (
     Location,
     MissingFileFault,
@@ -25,6 +26,8 @@
 USAGE_EXIT_CODE = 2
 """Exit code of a process whose settings have faults."""
 
+_DISPATCH = DispatchOptions()
+
 HELP = "help"
 """Metadata key of a field under which its help text stands."""
 
@@ -130,7 +133,6 @@
     tls_certificate_path: str = _optional_file("Certificate chain; empty is no TLS.")
     tls_key_path: str = _optional_file("Private key of the certificate.")
     tls_ca_path: str = _optional_file("Authorities that sign the peers' certificates.")
-    exchange_period_s: float = _seconds("Time between two exchanges with peers.", 0.25)
     heartbeat_period_s: float = _seconds("Time between two heartbeats.", 1.0)
     call_timeout_s: float = _seconds("Longest time for one call to a peer.", 1.0)
 
@@ -159,7 +161,7 @@
     object_store_url: str = _setting("Object API.", _http_url)
     vm_directory_url: str = _setting("VM list.", _http_url)
     call_timeout_s: float = _seconds("Longest time for one call.", 2.0)
-    vm_poll_period_s: float = _seconds("Time between two reads of the VM list.", 2.0)
+    vm_poll_period_s: float = _seconds("Time between two reads of the VM list.", 1.0)
     watch_wait_s: float = _seconds("Longest wait of a configuration watch.", 7.0)
     max_backoff_s: float = _seconds("Longest pause between two failed calls.", 5.0)
 
@@ -172,19 +174,23 @@
     band_tokens: float = _setting(
         "Lead in service at which an account still goes first locally.",
         ge(0),
-        default=2_000.0,
+        default=_DISPATCH.band_tokens,
     )
-    exchange_period_s: float = _seconds("Time between two summaries.", 0.25)
-    block_slot_count: int = _at_least_one("Most slots lent in one grant.", 4)
-    grant_ttl_s: float = _seconds("Time in which a lent slot must be used.", 2.0)
-    prompt_token_weight: float = _setting(
-        "Service charged for a prompt token.", ge(0), default=0.25
+    exchange_period_s: float = _seconds(
+        "Shortest time between two summaries.", _DISPATCH.exchange_period_s
+    )
+    grant_ttl_s: float = _seconds(
+        "Time in which a lent slot must be used.", _DISPATCH.grant_ttl_s
     )
-    generated_token_weight: float = _setting(
-        "Service charged for a generated token.", gt(0), default=1.0
+    prompt_token_weight: float = _setting(
+        "Service charged for a prompt token; a generated one costs 1.",
+        ge(0),
+        default=_DISPATCH.prompt_token_weight,
     )
     slot_second_tokens: float = _setting(
-        "Service charged for a second of a plain call.", gt(0), default=30.0
+        "Service charged for a second of a plain call.",
+        gt(0),
+        default=_DISPATCH.slot_second_tokens,
     )
     step_period_s: float = _seconds("Longest time between two dispatch steps.", 0.05)
 
@@ -200,18 +206,15 @@
     slow_reader_timeout_s: float = _seconds(
         "Longest time in which a caller reads nothing of its answer.", 10.0
     )
-    max_unread_bytes: int = _at_least_one(
-        "Most bytes held for one caller that reads slowly.", 262_144
-    )
 
 
 @attrs.frozen(kw_only=True)
 class ClaimSettings:
     """Claims that keep keyed calls from running twice."""
 
-    window_s: float = _seconds("Time for which an outcome is kept.", 86_400.0)
-    lease_s: float = _seconds("Time for which a claim is held.", 30.0)
-    margin_s: float = _seconds("Time before its end at which no send starts.", 2.0)
+    window_s: float = _seconds("Time for which an outcome is kept.", 3_600.0)
+    lease_s: float = _seconds("Time in which a claimed call must be sent.", 10.0)
+    margin_s: float = _seconds("Time before its end at which no send starts.", 1.0)
     shard_count: int = _at_least_one("Store objects that hold the claims.", 64)
 
     def __attrs_post_init__(self) -> None:
--- a/packages/citrondock-router/src/citrondock_router/stop_signal.py
+++ b/packages/citrondock-router/src/citrondock_router/stop_signal.py
@@ -19,6 +19,10 @@
         """Ask for a stop."""
         self._event.set()
 
+    def is_set(self) -> bool:
+        """Whether a stop was asked for."""
+        return self._event.is_set()
+
     def wait(self, timeout_s: float | None = None) -> bool:
         """Wait until a stop is asked for."""
         return self._event.wait(timeout_s)
--- /dev/null
+++ b/packages/citrondock-router/src/citrondock_router/target_watch.py
@@ -0,0 +1,135 @@
+"""Watches targets: load, health, and whether they are leaving."""
+
+import json
+import threading
+from collections import defaultdict
+from collections.abc import Callable, Mapping, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from enum import Enum
+
+import urllib3
+
+from citrondock_core.configuration import PoolKind, Target
+from citrondock_core.load_report import LoadReport
+from citrondock_core.vm_directory import Vm, VmState
+from citrondock_router.log import log_event
+
+_WORKER_COUNT = 4
+_UNHEALTHY_AFTER_COUNT = 2
+_LOAD_PATH = "/v1/load"
+
+
+class Unavailability(Enum):
+    """Why a target gets no new work."""
+
+    LISTED_LEAVING = "listed_leaving"
+    SAYS_LEAVING = "says_leaving"
+    UNREACHABLE = "unreachable"
+
+
+class TargetWatch:
+    """Polls the engines that this router is home of, and reads the VM list.
+
+    Parameters
+    ----------
+    on_load : callable
+        Given a target's name and its load report.
+    on_available : callable
+        Given a target's name and whether it may get new work.
+    timeout_s : float
+        Longest time for one poll.
+    """
+
+    def __init__(
+        self,
+        *,
+        on_load: Callable[[str, LoadReport], None],
+        on_available: Callable[[str, bool], None],
+        timeout_s: float = 0.5,
+    ) -> None:
+        self._on_load = on_load
+        self._on_available = on_available
+        self._http = urllib3.PoolManager(
+            num_pools=64, maxsize=1, retries=False, timeout=timeout_s
+        )
+        self._workers = ThreadPoolExecutor(
+            _WORKER_COUNT, thread_name_prefix="target-watch"
+        )
+        self._reasons: dict[str, set[Unavailability]] = defaultdict(set)
+        self._failure_counts: dict[str, int] = defaultdict(int)
+        self._lock = threading.Lock()
+
+    def poll(self, targets: Sequence[Target], kinds: Mapping[str, PoolKind]) -> None:
+        """Ask each engine for its load; waits until all have answered."""
+        engines = [t for t in targets if kinds.get(t.name) is PoolKind.ENGINE]
+        list(self._workers.map(self._poll_one, engines))
+
+    def set_listed(self, vms: Sequence[Vm]) -> None:
+        """Take the VM list's word on which targets are leaving."""
+        leaving = {vm.name for vm in vms if vm.state is VmState.LEAVING}
+        with self._lock:
+            known = set(self._reasons) | leaving
+        for name in known:
+            self._note(name, Unavailability.LISTED_LEAVING, holds=name in leaving)
+
+    def reasons(self) -> Mapping[str, list[str]]:
+        """Return why targets get no new work, for status."""
+        with self._lock:
+            return {
+                name: sorted(reason.value for reason in reasons)
+                for name, reasons in self._reasons.items()
+                if reasons
+            }
+
+    def stop(self) -> None:
+        """End the workers."""
+        self._workers.shutdown(wait=False, cancel_futures=True)
+
+    def _poll_one(self, target: Target) -> None:
+        url = f"http://{target.host}:{target.port}{_LOAD_PATH}"
+        try:
+            answer = self._http.request("GET", url)
+            document = json.loads(answer.data)
+            report = LoadReport(
+                running_count=int(document["running"]),
+                queued_count=int(document["waiting"]),
+            )
+            leaving = bool(document.get("leaving", False))
+        except urllib3.exceptions.HTTPError:
+            self._note_failure(target.name)
+            return
+        except (ValueError, KeyError, TypeError):
+            # An engine without this report is healthy; its load stays unknown.
+            self._note_success(target.name, leaving=False)
+            return
+        self._note_success(target.name, leaving=leaving)
+        self._on_load(target.name, report)
+
+    def _note_failure(self, name: str) -> None:
+        self._failure_counts[name] += 1
+        if self._failure_counts[name] >= _UNHEALTHY_AFTER_COUNT:
+            self._note(name, Unavailability.UNREACHABLE, holds=True)
+
+    def _note_success(self, name: str, *, leaving: bool) -> None:
+        self._failure_counts[name] = 0
+        self._note(name, Unavailability.UNREACHABLE, holds=False)
+        self._note(name, Unavailability.SAYS_LEAVING, holds=leaving)
+
+    def _note(self, name: str, reason: Unavailability, *, holds: bool) -> None:
+        with self._lock:
+            reasons = self._reasons[name]
+            if (reason in reasons) is holds:
+                return
+            if holds:
+                reasons.add(reason)
+            else:
+                reasons.discard(reason)
+            available = not reasons
+        log_event(
+            "target_availability",
+            target=name,
+            available=available,
+            reason=reason.value,
+            holds=holds,
+        )
+        self._on_available(name, available)
--- a/tests/router/test_whole_path.py
+++ b/tests/router/test_whole_path.py
@@ -145,3 +145,42 @@
         answer = HTTP.request("GET", f"{operators}/v1/explain/{request_id}").json()
 
         assert any("started on engine-" in line for line in answer["lines"])
+
+
+class TestKeyedCalls:
+    def book(self, fleet, router, key, body=b"seat 7"):
+        url = fleet.routers[router].callers_url
+        return call(url, "/bookings/7", body=body, **{"Idempotency-Key": key})
+
+    def runs(self, fleet, key):
+        runs = fleet.applications[0].process.read("/control/runs")["runs"]
+        return [run for run in runs if run["idempotency_key"] == key]
+
+    def test_a_retry_at_another_router_gets_the_first_answer(self, fleet):
+        first = self.book(fleet, "router-a1", "k1")
+        again = self.book(fleet, "router-b1", "k1")
+
+        assert (first.status, again.status) == (200, 200)
+        assert first.data == again.data
+        assert again.headers["Idempotency-Replayed"] == "true"
+        assert len(self.runs(fleet, "k1")) == 1
+
+    def test_another_request_under_the_same_key_is_refused(self, fleet):
+        self.book(fleet, "router-a1", "k2")
+        other = self.book(fleet, "router-a1", "k2", body=b"seat 8")
+
+        assert other.json()["error"]["reason"] == "bad_request"
+        assert len(self.runs(fleet, "k2")) == 1
+
+    def test_a_store_outage_refuses_as_not_run(self, fleet):
+        fleet.store_process.set_faults(outage="refuse")
+        try:
+            refused = self.book(fleet, "router-a1", "k3")
+            works = call(fleet.routers["router-a1"].callers_url, "/works")
+        finally:
+            fleet.store_process.set_faults()
+
+        error = refused.json()["error"]
+        assert (error["reason"], error["ran"]) == ("claim_unavailable", "no")
+        assert works.status == 200
+        assert self.runs(fleet, "k3") == []
