Tests of a proxied fleet with routers, and of an engine's orders over HTTP

Cause: Fleet had not carried routers behind proxies, so whether a cut zone is cut from the right senders only was not shown; orders, load and cache events of the engine stand-in were tested below HTTP alone. Change: two routers behind proxies answer, a zone is cut off with its platform and each router sees only itself, it heals, a killed router comes back and all end.

--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -205,6 +205,24 @@
 
         assert imported["imported"] == len(exported["blocks"]) > 0
 
+    def test_load_cache_events_and_orders_over_http(self, engines):
+        post(engines, chat("z" * 2000, max_tokens=1))
+        order = {"kind": "load_adapter", "name": "tags", "fencing_token": 9}
+        engines.post("/v1/orders", order)
+        stale = json.dumps({**order, "fencing_token": 8})
+        refused = HTTP.request("POST", engines.url + "/v1/orders", body=stale)
+        unknown = json.dumps({**order, "kind": "reboot"})
+        malformed = HTTP.request("POST", engines.url + "/v1/orders", body=unknown)
+        deadline_s = time.monotonic() + 20
+        while not engines.read("/v1/cache_events?after=-1")["events"]:
+            assert time.monotonic() < deadline_s
+            time.sleep(0.05)
+
+        assert (refused.status, malformed.status) == (409, 400)
+        assert engines.read("/v1/state")["highest_fencing_token"] == 9
+        load = engines.read("/v1/load")
+        assert load["age_s"] >= 0.5 and load["running"] >= 0
+
 
 class TestCancelOnClose:
     def test_closing_the_connection_cancels(self):
--- a/tests/standins/test_fleet.py
+++ b/tests/standins/test_fleet.py
@@ -1,4 +1,5 @@
 import json
+import time
 
 import pytest
 import urllib3
@@ -6,6 +7,7 @@
 from citrondock_standins.engine_text import expected_text
 from citrondock_standins.fault import Fault
 from citrondock_standins.fleet import CUT, EnginePlan, Fleet, FleetPlan
+from citrondock_standins.small_deployment import key_of, publisher
 
 HTTP = urllib3.PoolManager(retries=False, timeout=20.0)
 BODY = {"messages": [{"role": "user", "content": "hi"}], "max_tokens": 2}
@@ -50,3 +52,54 @@
 
         assert len(processes) == 2
         assert not any(process.is_running for process in processes)
+
+
+class TestFleetWithRouters:
+    def test_cut_zone_splits_and_rejoins_and_a_killed_router_returns(self):
+        plan = FleetPlan(
+            router_zones=("a", "b"),
+            engines=(EnginePlan(availability_zone="a", speed=8),),
+            is_proxied=True,
+            settings={"shutdown": {"drain_grace_s": 0.1, "deadline_s": 5}},
+        )
+        with Fleet(plan, publish=publisher()) as fleet:
+            fleet.wait_ready()
+            fleet.wait_joined()
+            answers = [chat_through(router) for router in fleet.routers.values()]
+            ran = fleet.engines[0].process.read("/control/runs")["runs"]
+
+            assert answers == [expected_text(BODY)] * 2
+            assert len(ran) == 2
+
+            fleet.cut_zone("a", with_platform=True)
+            wait_for(lambda: fleet.member_names("router-a1") == {"router-a1"})
+            wait_for(lambda: fleet.member_names("router-b1") == {"router-b1"})
+            assert chat_through(fleet.routers["router-a1"]) == expected_text(BODY)
+            assert fleet.store.list("")
+            fleet.heal()
+            fleet.wait_joined()
+
+            fleet.routers["router-b1"].process.kill()
+            fleet.restart_router("router-b1")
+            fleet.wait_ready()
+            fleet.wait_joined()
+            assert chat_through(fleet.routers["router-b1"]) == expected_text(BODY)
+            processes = [router.process for router in fleet.routers.values()]
+
+        assert not any(process.is_running for process in processes)
+
+
+def chat_through(router):
+    body = json.dumps({**BODY, "model": "small"}).encode()
+    headers = {"Authorization": f"Bearer {key_of('alice')}"}
+    url = router.callers_url + "/v1/chat/completions"
+    answer = HTTP.request("POST", url, body=body, headers=headers)
+    assert answer.status == 200, answer.data
+    return answer.json()["choices"][0]["message"]["content"]
+
+
+def wait_for(condition, limit_s=60.0):
+    deadline_s = time.monotonic() + limit_s
+    while not condition():
+        assert time.monotonic() < deadline_s
+        time.sleep(0.05)
