--- /dev/null
+++ b/packages/citrondock-cli/src/citrondock_cli/audit_command.py
@@ -0,0 +1,63 @@
+"""The command that reads the audit trail."""
+
+from collections.abc import Sequence
+
+from citrondock_cli.command import Command, Context
+from citrondock_cli.exit_code import ExitCode
+from citrondock_cli.output import table
+from citrondock_cli.read_commands import changes_text, recent_edits, time_text
+from citrondock_core.audit_reader import read_audit
+from citrondock_core.audit_record import AuditKind, AuditRecord
+from citrondock_core.configuration_revisions import Edit
+
+
+class AuditCommand(Command):
+    """Reads the audit trail."""
+
+    name = "audit"
+    usage = "[--limit=N]"
+    summary = "List edits, orders, drains, membership changes and takeovers."
+
+    def run(self, context: Context, arguments: Sequence[str]) -> ExitCode:
+        """List the records of the routers and the accepted edits together."""
+        limit = context.options.limit
+        records = [*read_audit(context.store, limit=limit)]
+        records += map(_edit_record, recent_edits(context))
+        records.sort(key=lambda record: record.at_unix_s)
+        newest = records[-limit:]
+        rows = [
+            (
+                time_text(record.at_unix_s),
+                record.kind.value,
+                record.who,
+                record.subject,
+                record.what,
+                record.why,
+                _revisions_text(record),
+            )
+            for record in newest
+        ]
+        header = ("time", "kind", "who", "subject", "what", "why", "revisions")
+        context.output.result(newest, table(header, rows))
+        return ExitCode.DONE
+
+
+def _edit_record(edit: Edit) -> AuditRecord:
+    return AuditRecord(
+        at_unix_s=edit.written_at_epoch_s,
+        kind=AuditKind.EDIT,
+        who=edit.author,
+        what=changes_text(edit),
+        why=edit.reason,
+        subject="configuration",
+        from_revision=edit.revision - 1,
+        to_revision=edit.revision,
+        step="accept",
+        peer="object store",
+    )
+
+
+def _revisions_text(record: AuditRecord) -> str:
+    if record.to_revision is None:
+        return ""
+    return f"{record.from_revision} -> {record.to_revision}"
--- a/packages/citrondock-cli/src/citrondock_cli/fleet_commands.py
+++ b/packages/citrondock-cli/src/citrondock_cli/fleet_commands.py
@@ -1,7 +1,6 @@
 """Commands that ask or tell the routers."""
 
 from collections.abc import Sequence
-from typing import Any
 
 import attrs
 
@@ -9,24 +8,25 @@
 from citrondock_cli.edit_commands import commit_text
 from citrondock_cli.exit_code import ExitCode
 from citrondock_cli.output import table
+from citrondock_cli.router_client import FleetSurvey
 from citrondock_core.configuration_patch import TargetUnknownError, set_draining
 from citrondock_core.errors import CitrondockError
 
 
 @attrs.frozen(kw_only=True)
 class FleetStatus:
-    """What the store and one router say.
+    """What the store and the named routers say.
 
     Parameters
     ----------
     accepted_revision : int or None
         Revision of the head; None when the store is not reached.
-    router : object
-        Answer of the router as it wrote it.
+    fleet : FleetSurvey
+        What the routers say.
     """
 
     accepted_revision: int | None
-    router: Any
+    fleet: FleetSurvey
 
 
 class StatusCommand(Command):
@@ -36,8 +36,8 @@
     summary = "Show each router, its revision, and which cannot be reached."
 
     def run(self, context: Context, arguments: Sequence[str]) -> ExitCode:
-        """Show the fleet as one router sees it."""
-        status, raw = context.routers.status()
+        """Show the fleet as the named routers see it."""
+        survey = context.routers.survey()
         accepted = self._accepted_revision(context)
         rows = [
             (
@@ -47,12 +47,13 @@
                 member.configuration_revision,
                 member.reachable,
             )
-            for member in status.members
+            for member in survey.members
         ]
         header = ("vm", "zone", "incarnation", "revision", "reachable")
         told = "unknown, the store is not reached" if accepted is None else accepted
         lines = [f"accepted revision: {told}", *table(header, rows)]
-        fleet = FleetStatus(accepted_revision=accepted, router=raw)
+        lines += [f"not reached: {url}" for url in survey.silent_urls]
+        fleet = FleetStatus(accepted_revision=accepted, fleet=survey)
         context.output.result(fleet, lines)
         return ExitCode.DONE
 
--- a/packages/citrondock-cli/src/citrondock_cli/main.py
+++ b/packages/citrondock-cli/src/citrondock_cli/main.py
@@ -8,6 +8,7 @@
 import attrs
 from absl import flags
 
+from citrondock_cli.audit_command import AuditCommand
 from citrondock_cli.command import Command, Context, UsageError
 from citrondock_cli.edit_commands import ApplyCommand, CheckCommand, PlanCommand
 from citrondock_cli.exit_code import ExitCode
@@ -40,6 +41,7 @@
         ApplyCommand(),
         ShowCommand(),
         HistoryCommand(),
+        AuditCommand(),
         StatusCommand(),
         ExplainCommand(),
         DrainCommand(),
--- a/packages/citrondock-cli/src/citrondock_cli/propagation.py
+++ b/packages/citrondock-cli/src/citrondock_cli/propagation.py
@@ -5,21 +5,22 @@
 import attrs
 
 from citrondock_cli.command import Context
-from citrondock_cli.router_client import RouterStatus, RouterUnreachableError
+from citrondock_cli.router_client import FleetSurvey, RouterUnreachableError
 
 POLL_PERIOD_S = 0.25
 
 
 @attrs.frozen(kw_only=True)
 class Propagation:
-    """Where a revision is in force, as one router sees the fleet.
+    """Where a revision is in force, as the named routers see the fleet.
 
     Parameters
     ----------
     revision : int
         The revision.
     in_force, behind, unreachable : tuple of str
-        VMs that have it or a later one, that do not yet, and that do not answer.
+        VMs that have it or a later one, that do not yet, and that do not answer;
+        a named URL that does not answer stands for its VM.
     waited_s : float
         How long it took, in seconds.
     """
@@ -49,15 +50,14 @@
 
 
 def wait_in_force(context: Context, revision: int) -> Propagation:
-    """Ask a router until all reachable ones have a revision or the wait ends."""
+    """Ask the routers until all reachable ones have a revision or the wait ends."""
     started_at_s = time.monotonic()
     deadline_s = started_at_s + context.options.wait_timeout_s
     propagation = Propagation(revision=revision)
     while True:
         waited_s = time.monotonic() - started_at_s
         try:
-            status, _ = context.routers.status()
-            propagation = _propagation(status, revision, waited_s)
+            propagation = _propagation(context.routers.survey(), revision, waited_s)
         except RouterUnreachableError as error:
             context.output.message(str(error))
         settled = propagation.in_force and not propagation.behind
@@ -66,8 +66,9 @@
         time.sleep(POLL_PERIOD_S)
 
 
-def _propagation(status: RouterStatus, revision: int, waited_s: float) -> Propagation:
-    reachable = [member for member in status.members if member.reachable]
+def _propagation(survey: FleetSurvey, revision: int, waited_s: float) -> Propagation:
+    reachable = [member for member in survey.members if member.reachable]
+    silent = [member.vm_name for member in survey.members if not member.reachable]
     return Propagation(
         revision=revision,
         in_force=tuple(
@@ -80,8 +81,6 @@
             for member in reachable
             if member.configuration_revision < revision
         ),
-        unreachable=tuple(
-            member.vm_name for member in status.members if not member.reachable
-        ),
+        unreachable=(*silent, *survey.silent_urls),
         waited_s=waited_s,
     )
--- a/packages/citrondock-cli/src/citrondock_cli/router_client.py
+++ b/packages/citrondock-cli/src/citrondock_cli/router_client.py
@@ -1,6 +1,7 @@
 """The operators' port of routers."""
 
 import json
+from collections.abc import Sequence
 from typing import Any
 from urllib.parse import quote
 
@@ -61,6 +62,25 @@
     vm_name: str = ""
 
 
+@attrs.frozen(kw_only=True)
+class FleetSurvey:
+    """What all named routers say.
+
+    Parameters
+    ----------
+    members : tuple of MemberStatus
+        Routers that any of them knows, in order of names.
+    silent_urls : tuple of str
+        Named URLs that did not answer.
+    answers : tuple of object
+        Answers as the routers wrote them.
+    """
+
+    members: tuple[MemberStatus, ...]
+    silent_urls: tuple[str, ...] = ()
+    answers: tuple[Any, ...] = ()
+
+
 @attrs.frozen(kw_only=True)
 class Explanation:
     """What the routers know of a request or an account.
@@ -78,7 +98,7 @@
 
 
 class RouterClient:
-    """Asks the first router that answers.
+    """Asks routers at their operators' ports, in the order in which they are named.
 
     Parameters
     ----------
@@ -94,10 +114,31 @@
             retries=False, timeout=urllib3.Timeout(total=timeout_s)
         )
 
-    def status(self) -> tuple[RouterStatus, Any]:
-        """Return the state of the fleet, typed and as the router wrote it."""
-        body = self._ask("GET", "/v1/status", step="status")
-        return load(body, RouterStatus), json.loads(body)
+    def survey(self) -> FleetSurvey:
+        """Ask every named router for the fleet as it sees it.
+
+        Raises
+        ------
+        RouterUnreachableError
+            None answered.
+        """
+        answers: dict[str, bytes] = {}
+        failure: CitrondockError | None = None
+        for url in self._urls:
+            try:
+                answers[url] = self._ask_one("GET", url, "/v1/status", step="status")
+            except CitrondockError as error:
+                failure = failure or error
+        if not answers:
+            raise failure or _no_router("status")
+        statuses: list[RouterStatus] = [
+            load(body, RouterStatus) for body in answers.values()
+        ]
+        return FleetSurvey(
+            members=_merged(statuses),
+            silent_urls=tuple(url for url in self._urls if url not in answers),
+            answers=tuple(json.loads(body) for body in answers.values()),
+        )
 
     def explain(self, subject: str) -> Explanation:
         """Return what the routers know of a request or an account."""
@@ -136,10 +177,6 @@
 
     def _ask(self, method: str, path: str, *, step: str) -> bytes:
         """Ask each router in turn; an answer that it knows nothing is kept."""
-        if not self._urls:
-            raise RouterUnreachableError(
-                "no router is named; use --router=URL", step=step
-            )
         failure: CitrondockError | None = None
         for url in self._urls:
             try:
@@ -148,7 +185,7 @@
                 failure = error
             except RouterUnreachableError as error:
                 failure = failure or error
-        raise failure or RouterUnreachableError("no answer", step=step)
+        raise failure or _no_router(step)
 
     def _ask_one(
         self,
@@ -169,3 +206,22 @@
         if answer.status >= 300:
             raise RouterUnreachableError(f"status {answer.status}", step=step, peer=url)
         return answer.data
+
+
+def _no_router(step: str) -> RouterUnreachableError:
+    return RouterUnreachableError("no router is named; use --router=URL", step=step)
+
+
+def _merged(statuses: Sequence[RouterStatus]) -> tuple[MemberStatus, ...]:
+    """Take the newest word on each router; one that answers itself is reachable."""
+    merged: dict[str, MemberStatus] = {}
+    for member in (member for status in statuses for member in status.members):
+        known = merged.get(member.vm_name, member)
+        newest = max(known, member, key=_newness)
+        reachable = known.reachable or member.reachable
+        merged[member.vm_name] = attrs.evolve(newest, reachable=reachable)
+    return tuple(merged[name] for name in sorted(merged))
+
+
+def _newness(member: MemberStatus) -> tuple[int, int]:
+    return member.incarnation, member.configuration_revision
