--- a/tests/router/test_settings.py
+++ b/tests/router/test_settings.py
@@ -1,3 +1,5 @@
+from pathlib import Path
+
 import attrs
 import pytest
 from absl import flags
@@ -104,3 +106,11 @@
             for section, values in attrs.asdict(settings).items()
             for name in values
         }
+
+    def test_the_operators_page_lists_each_as_it_is(self):
+        page = Path("docs/operating/SETTINGS.md").read_text()
+
+        for setting in describe_settings():
+            name = setting.path.split(".")[1]
+            row = f"| `{name}` | {setting.unit} | {setting.default} | {setting.text} |"
+            assert row in page
