--- a/tests/router/test_settings.py
+++ b/tests/router/test_settings.py
@@ -1,3 +1,5 @@
+from pathlib import Path
+
 import attrs
 import pytest
 from absl import flags
@@ -9,6 +11,7 @@
     describe_settings,
     settings_from_flags,
 )
+from citrondock_router.settings_page import settings_page
 
 EXAMPLE = "examples/router-settings.jsonc"
 
@@ -104,3 +107,8 @@
             for section, values in attrs.asdict(settings).items()
             for name in values
         }
+
+    def test_the_operators_page_is_up_to_date(self):
+        page = Path("docs/operating/SETTINGS.md").read_text()
+
+        assert page == settings_page()
