--- /dev/null
+++ b/packages/citrondock-bench/src/citrondock_bench/load.py
@@ -0,0 +1,64 @@
+"""Runs a plan in several client processes: ``python -m citrondock_bench load``."""
+
+import multiprocessing
+import time
+from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+from absl import app, flags
+from loguru import logger
+
+from citrondock_bench.answer import Outcome
+from citrondock_bench.plan import LoadPlan, PlanError, read_plan
+from citrondock_bench.report import LoadReport, merge_records
+from citrondock_bench.worker import WorkerTask, new_run_id, run_worker
+
+START_DELAY_S = 1.5
+EXIT_BAD_PLAN = 2
+EXIT_WRONG_ANSWERS = 1
+
+_PLAN = flags.DEFINE_string("plan", None, "JSON file of the load plan.")
+_REPORT = flags.DEFINE_string("report", "", "File for the JSON report; empty is none.")
+
+
+def run_load(plan: LoadPlan, *, start_delay_s: float = START_DELAY_S) -> LoadReport:
+    """Run a plan to its end and return the report.
+
+    Parameters
+    ----------
+    plan : LoadPlan
+        What to send.
+    start_delay_s : float
+        Time for the client processes to start.
+    """
+    run_id = new_run_id()
+    starts_at_s = time.monotonic() + start_delay_s
+    tasks = [
+        WorkerTask(
+            plan=plan, worker_index=index, starts_at_s=starts_at_s, run_id=run_id
+        )
+        for index in range(plan.worker_count)
+    ]
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(plan.worker_count, mp_context=context) as pool:
+        records = list(pool.map(run_worker, tasks))
+    return merge_records(plan, records, run_id=run_id, started_at_s=starts_at_s)
+
+
+def main(argv: Sequence[str]) -> int:
+    """Run the plan of the flags and print its tables."""
+    if not _PLAN.value:
+        raise app.UsageError("--plan=FILE is required")
+    try:
+        plan = read_plan(Path(_PLAN.value))
+    except PlanError as error:
+        logger.error("event=bad_plan {}", error)
+        return EXIT_BAD_PLAN
+    report = run_load(plan)
+    if _REPORT.value:
+        report.write(Path(_REPORT.value))
+    print(report.table())
+    print()
+    print(report.outcome_table())
+    return EXIT_WRONG_ANSWERS if report.count(Outcome.WRONG) else 0
--- /dev/null
+++ b/tests/bench/test_measures.py
@@ -0,0 +1,87 @@
+import itertools
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from citrondock_bench.measures import (
+    AccountService,
+    SlotSample,
+    fairness_gap,
+    utilisation,
+)
+
+BUCKETS = st.integers(min_value=1, max_value=12)
+
+
+@st.composite
+def account_services(draw):
+    buckets = draw(BUCKETS)
+    return [
+        AccountService(
+            account=f"account-{index}",
+            weight=draw(st.sampled_from([0.5, 1.0, 3.0])),
+            service_tokens=draw(
+                st.lists(st.integers(0, 50), min_size=buckets, max_size=buckets)
+            ),
+            backlogged=draw(
+                st.lists(st.booleans(), min_size=buckets, max_size=buckets)
+            ),
+        )
+        for index in range(draw(st.integers(1, 4)))
+    ]
+
+
+def brute_force_gap(accounts):
+    widest = 0.0
+    for one, other in itertools.permutations(accounts, 2):
+        buckets = len(one.service_tokens)
+        for start, end in itertools.combinations(range(buckets + 1), 2):
+            if all(one.backlogged[start:end]) and all(other.backlogged[start:end]):
+                gap = (
+                    sum(one.service_tokens[start:end]) / one.weight
+                    - sum(other.service_tokens[start:end]) / other.weight
+                )
+                widest = max(widest, gap)
+    return widest
+
+
+class TestFairnessGap:
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(accounts=account_services())
+    def test_equals_brute_force(self, accounts):
+        gap = fairness_gap(accounts, largest_request_tokens=10.0)
+        expected = brute_force_gap(accounts)
+        assert abs(gap.gap_tokens - expected) < 1e-6
+        assert abs(gap.gap_requests - expected / 10.0) < 1e-6
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(accounts=account_services())
+    def test_names_the_interval_and_the_accounts(self, accounts):
+        gap = fairness_gap(accounts, largest_request_tokens=1.0)
+        if not gap.gap_tokens:
+            return
+        by_name = {one.account: one for one in accounts}
+        interval = slice(gap.from_bucket, gap.to_bucket)
+        ahead, behind = by_name[gap.ahead], by_name[gap.behind]
+        difference = (
+            sum(ahead.service_tokens[interval]) / ahead.weight
+            - sum(behind.service_tokens[interval]) / behind.weight
+        )
+        assert abs(difference - gap.gap_tokens) < 1e-6
+
+
+class TestUtilisation:
+    def test_counts_only_while_work_waited(self):
+        samples = [
+            SlotSample(at_s=10.02, slot_count=4, busy_count=4),
+            SlotSample(at_s=10.07, slot_count=4, busy_count=0),
+            SlotSample(at_s=10.12, slot_count=4, busy_count=2),
+        ]
+        share = utilisation(
+            samples, [True, False, True], started_at_s=10.0, bucket_s=0.05
+        )
+        assert share == 0.75
+
+    def test_nothing_waited(self):
+        sample = SlotSample(at_s=0.0, slot_count=4, busy_count=4)
+        assert utilisation([sample], [False], started_at_s=0, bucket_s=1) is None
