--- a/packages/citrondock-bench/src/citrondock_bench/http_call.py
+++ b/packages/citrondock-bench/src/citrondock_bench/http_call.py
@@ -116,10 +116,18 @@
             self.closed.set_exception(error)
 
 
-def _slow_reader_socket(host: str, port: int) -> socket.socket:
+async def _connect(host: str, port: int, *, slow_reader: bool) -> socket.socket:
     connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READER_BUFFER_BYTES)
-    connection.setblocking(False)
+    try:
+        connection.setblocking(False)
+        if slow_reader:
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READER_BUFFER_BYTES
+            )
+        await asyncio.get_running_loop().sock_connect(connection, (host, port))
+    except BaseException:
+        connection.close()
+        raise
     return connection
 
 
@@ -159,15 +167,11 @@
     httptools.HttpParserError
         The answer is not HTTP.
     """
-    loop = asyncio.get_running_loop()
-    connection = None
-    if request.read_bytes_per_s:
-        connection = _slow_reader_socket(host, port)
-        await loop.sock_connect(connection, (host, port))
-    transport, protocol = await loop.create_connection(
-        lambda: _ResponseProtocol(on_body, request.read_bytes_per_s),
-        *((None, None) if connection else (host, port)),
-        sock=connection,
+    connection = await _connect(
+        host, port, slow_reader=request.read_bytes_per_s is not None
+    )
+    transport, protocol = await asyncio.get_running_loop().create_connection(
+        lambda: _ResponseProtocol(on_body, request.read_bytes_per_s), sock=connection
     )
     try:
         await _send(transport, request.encode(host, port), request.send_bytes_per_s)
