--- a/packages/citrondock-bench/src/citrondock_bench/http_call.py
+++ b/packages/citrondock-bench/src/citrondock_bench/http_call.py
@@ -104,7 +104,14 @@
         self._finish(None)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """End the call."""
+        """End the call; without a length, a clean close is the end of the body."""
+        framing = {"content-length", "transfer-encoding"}
+        if (
+            exc is None
+            and self.response.status
+            and not framing & set(self.response.headers)
+        ):
+            self.response.complete = True
         self._finish(exc)
 
     def _finish(self, error: Exception | None) -> None:
--- /dev/null
+++ b/packages/citrondock-bench/src/citrondock_bench/node_usage.py
@@ -0,0 +1,171 @@
+"""What a router process used over an interval: control bytes, calls, CPU, memory."""
+
+import time
+from collections.abc import Sequence
+
+import attrs
+import psutil
+import urllib3
+
+from citrondock_bench.metrics import MetricSample, read_metrics, total
+
+PEER_BYTES = "citrondock_peer_bytes_total"
+STORE_CALLS = "citrondock_store_calls_total"
+BYTES_PER_MB = 1_000_000
+
+
+@attrs.frozen(kw_only=True)
+class Node:
+    """A router process.
+
+    Parameters
+    ----------
+    name : str
+        Its VM.
+    host, operators_port : str, int
+        Where its metrics are.
+    pid : int
+        Its process.
+    """
+
+    name: str
+    host: str
+    operators_port: int
+    pid: int
+
+
+@attrs.frozen(kw_only=True)
+class KindRate:
+    """Rate of one kind of message or call."""
+
+    kind: str
+    per_s: float
+
+
+@attrs.frozen(kw_only=True)
+class NodeUsage:
+    """What one router used over an interval.
+
+    Parameters
+    ----------
+    node : str
+        Its VM.
+    sent_bytes_per_s, received_bytes_per_s : float
+        Control bytes.
+    sent_by_kind, store_calls : list of KindRate
+        Bytes sent by message kind; calls to the object API by kind.
+    cpu_share : float
+        Share of one core.
+    peak_memory_mb : float
+        Resident memory at the end.
+    """
+
+    node: str
+    sent_bytes_per_s: float
+    received_bytes_per_s: float
+    sent_by_kind: list[KindRate]
+    store_calls: list[KindRate]
+    cpu_share: float
+    peak_memory_mb: float
+
+    @property
+    def control_bytes_per_s(self) -> float:
+        """Bytes sent and received."""
+        return self.sent_bytes_per_s + self.received_bytes_per_s
+
+
+@attrs.frozen(kw_only=True)
+class _Reading:
+    at_s: float
+    cpu_s: float
+    memory_mb: float
+    samples: Sequence[MetricSample]
+
+    def bytes_by(self, label: str) -> dict[str, float]:
+        return total(self.samples, PEER_BYTES, label)
+
+    def sent_by_kind(self) -> dict[str, float]:
+        sent = [one for one in self.samples if one.labels.get("direction") == "sent"]
+        return total(sent, PEER_BYTES, "kind")
+
+    def store_calls(self) -> dict[str, float]:
+        return total(self.samples, STORE_CALLS, "kind")
+
+
+def _rates(
+    before: dict[str, float], after: dict[str, float], elapsed_s: float
+) -> list[KindRate]:
+    return [
+        KindRate(kind=kind, per_s=(after[kind] - before.get(kind, 0.0)) / elapsed_s)
+        for kind in sorted(after)
+    ]
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process used so far."""
+    times = psutil.Process(pid).cpu_times()
+    return float(times.user + times.system)
+
+
+def memory_mb(pid: int) -> float:
+    """Return the resident memory of a process."""
+    return float(psutil.Process(pid).memory_info().rss) / BYTES_PER_MB
+
+
+class UsageMeter:
+    """Measures routers from `start` to `stop`; a router that died is left out."""
+
+    def __init__(self, nodes: Sequence[Node]) -> None:
+        self._nodes = {node.name: node for node in nodes}
+        self._before: dict[str, _Reading] = {}
+
+    def start(self) -> None:
+        """Begin the interval."""
+        self._before = self._read_all()
+
+    def stop(self) -> list[NodeUsage]:
+        """End the interval and return what each node used in it."""
+        after = self._read_all()
+        return [
+            _usage(name, self._before[name], reading)
+            for name, reading in after.items()
+            if name in self._before
+        ]
+
+    def _read_all(self) -> dict[str, _Reading]:
+        readings = {}
+        for node in self._nodes.values():
+            try:
+                readings[node.name] = _read(node)
+            except (psutil.Error, urllib3.exceptions.HTTPError):
+                continue
+        return readings
+
+
+def _read(node: Node) -> _Reading:
+    samples = read_metrics(node.host, node.operators_port)
+    return _Reading(
+        at_s=time.monotonic(),
+        cpu_s=cpu_seconds(node.pid),
+        memory_mb=memory_mb(node.pid),
+        samples=samples,
+    )
+
+
+def _usage(name: str, before: _Reading, after: _Reading) -> NodeUsage:
+    elapsed_s = after.at_s - before.at_s
+    by_direction = {
+        rate.kind: rate.per_s
+        for rate in _rates(
+            before.bytes_by("direction"), after.bytes_by("direction"), elapsed_s
+        )
+    }
+    return NodeUsage(
+        node=name,
+        sent_bytes_per_s=by_direction.get("sent", 0.0),
+        received_bytes_per_s=by_direction.get("received", 0.0),
+        sent_by_kind=_rates(before.sent_by_kind(), after.sent_by_kind(), elapsed_s),
+        store_calls=_rates(before.store_calls(), after.store_calls(), elapsed_s),
+        cpu_share=(after.cpu_s - before.cpu_s) / elapsed_s,
+        peak_memory_mb=after.memory_mb,
+    )
