--- a/packages/citrondock-bench/src/citrondock_bench/answer.py
+++ b/packages/citrondock-bench/src/citrondock_bench/answer.py
@@ -3,6 +3,7 @@
 import enum
 import json
 import time
+from collections.abc import Callable
 
 import attrs
 
@@ -60,6 +61,11 @@
 class ChatAnswer:
     """Follows a streamed chat answer, event by event.
 
+    Parameters
+    ----------
+    expected_text : callable
+        Returns the text that the whole answer must hold.
+
     Attributes
     ----------
     token_times_s : list of float
@@ -68,7 +74,7 @@
         Usage that the target reported.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, expected_text: Callable[[], str]) -> None:
         self.token_times_s: list[float] = []
         self.prompt_tokens = 0
         self.generated_tokens = 0
@@ -76,7 +82,7 @@
         self._body = bytearray()
         self._ids: set[str] = set()
         self._text: list[str] = []
-        self._expected_text: str | None = None
+        self._expected_text = expected_text
         self._has_usage = False
         self._ended = False
         self._fault = ""
@@ -109,7 +115,6 @@
             self._fault = f"error event: {message['error'].get('reason', 'unknown')}"
             return
         self._ids.add(str(message.get("id", "")))
-        self._expected_text = message.get("expected_text", self._expected_text)
         for choice in message.get("choices") or ():
             part = choice.get("delta") or choice.get("message") or {}
             if part.get("content"):
@@ -143,11 +148,10 @@
         return Judgement(outcome=Outcome.WHOLE)
 
     def _content_fault(self, request_id: str) -> str:
-        text = "".join(self._text)
         if self._ids - {request_id}:
             return f"ids {sorted(self._ids)} in the answer to {request_id}"
         if not self._has_usage:
             return "no usage"
-        if self._expected_text is not None and text != self._expected_text:
+        if "".join(self._text) != self._expected_text():
             return "text differs from what the engine sent"
         return ""
--- a/packages/citrondock-bench/src/citrondock_bench/request_body.py
+++ b/packages/citrondock-bench/src/citrondock_bench/request_body.py
@@ -2,6 +2,7 @@
 
 import json
 import uuid
+from typing import Any
 
 from citrondock_bench.http_call import HttpRequest
 from citrondock_bench.schedule import PlannedRequest
@@ -9,20 +10,26 @@
 
 CHAT_PATH = "/v1/chat/completions"
 _WORD = "mot "
+_LARGEST_ANSWER_FACTOR = 4
 
 
-def _chat_body(planned: PlannedRequest) -> bytes:
+def chat_document(planned: PlannedRequest) -> dict[str, Any]:
+    """Return the JSON document of a chat request.
+
+    Its limit on tokens is above what the engine stand-in is told to generate, as a
+    router knows the cost only at the end.
+    """
     prefix = f"{planned.prefix} " if planned.prefix else ""
     own = f"{planned.account.name}-{planned.number} "
     words = max(0, planned.prompt_tokens - 1 - bool(planned.prefix))
     content = prefix + own + _WORD * words
-    body = {
+    return {
         "model": planned.shape.model,
         "stream": planned.shape.stream,
-        "max_tokens": planned.generated_tokens,
+        "max_tokens": planned.generated_tokens * _LARGEST_ANSWER_FACTOR,
+        "standin_tokens": planned.generated_tokens,
         "messages": [{"role": "user", "content": content.strip()}],
     }
-    return json.dumps(body).encode()
 
 
 def _plain_body(planned: PlannedRequest) -> bytes:
@@ -59,7 +66,9 @@
         method="POST" if chat else shape.method,
         path=CHAT_PATH if chat else shape.path,
         headers=headers,
-        body=_chat_body(planned) if chat else _plain_body(planned),
+        body=json.dumps(chat_document(planned)).encode()
+        if chat
+        else _plain_body(planned),
         send_bytes_per_s=shape.send_bytes_per_s,
         read_bytes_per_s=shape.read_bytes_per_s,
     )
--- a/packages/citrondock-bench/src/citrondock_bench/worker.py
+++ b/packages/citrondock-bench/src/citrondock_bench/worker.py
@@ -18,9 +18,10 @@
 from citrondock_bench.http_call import HttpResponse, call
 from citrondock_bench.plan import AccountLoad, LoadPlan
 from citrondock_bench.recorder import AccountRecord, AccountRecorder
-from citrondock_bench.request_body import build_request
+from citrondock_bench.request_body import build_request, chat_document
 from citrondock_bench.schedule import AccountRequests, PlannedRequest
 from citrondock_core.configuration import ServiceKind
+from citrondock_standins.engine_text import expected_text
 
 SHORTEST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 1.0
@@ -58,7 +59,7 @@
         self._task = task
         self._planned = planned
         self._recorder = recorder
-        self._answer = ChatAnswer()
+        self._answer = ChatAnswer(lambda: expected_text(chat_document(planned)))
         self._body = bytearray()
         self._streamed = planned.shape.kind is ServiceKind.CHAT and planned.shape.stream
         self._waits = True
@@ -138,10 +139,9 @@
         answer = self._answer
         if judgement.outcome is not Outcome.WHOLE or not answer.generated_tokens:
             return
-        seen = len(answer.token_times_s) if self._streamed else 0
-        missing = answer.generated_tokens - seen
-        if not self._streamed:
-            missing += answer.prompt_tokens
+        missing = answer.generated_tokens + answer.prompt_tokens
+        if self._streamed:
+            missing -= len(answer.token_times_s) + self._planned.prompt_tokens
         self._recorder.received(missing, at_s=self._since_start_s(ended_s))
 
 
--- a/tests/bench/test_answer.py
+++ b/tests/bench/test_answer.py
@@ -4,14 +4,12 @@
 from citrondock_bench.http_call import HttpResponse
 
 
-def event(content=None, *, request_id="r1", usage=None, expected_text=None):
+def event(content=None, *, request_id="r1", usage=None):
     message = {"id": request_id, "choices": []}
     if content is not None:
         message["choices"] = [{"delta": {"content": content}}]
     if usage:
         message["usage"] = usage
-    if expected_text is not None:
-        message["expected_text"] = expected_text
     return f"data: {json.dumps(message)}\n\n".encode()
 
 
@@ -20,7 +18,7 @@
 
 
 def judged(data, *, complete=True, piece_bytes=7):
-    answer = ChatAnswer()
+    answer = ChatAnswer(lambda: "a b")
     for start in range(0, len(data), piece_bytes):
         answer.feed(data[start : start + piece_bytes])
     head = HttpResponse(status=200, headers={"x-request-id": "r1"}, complete=complete)
@@ -29,26 +27,26 @@
 
 class TestChatAnswer:
     def test_whole(self):
-        data = event("a ") + event("b") + event(usage=USAGE, expected_text="a b")
+        data = event("a ") + event("b") + event(usage=USAGE)
         assert judged(data + END).outcome is Outcome.WHOLE
 
     def test_no_end_marker_is_cut(self):
         assert judged(event("a") + event(usage=USAGE)).outcome is Outcome.CUT
 
     def test_broken_framing_is_cut(self):
-        data = event("a") + event(usage=USAGE) + END
+        data = event("a b") + event(usage=USAGE) + END
         assert judged(data, complete=False).outcome is Outcome.CUT
 
     def test_other_id_is_wrong(self):
-        data = event("a", request_id="r2") + event(usage=USAGE) + END
+        data = event("a b", request_id="r2") + event(usage=USAGE) + END
         assert judged(data).outcome is Outcome.WRONG
 
     def test_other_text_is_wrong(self):
-        data = event("a") + event(usage=USAGE, expected_text="b") + END
+        data = event("a ") + event(usage=USAGE) + END
         assert judged(data).outcome is Outcome.WRONG
 
     def test_data_after_the_end_is_wrong(self):
-        data = event("a") + event(usage=USAGE) + END + event("late")
+        data = event("a b") + event(usage=USAGE) + END + event("late")
         assert judged(data).outcome is Outcome.WRONG
 
     def test_error_event_is_told(self):
