--- a/packages/citrondock-bench/src/citrondock_bench/measures.py
+++ b/packages/citrondock-bench/src/citrondock_bench/measures.py
@@ -122,37 +122,41 @@
 
 
 @attrs.frozen(kw_only=True)
-class SlotSample:
-    """Slots of all targets of a pool at one moment.
+class BusySlot:
+    """A slot of a target held by one request, on the monotonic clock."""
 
-    Parameters
-    ----------
-    at_s : float
-        Monotonic time.
-    slot_count, busy_count : int
-        Slots, and those with a request.
-    """
+    started_s: float
+    ended_s: float
 
-    at_s: float
-    slot_count: int
-    busy_count: int
+
+def _waiting_ranges_s(
+    work_waited: Sequence[bool], started_at_s: float, bucket_s: float
+) -> list[tuple[float, float]]:
+    runs = _common_runs(np.asarray(work_waited, bool))
+    return [
+        (started_at_s + start * bucket_s, started_at_s + end * bucket_s)
+        for start, end in runs
+    ]
 
 
 def utilisation(
-    samples: Sequence[SlotSample],
+    busy: Sequence[BusySlot],
     work_waited: Sequence[bool],
     *,
+    slot_count: int,
     started_at_s: float,
     bucket_s: float,
 ) -> float | None:
-    """Return busy slots over slots in the buckets of time in which work waited.
+    """Return busy slot time over slot time in the buckets in which work waited.
 
     Parameters
     ----------
-    samples : sequence of SlotSample
-        In the order of time.
+    busy : sequence of BusySlot
+        From the journals of the targets.
     work_waited : sequence of bool
         Whether any request waited throughout each bucket.
+    slot_count : int
+        Slots of all targets.
     started_at_s : float
         Monotonic time of the first bucket's start.
     bucket_s : float
@@ -161,12 +165,15 @@
     Returns
     -------
     float or None
-        None when no sample lies in a bucket in which work waited.
+        None when no work waited.
     """
-    busy_count = slot_count = 0
-    for sample in samples:
-        bucket = int((sample.at_s - started_at_s) // bucket_s)
-        if 0 <= bucket < len(work_waited) and work_waited[bucket]:
-            busy_count += sample.busy_count
-            slot_count += sample.slot_count
-    return busy_count / slot_count if slot_count else None
+    ranges = _waiting_ranges_s(work_waited, started_at_s, bucket_s)
+    waited_s = sum(end - start for start, end in ranges)
+    if not waited_s:
+        return None
+    busy_s = sum(
+        max(0.0, min(slot.ended_s, end) - max(slot.started_s, start))
+        for slot in busy
+        for start, end in ranges
+    )
+    return busy_s / (slot_count * waited_s)
--- a/tests/bench/test_measures.py
+++ b/tests/bench/test_measures.py
@@ -5,7 +5,7 @@
 
 from citrondock_bench.measures import (
     AccountService,
-    SlotSample,
+    BusySlot,
     fairness_gap,
     utilisation,
 )
@@ -72,16 +72,17 @@
 
 class TestUtilisation:
     def test_counts_only_while_work_waited(self):
-        samples = [
-            SlotSample(at_s=10.02, slot_count=4, busy_count=4),
-            SlotSample(at_s=10.07, slot_count=4, busy_count=0),
-            SlotSample(at_s=10.12, slot_count=4, busy_count=2),
+        busy = [
+            BusySlot(started_s=9.0, ended_s=11.5),
+            BusySlot(started_s=12.0, ended_s=99.0),
         ]
         share = utilisation(
-            samples, [True, False, True], started_at_s=10.0, bucket_s=0.05
+            busy, [True, False, True], slot_count=2, started_at_s=10.0, bucket_s=1.0
         )
-        assert share == 0.75
+        assert share == 0.5
 
     def test_nothing_waited(self):
-        sample = SlotSample(at_s=0.0, slot_count=4, busy_count=4)
-        assert utilisation([sample], [False], started_at_s=0, bucket_s=1) is None
+        busy = [BusySlot(started_s=0.0, ended_s=1.0)]
+        assert (
+            utilisation(busy, [False], slot_count=1, started_at_s=0, bucket_s=1) is None
+        )
