--- /dev/null
+++ b/packages/citrondock-bench/src/citrondock_bench/deployment.py
@@ -0,0 +1,153 @@
+"""A deployment under test: its configuration text with the stand-ins' addresses."""
+
+import json
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import attrs
+import cattrs
+
+from citrondock_core.account_keys import format_key_hash, hash_key
+from citrondock_core.configuration import (
+    ClientAccount,
+    Configuration,
+    KeyHash,
+    PoolKind,
+    Service,
+    ServiceKind,
+    Target,
+)
+from citrondock_core.configuration_text import parse_configuration
+
+EXAMPLES = Path("examples")
+ARCHIVES = "plume-nordique"
+NAIROBI = "nairobi-casting"
+LARGE_WEIGHT = 4.0
+_DEMO_KEY = "demo-key"
+
+
+def account_key(account: str) -> str:
+    """Return the key that the examples give an account."""
+    return f"{account}.{_DEMO_KEY}"
+
+
+@attrs.frozen(kw_only=True)
+class Address:
+    """Where a stand-in of a target listens, and what it takes at once."""
+
+    host: str
+    port: int
+    slot_count: int
+
+
+@attrs.frozen(kw_only=True)
+class Deployment:
+    """A configuration with what the tools need to know of it.
+
+    Parameters
+    ----------
+    name : str
+        Name of the example.
+    configuration : Configuration
+        Checked configuration.
+    """
+
+    name: str
+    configuration: Configuration
+
+    @classmethod
+    def read(cls, name: str, *, directory: Path = EXAMPLES) -> "Deployment":
+        """Read a shipped example."""
+        path = directory / f"{name}.jsonc"
+        text = path.read_bytes()
+        return cls(name=name, configuration=parse_configuration(text, str(path)))
+
+    def targets(self, kind: PoolKind) -> list[Target]:
+        """Return the targets of all pools of a kind."""
+        return [
+            target
+            for pool in self.configuration.pools.values()
+            if pool.kind is kind
+            for target in pool.targets
+        ]
+
+    @property
+    def zones(self) -> list[str]:
+        """Availability zones in which targets stand."""
+        return sorted(
+            {target.availability_zone for target in self.targets(PoolKind.ENGINE)}
+        )
+
+    def services(self, kind: ServiceKind) -> list[Service]:
+        """Return the services of a kind, by name."""
+        services = self.configuration.services
+        return [services[key] for key in sorted(services) if services[key].kind is kind]
+
+    @property
+    def large_accounts(self) -> list[str]:
+        """Accounts with a large weight."""
+        accounts = self.configuration.accounts.values()
+        return [each.name for each in accounts if each.weight >= LARGE_WEIGHT]
+
+    def at(self, addresses: Mapping[str, Address]) -> "Deployment":
+        """Return the deployment with its targets at these addresses."""
+        pools = {
+            name: attrs.evolve(
+                pool,
+                targets=tuple(
+                    _moved(each, addresses[each.name]) for each in pool.targets
+                ),
+            )
+            for name, pool in self.configuration.pools.items()
+        }
+        return attrs.evolve(
+            self, configuration=attrs.evolve(self.configuration, pools=pools)
+        )
+
+    def with_accounts(self, count: int) -> "Deployment":
+        """Return the deployment with this many accounts of weight 1 in place."""
+        names = [f"account-{number:04d}" for number in range(count)]
+        salt = bytes(16)
+        accounts = {
+            name: ClientAccount(
+                name=name, key_hashes=(hash_key(account_key(name), salt=salt),)
+            )
+            for name in names
+        }
+        return attrs.evolve(
+            self, configuration=attrs.evolve(self.configuration, accounts=accounts)
+        )
+
+    def text(self) -> str:
+        """Return the configuration text."""
+        converter = cattrs.Converter()
+        converter.register_unstructure_hook(KeyHash, format_key_hash)
+        configuration = self.configuration
+        parts = {
+            "accounts": _by_name(converter, configuration.accounts),
+            "pools": _by_name(converter, configuration.pools),
+            "services": _by_name(converter, configuration.services),
+        }
+        for pool in parts["pools"].values():
+            pool["targets"] = {each.pop("name"): each for each in pool["targets"]}
+        return json.dumps(parts, indent=1)
+
+
+def _moved(target: Target, address: Address) -> Target:
+    return attrs.evolve(
+        target,
+        host=address.host,
+        port=address.port,
+        max_in_flight=address.slot_count,
+    )
+
+
+def _by_name(
+    converter: cattrs.Converter, parts: Mapping[str, Any]
+) -> dict[str, dict[str, Any]]:
+    documents = {}
+    for name, part in parts.items():
+        documents[name] = converter.unstructure(part)
+        del documents[name]["name"]
+    return documents
