--- a/packages/citrondock-bench/src/citrondock_bench/answer.py
+++ b/packages/citrondock-bench/src/citrondock_bench/answer.py
@@ -87,6 +87,11 @@
         self._ended = False
         self._fault = ""
 
+    @property
+    def request_id(self) -> str:
+        """Id that the answer carries, or empty."""
+        return min(self._ids, default="")
+
     def feed(self, data: bytes) -> int:
         """Take body bytes and return how many pieces of text they completed."""
         before_count = len(self.token_times_s)
--- a/packages/citrondock-bench/src/citrondock_bench/plan.py
+++ b/packages/citrondock-bench/src/citrondock_bench/plan.py
@@ -157,6 +157,8 @@
         Longest time for one call.
     worker_count : int
         Client processes.
+    keeps_calls : bool
+        Whether the report holds each call by itself.
     """
 
     endpoints: Sequence[Endpoint]
@@ -167,6 +169,7 @@
     drain_s: float = attrs.field(default=DEFAULT_DRAIN_S, validator=ge(0))
     call_timeout_s: float = attrs.field(default=DEFAULT_CALL_TIMEOUT_S, validator=gt(0))
     worker_count: int = attrs.field(default=2, validator=ge(1))
+    keeps_calls: bool = False
 
     def shape(self, name: str) -> RequestShape:
         """Return the shape of that name."""
--- a/packages/citrondock-bench/src/citrondock_bench/recorder.py
+++ b/packages/citrondock-bench/src/citrondock_bench/recorder.py
@@ -45,6 +45,77 @@
     count: int
 
 
+@attrs.frozen(kw_only=True)
+class CallSample:
+    """One whole streamed answer.
+
+    Parameters
+    ----------
+    endpoint, request_id : str
+        Where it was sent, and the id that its answer carried.
+    sent_s, first_token_s : float
+        Monotonic times.
+    longest_pause_s : float
+        Longest time between two of its tokens.
+    """
+
+    endpoint: str
+    request_id: str
+    sent_s: float
+    first_token_s: float
+    longest_pause_s: float
+
+
+@attrs.frozen(kw_only=True)
+class CallEnd:
+    """How a call ended.
+
+    Parameters
+    ----------
+    judgement : Judgement
+        Outcome.
+    sent_s, ended_s : float
+        Monotonic times.
+    token_times_s : list of float
+        Monotonic times of its tokens.
+    prompt_tokens, generated_tokens : int
+        Usage that the target reported.
+    endpoint, request_id : str
+        Where it was sent, and the id that its answer carried.
+    """
+
+    judgement: Judgement
+    sent_s: float
+    ended_s: float
+    token_times_s: list[float]
+    prompt_tokens: int
+    generated_tokens: int
+    endpoint: str = ""
+    request_id: str = ""
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the answer was whole."""
+        return self.judgement.outcome is Outcome.WHOLE
+
+    @property
+    def pauses_s(self) -> list[float]:
+        """Times between tokens."""
+        return [
+            later - former for former, later in itertools.pairwise(self.token_times_s)
+        ]
+
+    def sample(self) -> CallSample:
+        """Return what is kept of a whole streamed answer."""
+        return CallSample(
+            endpoint=self.endpoint,
+            request_id=self.request_id,
+            sent_s=self.sent_s,
+            first_token_s=self.token_times_s[0],
+            longest_pause_s=max(self.pauses_s, default=0.0),
+        )
+
+
 @attrs.frozen(kw_only=True)
 class AccountRecord:
     """What one worker saw of one account.
@@ -65,6 +136,8 @@
         Tokens received in each bucket of `BUCKET_S`.
     least_waiting : list of int
         Fewest requests that waited for their first token in each bucket.
+    calls : list of CallSample
+        Whole streamed answers, where the plan keeps them.
     """
 
     account: str
@@ -78,6 +151,7 @@
     whole: str
     service_tokens: list[float]
     least_waiting: list[int]
+    calls: list[CallSample]
 
 
 class AccountRecorder:
@@ -89,9 +163,13 @@
         Name.
     duration_s : float
         Part of the run that the series cover.
+    keeps_calls : bool
+        Whether each whole streamed answer is kept.
     """
 
-    def __init__(self, account: str, *, duration_s: float) -> None:
+    def __init__(
+        self, account: str, *, duration_s: float, keeps_calls: bool = False
+    ) -> None:
         buckets = math.ceil(duration_s / BUCKET_S)
         self._account = account
         self._service_tokens = [0.0] * buckets
@@ -107,6 +185,8 @@
         self._first_token = new_histogram()
         self._between_tokens = new_histogram()
         self._whole = new_histogram()
+        self._keeps_calls = keeps_calls
+        self._calls: list[CallSample] = []
 
     def sent(self, *, at_s: float) -> None:
         """Note a request that waits from now on; times count from the start."""
@@ -126,32 +206,27 @@
         if 0 <= bucket < len(self._service_tokens):
             self._service_tokens[bucket] += tokens
 
-    def ended(
-        self,
-        judgement: Judgement,
-        *,
-        sent_s: float,
-        ended_s: float,
-        token_times_s: list[float],
-        prompt_tokens: int,
-        generated_tokens: int,
-    ) -> None:
+    def ended(self, end: CallEnd) -> None:
         """Note the end of a call."""
+        self._count(end.judgement)
+        if end.token_times_s:
+            _record(self._first_token, end.token_times_s[0] - end.sent_s)
+        for pause_s in end.pauses_s:
+            _record(self._between_tokens, pause_s)
+        if end.is_whole:
+            _record(self._whole, end.ended_s - end.sent_s)
+        if end.is_whole and end.token_times_s and self._keeps_calls:
+            self._calls.append(end.sample())
+        self._prompt_tokens += end.prompt_tokens
+        self._generated_tokens += end.generated_tokens
+        cost_tokens = end.prompt_tokens + end.generated_tokens
+        self._largest_tokens = max(self._largest_tokens, cost_tokens)
+
+    def _count(self, judgement: Judgement) -> None:
         refusal = judgement.refusal
         reason = refusal.reason if refusal else judgement.fault
         key = (judgement.outcome, reason, refusal.ran if refusal else "")
         self._outcomes[key] = self._outcomes.get(key, 0) + 1
-        if token_times_s:
-            _record(self._first_token, token_times_s[0] - sent_s)
-        for former_s, next_s in itertools.pairwise(token_times_s):
-            _record(self._between_tokens, next_s - former_s)
-        if judgement.outcome is Outcome.WHOLE:
-            _record(self._whole, ended_s - sent_s)
-        self._prompt_tokens += prompt_tokens
-        self._generated_tokens += generated_tokens
-        self._largest_tokens = max(
-            self._largest_tokens, prompt_tokens + generated_tokens
-        )
 
     def _advance(self, at_s: float) -> None:
         bucket = min(int(at_s / BUCKET_S), len(self._least_waiting))
@@ -180,4 +255,5 @@
             whole=self._whole.encode().decode(),
             service_tokens=self._service_tokens,
             least_waiting=self._least_waiting,
+            calls=self._calls,
         )
--- a/packages/citrondock-bench/src/citrondock_bench/report.py
+++ b/packages/citrondock-bench/src/citrondock_bench/report.py
@@ -13,6 +13,7 @@
 from citrondock_bench.recorder import (
     BUCKET_S,
     AccountRecord,
+    CallSample,
     OutcomeCount,
     new_histogram,
 )
@@ -82,6 +83,7 @@
     between_tokens: Latency
     whole: Latency
     series: ServiceSeries
+    calls: list[CallSample]
 
     def count(self, outcome: Outcome) -> int:
         """Return how many calls ended like that."""
@@ -208,6 +210,7 @@
                 for parts in zip(*(one.least_waiting for one in records), strict=True)
             ],
         ),
+        calls=[call for one in records for call in one.calls],
     )
 
 
--- a/packages/citrondock-bench/src/citrondock_bench/worker.py
+++ b/packages/citrondock-bench/src/citrondock_bench/worker.py
@@ -17,7 +17,7 @@
 )
 from citrondock_bench.http_call import HttpResponse, call
 from citrondock_bench.plan import AccountLoad, LoadPlan
-from citrondock_bench.recorder import AccountRecord, AccountRecorder
+from citrondock_bench.recorder import AccountRecord, AccountRecorder, CallEnd
 from citrondock_bench.request_body import build_request, chat_document
 from citrondock_bench.schedule import AccountRequests, PlannedRequest
 from citrondock_core.configuration import ServiceKind
@@ -73,12 +73,16 @@
         self._stop_waiting(ended_s)
         self._settle(judgement, ended_s)
         self._recorder.ended(
-            judgement,
-            sent_s=sent_s,
-            ended_s=ended_s,
-            token_times_s=self._answer.token_times_s,
-            prompt_tokens=self._answer.prompt_tokens,
-            generated_tokens=self._answer.generated_tokens,
+            CallEnd(
+                judgement=judgement,
+                sent_s=sent_s,
+                ended_s=ended_s,
+                token_times_s=self._answer.token_times_s,
+                prompt_tokens=self._answer.prompt_tokens,
+                generated_tokens=self._answer.generated_tokens,
+                endpoint=self._planned.endpoint.name,
+                request_id=self._answer.request_id,
+            )
         )
         return judgement
 
