Experiment: scenarios under four schemes on a fleet of real processes

Cause: gap, utilisation and control traffic are compared with the baselines on the same load and seeds. Change: a fleet with the example's configuration, seven scenarios with router restart and zone cut on a timeline, figures per run, tables of median and range.

--- /dev/null
+++ b/packages/citrondock-bench/src/citrondock_bench/bench_fleet.py
@@ -0,0 +1,219 @@
+"""A fleet of real routers with stand-ins, as the measuring tools need it."""
+
+import time
+import uuid
+from collections.abc import Sequence
+from types import TracebackType
+from typing import Self
+
+import attrs
+
+from citrondock_bench.deployment import Deployment
+from citrondock_bench.measures import BusySlot
+from citrondock_bench.node_usage import Node
+from citrondock_bench.plan import DEFAULT_PROMPT_TOKEN_WEIGHT, Endpoint
+from citrondock_core.configuration import Target
+from citrondock_core.configuration_repository import (
+    ConfigurationRepository,
+    EditRequest,
+)
+from citrondock_core.object_store import ObjectStore
+from citrondock_standins.fleet import HOST, EnginePlan, Fleet, FleetPlan, FleetTarget
+
+READY_TIMEOUT_S = 60.0
+DEFAULT_BATCH_COUNT = 8
+
+
+@attrs.frozen(kw_only=True)
+class FleetOptions:
+    """What a fleet consists of.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Accounts and services.
+    router_count, engine_count, application_count : int
+        Routers and targets, spread over the zones in turn.
+    engine_speeds : tuple of float
+        Speed factors of the engines, repeated in turn.
+    batch_count : int
+        Requests that an engine runs at once.
+    stated_slot_count : int or None
+        What the configuration says an engine takes; None is the truth.
+    step_ms : float
+        Time of an engine's token.
+    dispatch_policy : str
+        Policy of the routers.
+    dispatch_settings : dict of str
+        Further settings of the dispatcher.
+    is_proxied : bool
+        Whether faults can be caused on the network.
+    """
+
+    deployment: Deployment
+    router_count: int = 7
+    engine_count: int = 9
+    application_count: int = 3
+    engine_speeds: tuple[float, ...] = (1.0,)
+    batch_count: int = DEFAULT_BATCH_COUNT
+    stated_slot_count: int | None = None
+    step_ms: float = 10.0
+    dispatch_policy: str = "fair"
+    dispatch_settings: dict[str, float] = attrs.field(factory=dict)
+    is_proxied: bool = False
+
+    def plan(self) -> FleetPlan:
+        """Return the plan for the launcher."""
+        zones = self.deployment.zones
+        speeds = self.engine_speeds
+        return FleetPlan(
+            router_zones=tuple(_spread(zones, self.router_count)),
+            engines=tuple(
+                EnginePlan(availability_zone=zone, speed=speeds[index % len(speeds)])
+                for index, zone in enumerate(_spread(zones, self.engine_count))
+            ),
+            application_zones=tuple(_spread(zones, self.application_count)),
+            is_proxied=self.is_proxied,
+            dispatch_policy=self.dispatch_policy,
+            settings={
+                "log": {"level": "WARNING"},
+                "dispatch": {"prompt_token_weight": DEFAULT_PROMPT_TOKEN_WEIGHT}
+                | self.dispatch_settings,
+            },
+            engine_flags={
+                "max_batch": self.batch_count,
+                "step_ms": self.step_ms,
+                "step_per_sequence_ms": 0.0,
+            },
+        )
+
+
+def _spread(zones: Sequence[str], count: int) -> list[str]:
+    return [zones[index % len(zones)] for index in range(count)]
+
+
+class BenchFleet:
+    """A running fleet with its configuration accepted; a context manager.
+
+    Parameters
+    ----------
+    options : FleetOptions
+        What to start.
+
+    Attributes
+    ----------
+    fleet : Fleet
+        Its processes.
+    options : FleetOptions
+        What it was started with.
+    """
+
+    def __init__(self, options: FleetOptions) -> None:
+        self.options = options
+        self.fleet = Fleet(options.plan(), publish=self._publish)
+        self._revision = 0
+
+    def __enter__(self) -> Self:
+        self.fleet.__enter__()
+        try:
+            self.fleet.wait_ready(timeout_s=READY_TIMEOUT_S)
+        except BaseException:
+            self.fleet.stop()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.fleet.stop()
+
+    @property
+    def routers(self) -> list[Endpoint]:
+        """Where callers connect."""
+        return [
+            Endpoint(
+                name=name,
+                host=HOST,
+                port=router.process.callers_port,
+                availability_zone=router.availability_zone,
+            )
+            for name, router in self.fleet.routers.items()
+        ]
+
+    @property
+    def engines(self) -> list[Endpoint]:
+        """Where the engines are reached directly."""
+        return [
+            Endpoint(name=each.target.name, host=HOST, port=each.target.port)
+            for each in self.fleet.engines
+        ]
+
+    @property
+    def nodes(self) -> list[Node]:
+        """Router processes as they run now."""
+        return [
+            Node(
+                name=name,
+                host=HOST,
+                operators_port=router.process.operators_port,
+                pid=router.process.pid,
+            )
+            for name, router in self.fleet.routers.items()
+        ]
+
+    @property
+    def slot_count(self) -> int:
+        """Requests that all engines run at once."""
+        return self.options.batch_count * len(self.fleet.engines)
+
+    def busy_slots(self) -> list[BusySlot]:
+        """Return when the engines' slots were busy, from their journals."""
+        now_s = time.monotonic()
+        return [
+            BusySlot(started_s=run["started_s"], ended_s=run["ended_s"] or now_s)
+            for engine in self.fleet.engines
+            for run in engine.process.read("/control/runs", index=engine.index)["runs"]
+            if run["started_s"] is not None
+        ]
+
+    def change_weight(self, account: str, weight: float) -> None:
+        """Have an edit accepted that changes one account's weight."""
+        configuration = self.options.deployment.configuration
+        changed = attrs.evolve(configuration.accounts[account], weight=weight)
+        deployment = attrs.evolve(
+            self.options.deployment,
+            configuration=attrs.evolve(
+                configuration, accounts={**configuration.accounts, account: changed}
+            ),
+        )
+        self._commit(self.fleet.store, deployment)
+
+    def _publish(self, store: ObjectStore, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self._commit(store, self.options.deployment)
+
+    def _commit(self, store: ObjectStore, deployment: Deployment) -> None:
+        stated = self.options.stated_slot_count or self.options.batch_count
+        text = deployment.on(
+            [_stated(each, stated) for each in self.fleet.engines],
+            [each.target for each in self.fleet.applications],
+        ).text()
+        commit = ConfigurationRepository(store, pause=time.sleep).commit(
+            EditRequest(
+                edit_id=uuid.uuid4().hex,
+                author="bench",
+                reason="measurement",
+                base_revision=self._revision,
+                text=text.encode(),
+                file=f"{deployment.name}.json",
+                now_epoch_s=time.time(),
+            )
+        )
+        self._revision = commit.configuration.revision
+
+
+def _stated(engine: FleetTarget, slot_count: int) -> Target:
+    return attrs.evolve(engine.target, max_in_flight=slot_count)
--- a/packages/citrondock-bench/src/citrondock_bench/capacity_lines.py
+++ b/packages/citrondock-bench/src/citrondock_bench/capacity_lines.py
@@ -91,8 +91,8 @@
 
 def _term_formula(term: Term, slope: Slope) -> str:
     if term.reference is None:
-        return f"{slope.intercept:.4g} + {slope.per_size:.4g} × {term.size:.4g}"
-    return f"{slope.per_size:.4g} × ({term.size:.4g} - {term.reference:.4g})"
+        return f"{slope.intercept:.4g} + {slope.per_size:.4g} * {term.size:.4g}"
+    return f"{slope.per_size:.4g} * ({term.size:.4g} - {term.reference:.4g})"
 
 
 def work_out(definition: LineDefinition, document: CapacityDocument) -> CapacityLine:
@@ -114,7 +114,7 @@
     total = sum(_term_value(term, slope) for term, slope in pairs)
     formula = " + ".join(_term_formula(term, slope) for term, slope in pairs)
     if definition.factor != 1.0:
-        formula = f"{definition.factor:.4g} × ({formula})"
+        formula = f"{definition.factor:.4g} * ({formula})"
     return CapacityLine(
         definition=definition, value=definition.factor * total, formula=formula
     )
--- a/packages/citrondock-bench/src/citrondock_bench/deployment.py
+++ b/packages/citrondock-bench/src/citrondock_bench/deployment.py
@@ -1,7 +1,7 @@
-"""A deployment under test: its configuration text with the stand-ins' addresses."""
+"""A deployment under test: a shipped configuration with stand-ins as its targets."""
 
 import json
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -32,15 +32,6 @@
     return f"{account}.{_DEMO_KEY}"
 
 
-@attrs.frozen(kw_only=True)
-class Address:
-    """Where a stand-in of a target listens, and what it takes at once."""
-
-    host: str
-    port: int
-    slot_count: int
-
-
 @attrs.frozen(kw_only=True)
 class Deployment:
     """A configuration with what the tools need to know of it.
@@ -90,13 +81,15 @@
         accounts = self.configuration.accounts.values()
         return [each.name for each in accounts if each.weight >= LARGE_WEIGHT]
 
-    def at(self, addresses: Mapping[str, Address]) -> "Deployment":
-        """Return the deployment with its targets at these addresses."""
+    def on(
+        self, engines: Sequence[Target], applications: Sequence[Target]
+    ) -> "Deployment":
+        """Return the deployment with these targets in its pools."""
         pools = {
             name: attrs.evolve(
                 pool,
                 targets=tuple(
-                    _moved(each, addresses[each.name]) for each in pool.targets
+                    engines if pool.kind is PoolKind.ENGINE else applications
                 ),
             )
             for name, pool in self.configuration.pools.items()
@@ -134,15 +127,6 @@
         return json.dumps(parts, indent=1)
 
 
-def _moved(target: Target, address: Address) -> Target:
-    return attrs.evolve(
-        target,
-        host=address.host,
-        port=address.port,
-        max_in_flight=address.slot_count,
-    )
-
-
 def _by_name(
     converter: cattrs.Converter, parts: Mapping[str, Any]
 ) -> dict[str, dict[str, Any]]:
--- /dev/null
+++ b/packages/citrondock-bench/src/citrondock_bench/experiment.py
@@ -0,0 +1,133 @@
+"""Scenarios under each scheme with real processes: ``make experiment``."""
+
+import json
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+
+import attrs
+import cattrs
+from absl import app, flags
+
+from citrondock_bench.bench_fleet import BenchFleet
+from citrondock_bench.experiment_run import RunFigures, ScenarioRun, fleet_options
+from citrondock_bench.scenario import SCENARIOS, Scenario, scenario_named
+from citrondock_bench.spread import Spread
+from citrondock_bench.table import format_table
+
+SCHEMES = ("fair", "fifo", "local_fair", "round_robin")
+ALL = "all"
+PERCENT = 100
+
+_SCENARIO = flags.DEFINE_enum(
+    "scenario", ALL, [ALL, *(one.name for one in SCENARIOS)], "Scenario to run."
+)
+_SCHEMES = flags.DEFINE_list("schemes", list(SCHEMES), "Schemes to compare.")
+_RUNS = flags.DEFINE_integer("runs", 3, "Runs of each scheme.", lower_bound=1)
+_SECONDS = flags.DEFINE_float("seconds", 6.0, "Seconds of load in a run.")
+_SEED = flags.DEFINE_integer("seed", 1, "Seed of the first run; others follow it.")
+_REPORT = flags.DEFINE_string(
+    "report", "out/experiment.json", "File for the JSON report; empty is none."
+)
+
+
+@attrs.frozen(kw_only=True)
+class SchemeFigures:
+    """All runs of one scheme in one scenario."""
+
+    scenario: str
+    scheme: str
+    runs: list[RunFigures]
+
+
+def run_scheme(
+    scenario: Scenario,
+    scheme: str,
+    *,
+    run_count: int,
+    duration_s: float,
+    first_seed: int,
+) -> SchemeFigures:
+    """Start a fleet and run a scenario on it several times."""
+    with BenchFleet(fleet_options(scenario, scheme)) as fleet:
+        runs = [
+            ScenarioRun(
+                scenario, fleet, seed=first_seed + number, duration_s=duration_s
+            ).run()
+            for number in range(run_count)
+        ]
+    return SchemeFigures(scenario=scenario.name, scheme=scheme, runs=runs)
+
+
+def _spread_text(
+    runs: Sequence[RunFigures], figure: Callable[[RunFigures], float], digits: int = 1
+) -> str:
+    return Spread.of([figure(run) for run in runs]).text(digits)
+
+
+def _row(figures: SchemeFigures) -> tuple[str, ...]:
+    runs = figures.runs
+    return (
+        figures.scheme,
+        _spread_text(runs, lambda run: run.gap.gap_requests, 2),
+        _spread_text(runs, lambda run: run.gap.gap_tokens, 0),
+        _spread_text(runs, lambda run: PERCENT * (run.utilisation or 0.0)),
+        _spread_text(runs, lambda run: run.mean_control_bytes_per_s, 0),
+        _spread_text(runs, lambda run: max(run.control_bytes_per_s, default=0.0), 0),
+        _spread_text(runs, lambda run: run.first_token_p95_ms, 0),
+        str(sum(run.whole_count for run in runs)),
+        str(sum(run.wrong_count for run in runs)),
+        str(sum(run.cut_count for run in runs)),
+        str(sum(run.failed_count for run in runs)),
+    )
+
+
+HEADER = (
+    "scheme",
+    "gap (largest request)",
+    "gap (tokens/weight)",
+    "utilisation %",
+    "control B/node/s",
+    "busiest node B/s",
+    "first token p95 ms",
+    "whole",
+    "wrong",
+    "cut",
+    "failed",
+)
+
+
+def scenario_table(figures: Sequence[SchemeFigures]) -> str:
+    """Return the table of one scenario, a row for each scheme."""
+    return format_table(HEADER, [_row(each) for each in figures])
+
+
+def write_report(results: Mapping[str, Sequence[SchemeFigures]], path: Path) -> None:
+    """Write all runs as JSON."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(json.dumps(cattrs.unstructure(results), indent=1) + "\n")
+
+
+def main(argv: Sequence[str]) -> None:
+    """Run the scenarios of the flags and print a table for each."""
+    chosen = [_SCENARIO.value] if _SCENARIO.value != ALL else []
+    scenarios = [scenario_named(name) for name in chosen] or SCENARIOS
+    results: dict[str, Sequence[SchemeFigures]] = {}
+    for scenario in scenarios:
+        results[scenario.name] = [
+            run_scheme(
+                scenario,
+                scheme,
+                run_count=_RUNS.value,
+                duration_s=_SECONDS.value,
+                first_seed=_SEED.value,
+            )
+            for scheme in _SCHEMES.value
+        ]
+        print(f"\n{scenario.name}: {_RUNS.value} runs, median (range)", flush=True)
+        print(scenario_table(results[scenario.name]), flush=True)
+    if _REPORT.value:
+        write_report(results, Path(_REPORT.value))
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/packages/citrondock-bench/src/citrondock_bench/experiment_run.py
@@ -0,0 +1,265 @@
+"""One run of a scenario under one scheme, and its figures."""
+
+import time
+from collections.abc import Sequence
+
+import attrs
+
+from citrondock_bench.answer import Outcome
+from citrondock_bench.bench_fleet import BenchFleet, FleetOptions
+from citrondock_bench.deployment import Deployment
+from citrondock_bench.load import START_DELAY_S, run_load
+from citrondock_bench.measures import (
+    AccountService,
+    FairnessGap,
+    fairness_gap,
+    utilisation,
+)
+from citrondock_bench.node_usage import NodeUsage, UsageMeter
+from citrondock_bench.recorder import BUCKET_S
+from citrondock_bench.report import LoadReport
+from citrondock_bench.scenario import (
+    ZONE_SEPARATOR,
+    Disturbance,
+    Scenario,
+    scenario_plan,
+)
+from citrondock_bench.timeline import TimedAction, Timeline
+
+METER_MARGIN_S = 0.5
+DISTURBED_FROM = 0.25
+DISTURBED_UNTIL = 0.55
+SETTLED_FROM = 0.75
+DRAIN_S = 3.0
+STATED_SLOT_FACTOR = 2
+
+
+@attrs.frozen(kw_only=True)
+class RunFigures:
+    """What one run gave.
+
+    Parameters
+    ----------
+    gap : FairnessGap
+        Over the run; in the cut-off scenario inside the parts and after the rejoin,
+        whichever is larger.
+    utilisation : float or None
+        Busy slots over slots while work waited.
+    control_bytes_per_s : list of float
+        Control bytes by node.
+    first_token_p95_ms : float
+        Over all accounts, waiting included.
+    whole_count, wrong_count, cut_count, failed_count : int
+        Calls by outcome.
+    """
+
+    gap: FairnessGap
+    utilisation: float | None
+    control_bytes_per_s: list[float]
+    first_token_p95_ms: float
+    whole_count: int
+    wrong_count: int
+    cut_count: int
+    failed_count: int
+
+    @property
+    def mean_control_bytes_per_s(self) -> float:
+        """Mean over the nodes."""
+        return sum(self.control_bytes_per_s) / max(1, len(self.control_bytes_per_s))
+
+
+def fleet_options(scenario: Scenario, scheme: str) -> FleetOptions:
+    """Return the fleet that a scenario runs on."""
+    options = FleetOptions(
+        deployment=Deployment.read(scenario.deployment),
+        engine_speeds=scenario.engine_speeds,
+        dispatch_policy=scheme,
+        is_proxied=scenario.disturbance is Disturbance.ZONE_CUT,
+    )
+    if len(scenario.engine_speeds) == 1:
+        return options
+    stated = options.batch_count * STATED_SLOT_FACTOR
+    return attrs.evolve(options, stated_slot_count=stated, step_ms=20.0)
+
+
+class ScenarioRun:
+    """One run of a scenario on a fleet that is already running."""
+
+    def __init__(
+        self, scenario: Scenario, fleet: BenchFleet, *, seed: int, duration_s: float
+    ) -> None:
+        self._scenario = scenario
+        self._fleet = fleet
+        self._seed = seed
+        self._duration_s = duration_s
+        self._usage: list[NodeUsage] = []
+
+    def run(self) -> RunFigures:
+        """Send the load, disturb the fleet, and work out the figures."""
+        plan = scenario_plan(
+            self._scenario,
+            self._fleet.options.deployment,
+            self._fleet.routers,
+            slot_count=self._fleet.slot_count,
+            seed=self._seed,
+            duration_s=self._duration_s,
+        )
+        starts_at_s = time.monotonic() + START_DELAY_S
+        plan = attrs.evolve(plan, drain_s=DRAIN_S)
+        with Timeline(self._actions(), starts_at_s=starts_at_s):
+            report = run_load(plan, starts_at_s=starts_at_s)
+        return self._figures(report)
+
+    def _actions(self) -> list[TimedAction]:
+        meter = UsageMeter(self._fleet.nodes)
+        actions = [
+            TimedAction(at_s=METER_MARGIN_S, action=meter.start),
+            TimedAction(
+                at_s=self._duration_s - METER_MARGIN_S,
+                action=lambda: self._usage.extend(meter.stop()),
+            ),
+        ]
+        return actions + self._disturbances()
+
+    def _disturbances(self) -> list[TimedAction]:
+        fleet = self._fleet.fleet
+        begin_s = DISTURBED_FROM * self._duration_s
+        end_s = DISTURBED_UNTIL * self._duration_s
+        match self._scenario.disturbance:
+            case Disturbance.ROUTER_RESTART:
+                name = next(iter(fleet.routers))
+                router = fleet.routers[name]
+                return [
+                    TimedAction(
+                        at_s=begin_s, action=lambda: _discard(router.process.kill())
+                    ),
+                    TimedAction(
+                        at_s=begin_s + 0.1,
+                        action=lambda: fleet.restart_router(name),
+                    ),
+                ]
+            case Disturbance.ZONE_CUT:
+                zone = self._cut_zone
+                return [
+                    TimedAction(
+                        at_s=begin_s,
+                        action=lambda: fleet.cut_zone(zone, platform=True),
+                    ),
+                    TimedAction(at_s=end_s, action=fleet.heal),
+                ]
+        return []
+
+    @property
+    def _cut_zone(self) -> str:
+        return self._fleet.options.deployment.zones[-1]
+
+    def _figures(self, report: LoadReport) -> RunFigures:
+        waited = [any(bucket) for bucket in _columns(report)]
+        share = utilisation(
+            self._fleet.busy_slots(),
+            waited,
+            slot_count=self._fleet.slot_count,
+            started_at_s=report.started_at_s,
+            bucket_s=BUCKET_S,
+        )
+        return RunFigures(
+            gap=self._gap(report),
+            utilisation=share,
+            control_bytes_per_s=[node.control_bytes_per_s for node in self._usage],
+            first_token_p95_ms=report.first_token.p95_ms,
+            whole_count=report.count(Outcome.WHOLE),
+            wrong_count=report.count(Outcome.WRONG),
+            cut_count=report.count(Outcome.CUT),
+            failed_count=report.count(Outcome.FAILED) + report.count(Outcome.TIMED_OUT),
+        )
+
+    def _gap(self, report: LoadReport) -> FairnessGap:
+        largest = largest_request_tokens(report)
+        if self._scenario.disturbance is not Disturbance.ZONE_CUT:
+            services = account_services(report)
+            return fairness_gap(services, largest_request_tokens=largest)
+        return max(
+            (
+                fairness_gap(part, largest_request_tokens=largest)
+                for part in self._reachable_parts(report)
+            ),
+            key=lambda gap: gap.gap_tokens,
+        )
+
+    def _reachable_parts(self, report: LoadReport) -> list[list[AccountService]]:
+        """Return each part while the zone is cut off, and all after the rejoin."""
+        buckets = len(report.accounts[0].series.service_tokens)
+        cut = slice(int(DISTURBED_FROM * buckets), int(DISTURBED_UNTIL * buckets))
+        rejoined = slice(int(SETTLED_FROM * buckets), buckets)
+        services = account_services(report)
+
+        def is_cut_off(each: AccountService) -> bool:
+            return each.account.endswith(ZONE_SEPARATOR + self._cut_zone)
+
+        inside = [each for each in services if is_cut_off(each)]
+        outside = [each for each in services if not is_cut_off(each)]
+        return [
+            sum_by_account([during(each, cut) for each in inside]),
+            sum_by_account([during(each, cut) for each in outside]),
+            sum_by_account([during(each, rejoined) for each in services]),
+        ]
+
+
+def _discard(_: object) -> None:
+    """Drop a result."""
+
+
+def _columns(report: LoadReport) -> Sequence[Sequence[int]]:
+    series = [account.series.least_waiting for account in report.accounts]
+    return list(zip(*series, strict=True))
+
+
+def largest_request_tokens(report: LoadReport) -> float:
+    """Return the service of the largest request over its account's weight."""
+    return max(
+        account.largest_request_tokens / account.weight for account in report.accounts
+    )
+
+
+def account_services(report: LoadReport) -> list[AccountService]:
+    """Return what each account received, as the fairness gap needs it."""
+    return [
+        AccountService(
+            account=account.account,
+            weight=account.weight,
+            service_tokens=account.series.service_tokens,
+            backlogged=[count > 0 for count in account.series.least_waiting],
+        )
+        for account in report.accounts
+    ]
+
+
+def during(service: AccountService, buckets: slice) -> AccountService:
+    """Return a part of a series."""
+    return attrs.evolve(
+        service,
+        service_tokens=service.service_tokens[buckets],
+        backlogged=service.backlogged[buckets],
+    )
+
+
+def sum_by_account(parts: Sequence[AccountService]) -> list[AccountService]:
+    """Add up the parts of each account; one part's backlog is the account's."""
+    whole: dict[str, AccountService] = {}
+    for part in parts:
+        name = part.account.partition(ZONE_SEPARATOR)[0]
+        former = whole.get(name)
+        if former is None:
+            whole[name] = attrs.evolve(part, account=name)
+            continue
+        whole[name] = attrs.evolve(
+            former,
+            service_tokens=[
+                a + b
+                for a, b in zip(former.service_tokens, part.service_tokens, strict=True)
+            ],
+            backlogged=[
+                a or b for a, b in zip(former.backlogged, part.backlogged, strict=True)
+            ],
+        )
+    return list(whole.values())
--- a/packages/citrondock-bench/src/citrondock_bench/load.py
+++ b/packages/citrondock-bench/src/citrondock_bench/load.py
@@ -22,18 +22,20 @@
 _REPORT = flags.DEFINE_string("report", "", "File for the JSON report; empty is none.")
 
 
-def run_load(plan: LoadPlan, *, start_delay_s: float = START_DELAY_S) -> LoadReport:
+def run_load(plan: LoadPlan, *, starts_at_s: float | None = None) -> LoadReport:
     """Run a plan to its end and return the report.
 
     Parameters
     ----------
     plan : LoadPlan
         What to send.
-    start_delay_s : float
-        Time for the client processes to start.
+    starts_at_s : float or None
+        Monotonic time of the start; by default `START_DELAY_S` from now, in which the
+        client processes start.
     """
     run_id = new_run_id()
-    starts_at_s = time.monotonic() + start_delay_s
+    if starts_at_s is None:
+        starts_at_s = time.monotonic() + START_DELAY_S
     tasks = [
         WorkerTask(
             plan=plan, worker_index=index, starts_at_s=starts_at_s, run_id=run_id
--- a/packages/citrondock-bench/src/citrondock_bench/plan.py
+++ b/packages/citrondock-bench/src/citrondock_bench/plan.py
@@ -18,6 +18,7 @@
 DEFAULT_DURATION_S = 10.0
 DEFAULT_DRAIN_S = 10.0
 DEFAULT_CALL_TIMEOUT_S = 60.0
+DEFAULT_PROMPT_TOKEN_WEIGHT = 0.25
 
 
 class PlanError(CitrondockError):
@@ -112,7 +113,8 @@
     backlog_count : int
         Requests that the account keeps outstanding, in a closed loop.
     placement : str
-        Name of the endpoint that gets all its requests, or ``"even"``.
+        Name of the endpoint, or of the availability zone whose endpoints, get all its
+        requests, or ``"even"``.
     shapes : sequence of str
         Shapes of its requests, drawn evenly.
     starts_at_s, stops_at_s : float, float or None
@@ -137,6 +139,11 @@
     name: str
     host: str
     port: int = attrs.field(validator=ge(1))
+    availability_zone: str = ""
+
+    def takes(self, placement: str) -> bool:
+        """Tell whether an account that is placed so may send here."""
+        return placement in (EVEN_PLACEMENT, self.name, self.availability_zone)
 
 
 @attrs.frozen(kw_only=True)
@@ -157,6 +164,8 @@
         Longest time for one call.
     worker_count : int
         Client processes.
+    prompt_token_weight : float
+        Service that a prompt token counts; a generated token counts 1.
     keeps_calls : bool
         Whether the report holds each call by itself.
     """
@@ -169,6 +178,9 @@
     drain_s: float = attrs.field(default=DEFAULT_DRAIN_S, validator=ge(0))
     call_timeout_s: float = attrs.field(default=DEFAULT_CALL_TIMEOUT_S, validator=gt(0))
     worker_count: int = attrs.field(default=2, validator=ge(1))
+    prompt_token_weight: float = attrs.field(
+        default=DEFAULT_PROMPT_TOKEN_WEIGHT, validator=ge(0)
+    )
     keeps_calls: bool = False
 
     def shape(self, name: str) -> RequestShape:
@@ -185,10 +197,10 @@
         unknown = sorted(set(account.shapes) - shapes)
         if unknown or not account.shapes:
             faults.append(f"{place}.shapes: {unknown or 'empty'}, use {sorted(shapes)}")
-        if account.placement not in endpoints | {EVEN_PLACEMENT}:
+        if not any(each.takes(account.placement) for each in plan.endpoints):
             faults.append(
-                f"{place}.placement: {account.placement!r} is no endpoint; "
-                f"use one of {sorted(endpoints)} or {EVEN_PLACEMENT!r}"
+                f"{place}.placement: {account.placement!r} is no endpoint and no zone; "
+                f"use one of {sorted(endpoints)}, a zone or {EVEN_PLACEMENT!r}"
             )
         if not account.rate_per_s and not account.backlog_count:
             faults.append(f"{place}: give rate_per_s or backlog_count")
--- a/packages/citrondock-bench/src/citrondock_bench/recorder.py
+++ b/packages/citrondock-bench/src/citrondock_bench/recorder.py
@@ -80,6 +80,8 @@
         Monotonic times of its tokens.
     prompt_tokens, generated_tokens : int
         Usage that the target reported.
+    service_tokens : float
+        Service that it makes.
     endpoint, request_id : str
         Where it was sent, and the id that its answer carried.
     """
@@ -90,6 +92,7 @@
     token_times_s: list[float]
     prompt_tokens: int
     generated_tokens: int
+    service_tokens: float
     endpoint: str = ""
     request_id: str = ""
 
@@ -126,8 +129,8 @@
         Name.
     sent_count, prompt_tokens, generated_tokens : int
         Totals.
-    largest_request_tokens : int
-        Cost of the most expensive answer.
+    largest_request_tokens : float
+        Service of the most expensive answer.
     outcomes : list of OutcomeCount
         Calls by outcome.
     first_token, between_tokens, whole : str
@@ -144,7 +147,7 @@
     sent_count: int
     prompt_tokens: int
     generated_tokens: int
-    largest_request_tokens: int
+    largest_request_tokens: float
     outcomes: list[OutcomeCount]
     first_token: str
     between_tokens: str
@@ -180,7 +183,7 @@
         self._sent_count = 0
         self._prompt_tokens = 0
         self._generated_tokens = 0
-        self._largest_tokens = 0
+        self._largest_tokens = 0.0
         self._outcomes: dict[tuple[Outcome, str, str], int] = {}
         self._first_token = new_histogram()
         self._between_tokens = new_histogram()
@@ -219,8 +222,7 @@
             self._calls.append(end.sample())
         self._prompt_tokens += end.prompt_tokens
         self._generated_tokens += end.generated_tokens
-        cost_tokens = end.prompt_tokens + end.generated_tokens
-        self._largest_tokens = max(self._largest_tokens, cost_tokens)
+        self._largest_tokens = max(self._largest_tokens, end.service_tokens)
 
     def _count(self, judgement: Judgement) -> None:
         refusal = judgement.refusal
--- a/packages/citrondock-bench/src/citrondock_bench/report.py
+++ b/packages/citrondock-bench/src/citrondock_bench/report.py
@@ -77,7 +77,7 @@
     sent_count: int
     prompt_tokens: int
     generated_tokens: int
-    largest_request_tokens: int
+    largest_request_tokens: float
     outcomes: list[OutcomeCount]
     first_token: Latency
     between_tokens: Latency
--- a/packages/citrondock-bench/src/citrondock_bench/scenario.py
+++ b/packages/citrondock-bench/src/citrondock_bench/scenario.py
@@ -143,19 +143,29 @@
         count = _backlog_count(account.weight, total_weight, slot_count)
         if scenario.flood and name == flooding:
             count = FLOOD_BACKLOG_COUNT
-        loads.append(
-            AccountLoad(
-                name=name,
-                key=account_key(name),
-                weight=account.weight,
-                backlog_count=count,
-                placement=_placement(scenario, name, large, routers),
-                shapes=shapes,
-            )
+        load = AccountLoad(
+            name=name,
+            key=account_key(name),
+            weight=account.weight,
+            backlog_count=count,
+            placement=_placement(scenario, name, large, routers),
+            shapes=shapes,
         )
+        if scenario.disturbance is Disturbance.ZONE_CUT:
+            loads += _by_zone(load, deployment.zones)
+        else:
+            loads.append(load)
     return loads
 
 
+def _by_zone(load: AccountLoad, zones: Sequence[str]) -> list[AccountLoad]:
+    """Split an account's load by zone, so that each part's service is seen."""
+    return [
+        attrs.evolve(load, name=f"{load.name}{ZONE_SEPARATOR}{zone}", placement=zone)
+        for zone in zones
+    ]
+
+
 def scenario_plan(
     scenario: Scenario,
     deployment: Deployment,
--- a/packages/citrondock-bench/src/citrondock_bench/schedule.py
+++ b/packages/citrondock-bench/src/citrondock_bench/schedule.py
@@ -6,7 +6,6 @@
 import attrs
 
 from citrondock_bench.plan import (
-    EVEN_PLACEMENT,
     AccountLoad,
     Endpoint,
     LoadPlan,
@@ -61,19 +60,16 @@
         self._plan = plan
         self._account = account
         self._rng = random.Random(f"{plan.seed}/{account.name}/{worker_index}")
+        self._endpoints = [
+            each for each in plan.endpoints if each.takes(account.placement)
+        ]
         self._drawn_count = 0
 
     def next(self, *, at_s: float = 0.0) -> PlannedRequest:
         """Draw the next request."""
         rng = self._rng
         shape = self._plan.shape(rng.choice(list(self._account.shapes)))
-        endpoint = rng.choice(list(self._plan.endpoints))
-        if self._account.placement != EVEN_PLACEMENT:
-            endpoint = next(
-                one
-                for one in self._plan.endpoints
-                if one.name == self._account.placement
-            )
+        endpoint = rng.choice(self._endpoints)
         prompt = shape.prompt_tokens.draw(rng)
         generated = shape.generated_tokens.draw(rng)
         prefix = f"p{rng.randrange(shape.prefix_count)}" if shape.prefix_count else ""
--- a/packages/citrondock-bench/src/citrondock_bench/worker.py
+++ b/packages/citrondock-bench/src/citrondock_bench/worker.py
@@ -80,6 +80,8 @@
                 token_times_s=self._answer.token_times_s,
                 prompt_tokens=self._answer.prompt_tokens,
                 generated_tokens=self._answer.generated_tokens,
+                service_tokens=self._answer.generated_tokens
+                + self._prompt_service(self._answer.prompt_tokens),
                 endpoint=self._planned.endpoint.name,
                 request_id=self._answer.request_id,
             )
@@ -136,16 +138,22 @@
         at_s = self._since_start_s(now_s)
         self._recorder.stopped_waiting(at_s=at_s)
         if self._answer.token_times_s:
-            self._recorder.received(self._planned.prompt_tokens, at_s=at_s)
+            self._recorder.received(
+                self._prompt_service(self._planned.prompt_tokens), at_s=at_s
+            )
+
+    def _prompt_service(self, prompt_tokens: int) -> float:
+        return prompt_tokens * self._task.plan.prompt_token_weight
 
     def _settle(self, judgement: Judgement, ended_s: float) -> None:
         """Add what the usage says beyond the pieces seen."""
         answer = self._answer
         if judgement.outcome is not Outcome.WHOLE or not answer.generated_tokens:
             return
-        missing = answer.generated_tokens + answer.prompt_tokens
+        missing = answer.generated_tokens + self._prompt_service(answer.prompt_tokens)
         if self._streamed:
-            missing -= len(answer.token_times_s) + self._planned.prompt_tokens
+            missing -= len(answer.token_times_s)
+            missing -= self._prompt_service(self._planned.prompt_tokens)
         self._recorder.received(missing, at_s=self._since_start_s(ended_s))
 
 
--- a/tests/bench/test_deployment.py
+++ b/tests/bench/test_deployment.py
@@ -2,9 +2,10 @@
 
 import pytest
 
-from citrondock_bench.deployment import ARCHIVES, NAIROBI, Address, Deployment
+from citrondock_bench.deployment import ARCHIVES, NAIROBI, Deployment
 from citrondock_bench.plan import Endpoint
 from citrondock_bench.scenario import SCENARIOS, scenario_plan
+from citrondock_core.configuration import PoolKind, Target
 from citrondock_core.configuration_text import parse_configuration
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
@@ -20,23 +21,16 @@
         again = parse_configuration(deployment.text(), "text")
         assert again == deployment.configuration
 
-    def test_moves_targets(self, deployment):
-        names = [
-            target.name
-            for pool in deployment.configuration.pools.values()
-            for target in pool.targets
+    def test_stands_on_other_targets(self, deployment):
+        targets = [
+            Target(name=f"t{port}", availability_zone="a", host="127.0.0.2", port=port)
+            for port in (7001, 7002, 7003)
         ]
-        addresses = {
-            name: Address(host="127.0.0.2", port=7000 + index, slot_count=3)
-            for index, name in enumerate(names)
-        }
-        moved = parse_configuration(deployment.at(addresses).text(), "text")
-        ports = {
-            target.name: target.port
-            for pool in moved.pools.values()
-            for target in pool.targets
-        }
-        assert ports == {name: addresses[name].port for name in names}
+        text = deployment.on(targets[:2], targets[2:]).text()
+        pools = parse_configuration(text, "text").pools.values()
+        by_kind = {pool.kind: pool.targets for pool in pools}
+        assert by_kind[PoolKind.ENGINE] == tuple(targets[:2])
+        assert by_kind[PoolKind.APPLICATION] == tuple(targets[2:])
 
     def test_many_accounts_keep_their_keys_apart(self, deployment):
         many = deployment.with_accounts(300).configuration.accounts
@@ -48,13 +42,19 @@
     def test_every_account_asks_for_more_than_its_share(self, scenario):
         deployment = Deployment.read(scenario.deployment, directory=EXAMPLES)
         routers = [
-            Endpoint(name=f"r{index}", host="127.0.0.1", port=index)
-            for index in range(1, 8)
+            Endpoint(
+                name=f"r{index}",
+                host="127.0.0.1",
+                port=index + 1,
+                availability_zone=deployment.zones[index % 3],
+            )
+            for index in range(7)
         ]
         plan = scenario_plan(
             scenario, deployment, routers, slot_count=72, seed=1, duration_s=1.0
         )
-        weights = sum(account.weight for account in plan.accounts)
-        assert len(plan.accounts) == 16
+        weights = {account.key: account.weight for account in plan.accounts}
+        assert len(weights) == 16
         for account in plan.accounts:
-            assert account.backlog_count > 72 * account.weight / weights
+            share = 72 * account.weight / sum(weights.values())
+            assert account.backlog_count > share
