--- a/packages/citrondock-bench/src/citrondock_bench/node_usage.py
+++ b/packages/citrondock-bench/src/citrondock_bench/node_usage.py
@@ -1,7 +1,9 @@
 """What a router process used over an interval: control bytes, calls, CPU, memory."""
 
+import re
 import time
 from collections.abc import Sequence
+from pathlib import Path
 
 import attrs
 import psutil
@@ -12,6 +14,8 @@
 PEER_BYTES = "citrondock_peer_bytes_total"
 STORE_CALLS = "citrondock_store_calls_total"
 BYTES_PER_MB = 1_000_000
+BYTES_PER_KIB = 1024
+_PEAK_MEMORY = re.compile(r"^VmHWM:\s+(\d+) kB", re.M)
 
 
 @attrs.frozen(kw_only=True)
@@ -56,7 +60,7 @@
         Bytes sent by message kind; calls to the object API by kind.
     cpu_share : float
         Share of one core.
-    peak_memory_mb : float
+    memory_mb : float
         Resident memory at the end.
     """
 
@@ -66,7 +70,7 @@
     sent_by_kind: list[KindRate]
     store_calls: list[KindRate]
     cpu_share: float
-    peak_memory_mb: float
+    memory_mb: float
 
     @property
     def control_bytes_per_s(self) -> float:
@@ -112,6 +116,13 @@
     return float(psutil.Process(pid).memory_info().rss) / BYTES_PER_MB
 
 
+def peak_memory_mb(pid: int) -> float:
+    """Return the largest resident memory that a process ever had."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    match = _PEAK_MEMORY.search(status)
+    return int(match[1]) * BYTES_PER_KIB / BYTES_PER_MB if match else memory_mb(pid)
+
+
 class UsageMeter:
     """Measures routers from `start` to `stop`; a router that died is left out."""
 
@@ -167,5 +178,5 @@
         sent_by_kind=_rates(before.sent_by_kind(), after.sent_by_kind(), elapsed_s),
         store_calls=_rates(before.store_calls(), after.store_calls(), elapsed_s),
         cpu_share=(after.cpu_s - before.cpu_s) / elapsed_s,
-        peak_memory_mb=after.memory_mb,
+        memory_mb=after.memory_mb,
     )
