--- a/packages/citrondock-bench/src/citrondock_bench/capacity_lines.py
+++ b/packages/citrondock-bench/src/citrondock_bench/capacity_lines.py
@@ -120,8 +120,17 @@
     )
 
 
-def growth(figure: str, references: "References") -> list[Term]:
-    """Return the terms of a figure that was measured along all four sizes.
+@attrs.frozen(kw_only=True)
+class References:
+    """Sizes that hold along the axes on which they do not vary."""
+
+    node_count: int = 7
+    account_count: int = 160
+    requests_per_node_s: float = 4.0
+
+
+def growth(figure: str, references: References) -> list[Term]:
+    """Return the terms of a figure that was measured along all four axes.
 
     Parameters
     ----------
@@ -148,11 +157,3 @@
             reference=0.0,
         ),
     ]
-
-
-@attrs.frozen(kw_only=True)
-class References:
-    """Sizes that the runs along the other axes hold fixed."""
-
-    account_count: int = 160
-    requests_per_node_s: float = 4.0
--- a/packages/citrondock-bench/src/citrondock_bench/load.py
+++ b/packages/citrondock-bench/src/citrondock_bench/load.py
@@ -1,9 +1,9 @@
 """Runs a plan in several client processes: ``python -m citrondock_bench load``."""
 
 import multiprocessing
+import signal
 import time
 from collections.abc import Sequence
-from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
 from absl import app, flags
@@ -15,6 +15,7 @@
 from citrondock_bench.worker import WorkerTask, new_run_id, run_worker
 
 START_DELAY_S = 1.5
+WORKER_MARGIN_S = 30.0
 EXIT_BAD_PLAN = 2
 EXIT_WRONG_ANSWERS = 1
 
@@ -22,6 +23,11 @@
 _REPORT = flags.DEFINE_string("report", "", "File for the JSON report; empty is none.")
 
 
+def _ignore_interrupts() -> None:
+    """Leave Ctrl-C to the parent, which ends its workers."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+
+
 def run_load(plan: LoadPlan, *, starts_at_s: float | None = None) -> LoadReport:
     """Run a plan to its end and return the report.
 
@@ -32,6 +38,11 @@
     starts_at_s : float or None
         Monotonic time of the start; by default `START_DELAY_S` from now, in which the
         client processes start.
+
+    Raises
+    ------
+    multiprocessing.TimeoutError
+        A client process did not come to its end.
     """
     run_id = new_run_id()
     if starts_at_s is None:
@@ -42,9 +53,11 @@
         )
         for index in range(plan.worker_count)
     ]
+    latest_end_s = plan.duration_s + plan.drain_s + WORKER_MARGIN_S
     context = multiprocessing.get_context("spawn")
-    with ProcessPoolExecutor(plan.worker_count, mp_context=context) as pool:
-        records = list(pool.map(run_worker, tasks))
+    with context.Pool(plan.worker_count, _ignore_interrupts) as pool:
+        running = pool.map_async(run_worker, tasks, chunksize=1)
+        records = running.get(starts_at_s - time.monotonic() + latest_end_s)
     return merge_records(plan, records, run_id=run_id, started_at_s=starts_at_s)
 
 
