Leave the routers' log level at INFO

Cause: the launcher waits for the line event=listening, which WARNING hides, so the demo waited 30 s and failed. Change: no log setting.

--- a/packages/citrondock-bench/src/citrondock_bench/bench_fleet.py
+++ b/packages/citrondock-bench/src/citrondock_bench/bench_fleet.py
@@ -76,7 +76,6 @@
             is_proxied=self.is_proxied,
             dispatch_policy=self.dispatch_policy,
             settings={
-                "log": {"level": "WARNING"},
                 "dispatch": {"prompt_token_weight": DEFAULT_PROMPT_TOKEN_WEIGHT}
                 | self.dispatch_settings,
             },
