Load run apart from its command line; whole calls are kept

Cause: two tools that import the load run clashed over its flags, and the recorder was made without the plan's keeps_calls, so the data-path join found no stream.

--- a/packages/citrondock-bench/src/citrondock_bench/bench.py
+++ b/packages/citrondock-bench/src/citrondock_bench/bench.py
@@ -15,7 +15,7 @@
 from citrondock_bench.capacity_document import DataPathFigures
 from citrondock_bench.data_path import EngineRun, PathDelays, path_delays
 from citrondock_bench.deployment import ARCHIVES, Deployment, account_key
-from citrondock_bench.load import START_DELAY_S, run_load
+from citrondock_bench.load_run import START_DELAY_S, run_load
 from citrondock_bench.node_usage import cpu_seconds, peak_memory_mb
 from citrondock_bench.plan import (
     AccountLoad,
--- a/packages/citrondock-bench/src/citrondock_bench/demo.py
+++ b/packages/citrondock-bench/src/citrondock_bench/demo.py
@@ -15,7 +15,7 @@
     account_services,
     largest_request_tokens,
 )
-from citrondock_bench.load import START_DELAY_S, run_load
+from citrondock_bench.load_run import START_DELAY_S, run_load
 from citrondock_bench.measures import AccountService, fairness_gap, utilisation
 from citrondock_bench.node_usage import NodeUsage, UsageMeter
 from citrondock_bench.plan import AccountLoad, LoadPlan, RequestShape
--- a/packages/citrondock-bench/src/citrondock_bench/experiment_run.py
+++ b/packages/citrondock-bench/src/citrondock_bench/experiment_run.py
@@ -8,7 +8,7 @@
 from citrondock_bench.answer import Outcome
 from citrondock_bench.bench_fleet import BenchFleet, FleetOptions
 from citrondock_bench.deployment import Deployment
-from citrondock_bench.load import START_DELAY_S, run_load
+from citrondock_bench.load_run import START_DELAY_S, run_load
 from citrondock_bench.measures import (
     AccountService,
     FairnessGap,
--- a/packages/citrondock-bench/src/citrondock_bench/worker.py
+++ b/packages/citrondock-bench/src/citrondock_bench/worker.py
@@ -171,7 +171,11 @@
     def __init__(self, task: WorkerTask) -> None:
         self._task = task
         self._recorders = {
-            account.name: AccountRecorder(account.name, duration_s=task.plan.duration_s)
+            account.name: AccountRecorder(
+                account.name,
+                duration_s=task.plan.duration_s,
+                keeps_calls=task.plan.keeps_calls,
+            )
             for account in task.plan.accounts
         }
         self._running: set[asyncio.Task[Judgement]] = set()
