--- a/packages/citrondock-bench/src/citrondock_bench/capacity_axes.py
+++ b/packages/citrondock-bench/src/citrondock_bench/capacity_axes.py
@@ -6,7 +6,7 @@
 import attrs
 
 from citrondock_bench.bench_fleet import BenchFleet, FleetOptions
-from citrondock_bench.capacity_lines import References
+from citrondock_bench.capacity_lines import REFERENCES
 from citrondock_bench.deployment import ARCHIVES, Deployment, account_key
 from citrondock_bench.plan import (
     AccountLoad,
@@ -22,7 +22,6 @@
 ANSWER_TOKENS = 30
 PROMPT_TOKENS = 40
 SLOTS_PER_NODE = 4
-REFERENCES = References()
 
 
 class Axis(enum.Enum):
--- /dev/null
+++ b/packages/citrondock-bench/src/citrondock_bench/capacity_roles.py
@@ -0,0 +1,140 @@
+"""The lines of the capacity page, role by role."""
+
+from citrondock_bench import two_year
+from citrondock_bench.capacity_document import CapacityDocument
+from citrondock_bench.capacity_lines import CapacityLine, WorkedOut, grown
+
+SLOPES_COMMAND = "make capacity"
+BENCH_COMMAND = "make bench"
+PERCENT = 100.0
+TOKENS_PER_UNIT = 1000
+
+
+def _data_path_lines(document: CapacityDocument) -> list[CapacityLine]:
+    path = document.data_path
+    rate = two_year.TOKENS_PER_NODE_S
+    cpu = path and WorkedOut(
+        value=path.cpu_s_per_1000_tokens.median * rate / TOKENS_PER_UNIT * PERCENT,
+        formula=f"{path.cpu_s_per_1000_tokens.median:.4g} s * {rate:,.0f}/1000 * 100",
+    )
+    first = path and WorkedOut(
+        value=path.first_token_overhead_p95_ms.median,
+        formula=path.first_token_overhead_p95_ms.text(),
+    )
+    pause = path and WorkedOut(
+        value=path.pause_overhead_p95_ms.median,
+        formula=path.pause_overhead_p95_ms.text(),
+    )
+    memory = path and WorkedOut(
+        value=path.peak_memory_mb.median, formula=path.peak_memory_mb.text()
+    )
+    mechanism = "one selector loop per router moves bytes; no thread per stream"
+    remedy = "profile the relay loop; more routers per engine until it fits"
+
+    def line(
+        quantity: str, unit: str, budget: float | None, value: WorkedOut | None
+    ) -> CapacityLine:
+        return CapacityLine(
+            role="caller front",
+            quantity=quantity,
+            unit=unit,
+            budget=budget,
+            worked_out=value,
+            command=BENCH_COMMAND,
+            mechanism=mechanism,
+            remedy=remedy,
+        )
+
+    return [
+        line("first-token overhead p95", "ms", two_year.FIRST_TOKEN_OVERHEAD_MS, first),
+        line(
+            "pause beyond the engine's step p95",
+            "ms",
+            two_year.PAUSE_OVERHEAD_MS,
+            pause,
+        ),
+        line("processor time of the data path", "% of a core", PERCENT, cpu),
+        line("peak memory with 270 streams", "MB", None, memory),
+    ]
+
+
+def _control_lines(document: CapacityDocument) -> list[CapacityLine]:
+    exchange = "summaries through relays, in deltas, spread out to a byte budget"
+    return [
+        CapacityLine(
+            role="queue and ledger",
+            quantity="control bytes of a node, mean",
+            unit="B/s",
+            budget=two_year.CONTROL_BYTES_PER_S,
+            worked_out=grown(document, "control_bytes"),
+            command=SLOPES_COMMAND,
+            mechanism=exchange,
+            remedy="a larger quantum, or longer periods at more backlogged accounts",
+        ),
+        CapacityLine(
+            role="relay",
+            quantity="control bytes of the busiest node",
+            unit="B/s",
+            budget=two_year.CONTROL_BYTES_PER_S,
+            worked_out=grown(document, "busiest_control_bytes"),
+            command=SLOPES_COMMAND,
+            mechanism="a rendezvous-chosen relay per zone merges before it sends on",
+            remedy="several relays per zone, each for a part of the accounts",
+        ),
+        CapacityLine(
+            role="all control",
+            quantity="processor time of a node, requests included",
+            unit="% of a core",
+            budget=two_year.CONTROL_CPU_PERCENT,
+            worked_out=grown(document, "cpu"),
+            command=SLOPES_COMMAND,
+            mechanism="event-driven steps on one actor, accelerated codec",
+            remedy="fewer idle wake-ups per second; see the intercept by nodes",
+        ),
+        CapacityLine(
+            role="all control",
+            quantity="resident memory of a node, data path included",
+            unit="MB",
+            budget=two_year.CONTROL_MEMORY_MB,
+            worked_out=grown(document, "memory"),
+            command=SLOPES_COMMAND,
+            mechanism="counters of live accounts only; old incarnations are folded",
+            remedy="drop idle accounts' counters; lazier imports",
+        ),
+    ]
+
+
+def _store_lines(document: CapacityDocument) -> list[CapacityLine]:
+    reads = grown(document, "store_reads")
+    writes = grown(document, "store_writes")
+    return [
+        CapacityLine(
+            role="configuration follower",
+            quantity="store reads of the fleet, waiting watches included",
+            unit="calls/s",
+            budget=two_year.STORE_READS_PER_S,
+            worked_out=reads and reads.times(two_year.NODE_COUNT),
+            command=SLOPES_COMMAND,
+            mechanism="one waiting watch per node on the head; the head holds deltas",
+            remedy="followers behind a relay instead of one watch per node",
+        ),
+        CapacityLine(
+            role="claim home, order holder, audit writer",
+            quantity="store writes of the fleet without keyed calls",
+            unit="calls/s",
+            budget=two_year.STORE_WRITES_PER_S,
+            worked_out=writes and writes.times(two_year.NODE_COUNT),
+            command=SLOPES_COMMAND,
+            mechanism="claims grouped by shard, audit in segments, leases held long",
+            remedy="larger segments and longer leases",
+        ),
+    ]
+
+
+def capacity_lines(document: CapacityDocument) -> list[CapacityLine]:
+    """Return all lines of the page."""
+    return [
+        *_data_path_lines(document),
+        *_control_lines(document),
+        *_store_lines(document),
+    ]
--- a/packages/citrondock-bench/src/citrondock_bench/capacity_run.py
+++ b/packages/citrondock-bench/src/citrondock_bench/capacity_run.py
@@ -9,13 +9,13 @@
 
 from citrondock_bench.bench_fleet import BenchFleet
 from citrondock_bench.capacity_axes import Axis, CapacityPoint
-from citrondock_bench.capacity_lines import COMMAND
 from citrondock_bench.load_run import START_DELAY_S, run_load
 from citrondock_bench.node_usage import NodeUsage, UsageMeter
 from citrondock_bench.slope import Slope
 from citrondock_bench.timeline import TimedAction, Timeline
 
 SETTLE_S = 2.0
+COMMAND = "make capacity"
 METER_MARGIN_S = 0.2
 PERCENT = 100.0
 WRITE_KINDS = ("create", "update", "delete", "write")
