--- a/packages/citrondock-bench/src/citrondock_bench/capacity_roles.py
+++ b/packages/citrondock-bench/src/citrondock_bench/capacity_roles.py
@@ -8,53 +8,54 @@
 BENCH_COMMAND = "make bench"
 PERCENT = 100.0
 TOKENS_PER_UNIT = 1000
+FIRST_TOKEN = "first-token overhead p95"
+PAUSE = "pause beyond the engine's step p95"
+CPU = "processor time of the data path"
+MEMORY = "peak memory with 270 streams"
 
 
-def _data_path_lines(document: CapacityDocument) -> list[CapacityLine]:
+def _figures(document: CapacityDocument) -> dict[str, WorkedOut]:
+    """Return the data path's figures by quantity; empty where not measured."""
     path = document.data_path
+    if path is None:
+        return {}
     rate = two_year.TOKENS_PER_NODE_S
-    cpu = path and WorkedOut(
-        value=path.cpu_s_per_1000_tokens.median * rate / TOKENS_PER_UNIT * PERCENT,
-        formula=f"{path.cpu_s_per_1000_tokens.median:.4g} s * {rate:,.0f}/1000 * 100",
-    )
-    first = path and WorkedOut(
-        value=path.first_token_overhead_p95_ms.median,
-        formula=path.first_token_overhead_p95_ms.text(),
-    )
-    pause = path and WorkedOut(
-        value=path.pause_overhead_p95_ms.median,
-        formula=path.pause_overhead_p95_ms.text(),
+    cpu = path.cpu_s_per_1000_tokens
+    spreads = {
+        FIRST_TOKEN: path.first_token_overhead_p95_ms,
+        PAUSE: path.pause_overhead_p95_ms,
+        MEMORY: path.peak_memory_mb,
+    }
+    figures = {
+        name: WorkedOut(value=spread.median, formula=spread.text())
+        for name, spread in spreads.items()
+    }
+    figures[CPU] = WorkedOut(
+        value=cpu.median * rate / TOKENS_PER_UNIT * PERCENT,
+        formula=f"{cpu.median:.4g} s * {rate:,.0f} / 1000 * 100",
     )
-    memory = path and WorkedOut(
-        value=path.peak_memory_mb.median, formula=path.peak_memory_mb.text()
-    )
-    mechanism = "one selector loop per router moves bytes; no thread per stream"
-    remedy = "profile the relay loop; more routers per engine until it fits"
+    return figures
+
 
-    def line(
-        quantity: str, unit: str, budget: float | None, value: WorkedOut | None
-    ) -> CapacityLine:
-        return CapacityLine(
+def _data_path_lines(document: CapacityDocument) -> list[CapacityLine]:
+    figures = _figures(document)
+    return [
+        CapacityLine(
             role="caller front",
             quantity=quantity,
             unit=unit,
             budget=budget,
-            worked_out=value,
+            worked_out=figures.get(quantity),
             command=BENCH_COMMAND,
-            mechanism=mechanism,
-            remedy=remedy,
+            mechanism="one selector loop per router moves bytes; no thread per stream",
+            remedy="profile the relay loop; more routers per engine until it fits",
+        )
+        for quantity, unit, budget in (
+            (FIRST_TOKEN, "ms", two_year.FIRST_TOKEN_OVERHEAD_MS),
+            (PAUSE, "ms", two_year.PAUSE_OVERHEAD_MS),
+            (CPU, "% of a core", PERCENT),
+            (MEMORY, "MB", None),
         )
-
-    return [
-        line("first-token overhead p95", "ms", two_year.FIRST_TOKEN_OVERHEAD_MS, first),
-        line(
-            "pause beyond the engine's step p95",
-            "ms",
-            two_year.PAUSE_OVERHEAD_MS,
-            pause,
-        ),
-        line("processor time of the data path", "% of a core", PERCENT, cpu),
-        line("peak memory with 270 streams", "MB", None, memory),
     ]
 
 
--- a/packages/citrondock-bench/src/citrondock_bench/experiment_run.py
+++ b/packages/citrondock-bench/src/citrondock_bench/experiment_run.py
@@ -143,7 +143,7 @@
                 return [
                     TimedAction(
                         at_s=begin_s,
-                        action=lambda: fleet.cut_zone(zone, platform=True),
+                        action=lambda: fleet.cut_zone(zone, with_platform=True),
                     ),
                     TimedAction(at_s=end_s, action=fleet.heal),
                 ]
