--- a/packages/citrondock-bench/src/citrondock_bench/bench_fleet.py
+++ b/packages/citrondock-bench/src/citrondock_bench/bench_fleet.py
@@ -1,8 +1,10 @@
 """A fleet of real routers with stand-ins, as the measuring tools need it."""
 
+import itertools
 import time
 import uuid
-from collections.abc import Sequence
+from collections.abc import Generator, Sequence
+from concurrent.futures import Future, ThreadPoolExecutor
 from types import TracebackType
 from typing import Self
 
@@ -117,7 +119,7 @@
         try:
             self.fleet.wait_ready(timeout_s=READY_TIMEOUT_S)
         except BaseException:
-            self.fleet.stop()
+            self.stop()
             raise
         return self
 
@@ -127,6 +129,12 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
+        self.stop()
+
+    def stop(self) -> None:
+        """End all processes at once; a measurement needs no graceful stop."""
+        for router in self.fleet.routers.values():
+            router.process.kill()
         self.fleet.stop()
 
     @property
@@ -214,5 +222,36 @@
         self._revision = commit.configuration.revision
 
 
+def started_ahead(
+    all_options: Sequence[FleetOptions],
+) -> Generator[BenchFleet, None, None]:
+    """Yield a running fleet for each of the options, and end it afterwards.
+
+    The next one starts in the background while the former is in use, unless the
+    former's proxies run in this process and would be slowed down. Close the generator
+    to end what still runs.
+    """
+    starter = ThreadPoolExecutor(1)
+    upcoming: Future[BenchFleet] | None = None
+    try:
+        for options, following in itertools.zip_longest(all_options, all_options[1:]):
+            fleet = _start(options) if upcoming is None else upcoming.result()
+            upcoming = None
+            if following is not None and not options.is_proxied:
+                upcoming = starter.submit(_start, following)
+            try:
+                yield fleet
+            finally:
+                fleet.stop()
+    finally:
+        if upcoming is not None:
+            upcoming.result().stop()
+        starter.shutdown()
+
+
+def _start(options: FleetOptions) -> BenchFleet:
+    return BenchFleet(options).__enter__()
+
+
 def _stated(engine: FleetTarget, slot_count: int) -> Target:
     return attrs.evolve(engine.target, max_in_flight=slot_count)
