--- a/packages/citrondock-bench/src/citrondock_bench/bench_fleet.py
+++ b/packages/citrondock-bench/src/citrondock_bench/bench_fleet.py
@@ -14,6 +14,7 @@
 from citrondock_bench.measures import BusySlot
 from citrondock_bench.node_usage import Node
 from citrondock_bench.plan import DEFAULT_PROMPT_TOKEN_WEIGHT, Endpoint
+from citrondock_bench.proxied_fleet import ProxiedFleet
 from citrondock_core.configuration import Target
 from citrondock_core.configuration_repository import (
     ConfigurationRepository,
@@ -111,7 +112,8 @@
 
     def __init__(self, options: FleetOptions) -> None:
         self.options = options
-        self.fleet = Fleet(options.plan(), publish=self._publish)
+        kind = ProxiedFleet if options.is_proxied else Fleet
+        self.fleet: Fleet = kind(options.plan(), publish=self._publish)
         self._revision = 0
 
     def __enter__(self) -> Self:
--- a/packages/citrondock-bench/src/citrondock_bench/http_call.py
+++ b/packages/citrondock-bench/src/citrondock_bench/http_call.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import Callable, Mapping
 
 import attrs
@@ -9,6 +10,8 @@
 
 SLOW_PIECES_PER_S = 10
 SLOW_READER_BUFFER_BYTES = 4096
+# Thousands of connections in TIME_WAIT slow down what looks at sockets.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 @attrs.frozen(kw_only=True)
@@ -127,6 +130,7 @@
     connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         connection.setblocking(False)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         if slow_reader:
             connection.setsockopt(
                 socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READER_BUFFER_BYTES
