--- a/packages/citrondock-bench/src/citrondock_bench/bench.py
+++ b/packages/citrondock-bench/src/citrondock_bench/bench.py
@@ -138,7 +138,7 @@
             report = run_load(plan, starts_at_s=starts_at_s)
         tokens_per_s = _full_rate_tokens_per_s(report)
         used_s = cpu_s[1] - cpu_s[0] if is_routed else 0.0
-        tokens = tokens_per_s * self._full_s
+        tokens = max(1.0, tokens_per_s * self._full_s)
         return PathRun(
             delays=path_delays(report.accounts[0].calls, self._journal(is_routed)),
             tokens_per_s=tokens_per_s,
--- a/packages/citrondock-bench/src/citrondock_bench/data_path.py
+++ b/packages/citrondock-bench/src/citrondock_bench/data_path.py
@@ -1,5 +1,6 @@
 """What a router adds to each stream, against the engine asked directly."""
 
+import math
 from collections.abc import Mapping, Sequence
 
 import attrs
@@ -42,7 +43,7 @@
 def path_delays(
     calls: Sequence[CallSample], runs: Mapping[tuple[str, str], EngineRun]
 ) -> PathDelays:
-    """Return what the path added.
+    """Return what the path added; infinite delays where no stream came whole.
 
     Parameters
     ----------
@@ -62,6 +63,13 @@
             (call.first_token_s - call.sent_s - engine_s) * MILLISECONDS_PER_S
         )
         pauses_ms.append(call.longest_pause_s * MILLISECONDS_PER_S)
+    if not delays_ms:
+        return PathDelays(
+            stream_count=0,
+            first_token_p50_ms=math.inf,
+            first_token_p95_ms=math.inf,
+            longest_pause_p95_ms=math.inf,
+        )
     p50_ms, p95_ms = np.percentile(delays_ms, [50, 95])
     return PathDelays(
         stream_count=len(delays_ms),
