Engines serve adapters, and what did not run is tried until its deadline

Cause: in the demo every chat call ended as target_failed, ran no, once the engines had loaded the pool's model: the services name adapters that no pool listed, the stand-in knew no adapters, and three refusals as not run ended a call while other engines loaded. Deliveries to peers gather for 20 ms instead of 10. Conclusion: the name by which a service asks is what the pool orders loaded.

--- a/packages/citrondock-core/src/citrondock_core/configuration_checks.py
+++ b/packages/citrondock-core/src/citrondock_core/configuration_checks.py
@@ -165,6 +165,19 @@
                 f"and a {service.kind.value} service needs {wanted.value!r}",
                 "name another pool or change the kind",
             )
+        yield from self._loaded(service, pool)
+
+    def _loaded(self, service: Service, pool: Pool) -> Iterator[Fault]:
+        """Check that the pool's engines are ordered to load what the service needs."""
+        if not (pool.model and service.model) or service.kind is not ServiceKind.CHAT:
+            return
+        if service.model not in (pool.model, *pool.adapters):
+            yield self._fault(
+                ImpossibleValueFault,
+                ("services", service.name, "model"),
+                f"the engines of {pool.name!r} load no {service.model!r}",
+                f"add it to pools.{pool.name}.adapters",
+            )
 
     def _shape(self, service: Service, path: Path) -> Iterator[Fault]:
         if not self._sound((*path, "kind")):
--- a/packages/citrondock-router/src/citrondock_router/call.py
+++ b/packages/citrondock-router/src/citrondock_router/call.py
@@ -53,8 +53,9 @@
         cheroot's request, which renders the head of the answer.
     connection : CallerConnection
         The caller's connection.
-    attempt_count, resume_count : int
-        How often it was sent to a target, and how often its stream was resumed.
+    attempt_count, resume_count, repeat_count : int
+        How often a target was tried, how often its stream was resumed, and how often
+        it was sent again though it may have run.
     target : Target or None
         Where it runs.
     claim : Claim or None
@@ -77,6 +78,7 @@
     connection: CallerConnection
     attempt_count: int = 0
     resume_count: int = 0
+    repeat_count: int = 0
     target: Target | None = None
     started_at_s: float = 0.0
     phase: CallPhase = CallPhase.WAITING
--- a/packages/citrondock-router/src/citrondock_router/call_runner.py
+++ b/packages/citrondock-router/src/citrondock_router/call_runner.py
@@ -35,7 +35,7 @@
 )
 from citrondock_wire.target_connections import TargetConnections
 
-_MAX_ATTEMPTS = 3
+_MAX_REPEATS = 2
 _MAX_RESUMES = 2
 _SEND_TIMEOUT_S = 5.0
 _HEAD_TIMEOUT_S = 5.0
@@ -349,7 +349,7 @@
         self._end_claim(call, ran)
         if call.caller_gone:
             self._cancel(call)
-        elif may_repeat and not late and call.attempt_count < _MAX_ATTEMPTS:
+        elif may_repeat and not late and self._has_attempt_left(call, ran):
             call.phase = CallPhase.WAITING
             self._tell(Requeue(call.request_id))
         else:
@@ -366,6 +366,17 @@
                 ),
             )
 
+    @staticmethod
+    def _has_attempt_left(call: Call, ran: Ran) -> bool:
+        """Whether another target may be tried.
+
+        An attempt that did not run costs a target nothing but a penalty, so that the
+        deadline alone bounds them; others load targets twice and are few.
+        """
+        if ran is Ran.MAYBE:
+            call.repeat_count += 1
+        return call.repeat_count <= _MAX_REPEATS
+
     def _end_claim(self, call: Call, ran: Ran) -> None:
         if ran is Ran.NO:
             self._claims.release(call)
--- a/packages/citrondock-router/src/citrondock_router/peer_network.py
+++ b/packages/citrondock-router/src/citrondock_router/peer_network.py
@@ -24,7 +24,7 @@
 
 _MAX_QUEUED = 2_000
 _MAX_BATCH = 200
-_GATHER_S = 0.01
+_GATHER_S = 0.02
 _IDLE_S = 30.0
 _MIN_PAUSE_S = 0.2
 _MAX_PAUSE_S = 2.0
--- a/packages/citrondock-standins/src/citrondock_standins/engine.py
+++ b/packages/citrondock-standins/src/citrondock_standins/engine.py
@@ -180,7 +180,7 @@
             return
         run = ModelRun(
             request_id=request.headers.get("x-request-id", f"run-{next(self._names)}"),
-            account=request.headers.get("x-account", ""),
+            account=request.headers.get("x-client-account", ""),
             generation=generation_of(body),
             arrived_s=now_s,
         )
--- a/packages/citrondock-standins/src/citrondock_standins/engine_orders.py
+++ b/packages/citrondock-standins/src/citrondock_standins/engine_orders.py
@@ -89,9 +89,9 @@
         return outcome
 
     def serves(self, model: str, *, now_s: float) -> bool:
-        """Whether a model is loaded; an engine without any serves all."""
+        """Whether a model or adapter is loaded; an engine without any serves all."""
         self._apply(now_s)
-        return not self._models or model in self._models
+        return not self._models or model in self._models or model in self._adapters
 
     def state(self, *, now_s: float) -> Mapping[str, object]:
         """Return what is loaded and the log of orders as a JSON document."""
--- a/tests/core/test_configuration_text.py
+++ b/tests/core/test_configuration_text.py
@@ -81,7 +81,12 @@
             ('"kudos"', '"ku dos"', "is not a name"),
             ('"kudos"', '"appeals"', "the key 'appeals' stands twice"),
             ('"model": "plume-tags",', "", "a chat service needs it"),
-            ('"plume-tags"', '"x", "path": "/x"', "a chat service has none"),
+            ('"plume-tags"', '"x"', "load no 'plume-tags'; add it to pools.engines"),
+            (
+                '"model": "plume-tags",',
+                '"model": "plume-tags", "path": "/x",',
+                "has none",
+            ),
             ('["takedowns"]', '["appeals"]', "'appeals' needs 'appeals'"),
         ],
     )
--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -113,7 +113,7 @@
 
 
 def post(engine, body, request_id="r", **options):
-    headers = {"X-Request-Id": request_id, "X-Account": "archive"}
+    headers = {"X-Request-Id": request_id, "X-Client-Account": "archive"}
     return HTTP.request(
         "POST",
         engine.url + "/v1/chat/completions",
