A cut also ends connections that the proxy was just opening

Cause: a connection that the fault proxy was still carrying to its target when a cut was put in force survived it, and looking up a sender while a router was being started raised RuntimeError and left the connection unanswered. A run of the whole suite failed once: two routers followed the store through a cut. Ruled out: the follower's peers (none had the revision) and the cut's listener, which was closed. Change: the cut is looked at again once the target is connected; senders are looked up in a copy of the routers. Conclusion: faults at the proxy now hold for every connection.

--- a/packages/citrondock-standins/src/citrondock_standins/fleet.py
+++ b/packages/citrondock-standins/src/citrondock_standins/fleet.py
@@ -353,7 +353,8 @@
 
     def _sender_of(self, address: tuple[str, int]) -> str:
         """Return the router that opened a connection from an address."""
-        for name, router in self.routers.items():
+        # Runs in the proxies' thread, also while routers are being started.
+        for name, router in list(self.routers.items()):
             if router.process.is_running and router.process.holds_address(address):
                 return name
         return EVERY_SENDER
--- a/packages/citrondock-standins/src/citrondock_standins/proxy.py
+++ b/packages/citrondock-standins/src/citrondock_standins/proxy.py
@@ -225,7 +225,9 @@
         connection = _Connection(self._faults, sender, (reader, writer), target)
         self._connections.add(connection)
         try:
-            await connection.run()
+            # A cut may have come while the target was being connected to.
+            if not self._faults.find(FaultKind.CUT, sender):
+                await connection.run()
         finally:
             self._connections.discard(connection)
             connection.reset()
