Remove nothing on an old history, and split the writer off the repository

Cause: after a lost answer with more than eight edits following, a list that lacks records would have shown the own accepted edit as one that lost, and its parts would have been removed; the collector had the same hole. Change: a history that does not reach back to the base is unsettled, and with a gap the collector removes nothing. Measured: tests/core/test_configuration_repository.py 18 passed; each guard taken out makes one test fail (old history after a lost answer; collected parts). Conclusion: an old read costs a repetition, never a part in use.

--- a/packages/citrondock-core/src/citrondock_core/configuration_collector.py
+++ b/packages/citrondock-core/src/citrondock_core/configuration_collector.py
@@ -42,7 +42,8 @@
     """Collects old parts after an edit was accepted.
 
     A part may go once the revision that dropped it is `KEPT_REVISION_COUNT` old: no
-    later revision can refer to it, since an edit reuses only parts of its parent.
+    later revision can refer to it, since an edit reuses only parts of its parent. With
+    a gap in the history, as an old read shows it, nothing is removed.
 
     Parameters
     ----------
@@ -78,6 +79,8 @@
         if last <= collected.revision:
             return 0
         history = self._reader.history(head, after_revision=collected.revision)
+        if len(history) != head.revision - collected.revision:
+            return 0
         accepted = {edit.edit_id for edit in history}
         removed = 0
         for revision in range(collected.revision + 1, last + 1):
--- a/packages/citrondock-core/src/citrondock_core/configuration_repository.py
+++ b/packages/citrondock-core/src/citrondock_core/configuration_repository.py
@@ -1,7 +1,6 @@
 """Accepts edits of the configuration by a conditional update of one head object."""
 
 import functools
-import zlib
 from collections.abc import Callable, Sequence
 from typing import TypeVar
 
@@ -12,22 +11,14 @@
     Delta,
     delta_between,
     dump,
-    encode_entry,
-    entries_of,
 )
-from citrondock_core.configuration_parts import Part, cut, digest_of
 from citrondock_core.configuration_reader import ConfigurationReader, HeadVersion
 from citrondock_core.configuration_revisions import (
     HEAD_KEY,
     MAX_RECORD_DELTA_BYTES,
     MAX_SHOWN_CHANGES,
     Edit,
-    EditRecord,
     Head,
-    Manifest,
-    edit_key,
-    manifest_key,
-    part_key,
 )
 from citrondock_core.configuration_text import parse_configuration
 from citrondock_core.errors import CitrondockError
@@ -38,9 +29,8 @@
     StoreUnavailableError,
     VersionConflictError,
 )
-
-MAX_ATTEMPTS = 5
-FIRST_PAUSE_S = 0.1
+from citrondock_core.repeater import FIRST_PAUSE_S, MAX_ATTEMPTS, Repeater
+from citrondock_core.revision_writer import RevisionWriter, cut_text, digests
 
 T = TypeVar("T")
 
@@ -141,6 +131,10 @@
     ) -> None:
         super().__init__(store, call_timeout_s=call_timeout_s)
         self._pause = pause
+        self._repeater = Repeater(pause)
+        self._writer = RevisionWriter(
+            store, self._repeater, call_timeout_s=call_timeout_s
+        )
 
     def commit(self, request: EditRequest) -> Commit:
         """Check an edit and put it in force.
@@ -157,30 +151,33 @@
             The store failed before the edit could be accepted.
         """
         configuration = parse_configuration(request.text, request.file)
-        located = self._repeat(self.read_head)
+        located = self._repeater.repeat(self.read_head)
         accepted = self._accepted(request, located.head, configuration)
         if accepted is not None:
             return accepted
         head = located.head
         if head.revision != request.base_revision:
             raise self._conflict(request, head)
-        parent = self._repeat(lambda: self.read_manifest(head.revision, head.edit_id))
-        if [part.digest for part in parent.text] == _digests(_text_parts(request)):
+        parent = self._repeater.repeat(
+            lambda: self.read_manifest(head.revision, head.edit_id)
+        )
+        text_parts = cut_text(request.text)
+        if [part.digest for part in parent.text] == digests(text_parts):
             current = attrs.evolve(
                 configuration, revision=head.revision, edit_id=head.edit_id
             )
             return Commit(configuration=current, edit=None)
         before = Configuration()
         if head.revision:
-            before = self._repeat(
+            before = self._repeater.repeat(
                 lambda: self.read_snapshot(head.revision, head.edit_id)
             )
         edit = _edit(request, head, delta_between(before, configuration))
-        written = self._write_parts(edit, request, configuration, parent)
+        written = self._writer.write(edit, text_parts, configuration, parent)
         try:
             return self._accept(request, edit, located, configuration)
         except EditConflictError:
-            self._remove_unaccepted(edit, written)
+            self._writer.remove(edit, written)
             raise
 
     def _accept(
@@ -230,7 +227,7 @@
 
     def _repeat_settling(self, request: EditRequest, call: Callable[[], T]) -> T:
         try:
-            return self._repeat(call)
+            return self._repeater.repeat(call)
         except ObjectStoreError as error:
             raise _unsettled(request, f"the head cannot be read: {error}") from error
 
@@ -243,6 +240,8 @@
         edits = list(head.recent)
         if edits[0].revision > request.base_revision + 1:
             edits = list(self._history_since(head, request.base_revision))
+            if not edits or edits[0].revision > request.base_revision + 1:
+                raise _unsettled(request, "the store's history has a gap")
         for index, edit in enumerate(edits):
             if edit.edit_id == request.edit_id:
                 return Commit(
@@ -271,55 +270,9 @@
         )
 
     def _history_since(self, head: Head, revision: int) -> Sequence[Edit]:
-        return self._repeat(lambda: self.history(head, after_revision=revision))
-
-    def _write_parts(
-        self,
-        edit: Edit,
-        request: EditRequest,
-        configuration: Configuration,
-        parent: Manifest,
-    ) -> list[Part]:
-        """Write everything that the new head refers to, the record first."""
-        entries = entries_of(configuration)
-        lines = (encode_entry(key, entries[key]) for key in sorted(entries))
-        contents = [_text_parts(request), list(cut(lines))]
-        parent_parts = [*parent.text, *parent.snapshot]
-        kept = {part.digest: part for part in parent_parts}
-        new = {digest_of(c): c for group in contents for c in group}
-        keys = {
-            digest: part_key(edit.revision, edit.edit_id, index)
-            for index, digest in enumerate(new)
-            if digest not in kept
-        }
-        record = EditRecord(
-            edit=edit,
-            dropped_parts=tuple(p for p in parent_parts if p.digest not in new),
-            written_keys=tuple(keys.values()),
-        )
-        self._create(edit_key(edit.revision, edit.edit_id), dump(record))
-        for digest, key in keys.items():
-            version = self._create(key, new[digest])
-            kept[digest] = Part(key=key, version=version, digest=digest)
-        text, snapshot = (
-            tuple(kept[digest] for digest in _digests(group)) for group in contents
+        return self._repeater.repeat(
+            lambda: self.history(head, after_revision=revision)
         )
-        manifest = Manifest(
-            revision=edit.revision, edit_id=edit.edit_id, text=text, snapshot=snapshot
-        )
-        self._create(manifest_key(edit.revision, edit.edit_id), dump(manifest))
-        return [kept[digest] for digest in keys]
-
-    def _remove_unaccepted(self, edit: Edit, written: list[Part]) -> None:
-        """Remove what a lost race left; what stays is collected later."""
-        try:
-            for part in written:
-                self._store.delete(part.key, if_version=part.version)
-            for key in (manifest_key, edit_key):
-                found = self._get(key(edit.revision, edit.edit_id))
-                self._store.delete(found.key, if_version=found.version)
-        except ObjectStoreError:
-            return
 
     def _write_head(self, value: bytes, version: int) -> int:
         timeout_s = self._call_timeout_s
@@ -329,24 +282,6 @@
             HEAD_KEY, value, if_version=version, timeout_s=timeout_s
         )
 
-    def _create(self, key: str, content: bytes) -> int:
-        """Write an object that only this edit writes, whatever answers get lost."""
-        value = zlib.compress(content)
-        try:
-            return self._repeat(
-                lambda: self._store.create(key, value, timeout_s=self._call_timeout_s)
-            )
-        except VersionConflictError:
-            return self._repeat(lambda: self._get(key)).version
-
-    def _repeat(self, call: Callable[[], T]) -> T:
-        for attempt in range(MAX_ATTEMPTS - 1):
-            try:
-                return call()
-            except (StoreUnavailableError, AnswerLostError):
-                self._pause(FIRST_PAUSE_S * 2**attempt)
-        return call()
-
 
 def _edit(request: EditRequest, head: Head, delta: Delta) -> Edit:
     keys = delta.keys
@@ -375,11 +310,3 @@
 
 def _revised(configuration: Configuration, edit: Edit) -> Configuration:
     return attrs.evolve(configuration, revision=edit.revision, edit_id=edit.edit_id)
-
-
-def _text_parts(request: EditRequest) -> list[bytes]:
-    return list(cut(request.text.splitlines(keepends=True)))
-
-
-def _digests(contents: list[bytes]) -> list[str]:
-    return [digest_of(content) for content in contents]
--- a/tests/core/test_configuration_repository.py
+++ b/tests/core/test_configuration_repository.py
@@ -163,6 +163,26 @@
         assert commit.edit.revision == 2
         assert repository.read_head().head.revision == 2
 
+    def test_old_history_after_a_lost_answer_removes_nothing(self, repository, store):
+        other = ConfigurationRepository(store, pause=lambda _: None)
+
+        def edit_ten_times_and_forget():
+            for revision in range(2, 12):
+                other.commit(
+                    request(f"e{revision}", base=revision, weight=20 + revision)
+                )
+            store.list = lambda *_args, **_kwargs: []
+
+        store.after = edit_ten_times_and_forget
+
+        with pytest.raises(EditUnsettledError):
+            repository.commit(request("mine", base=1, weight=8))
+
+        del store.list
+        assert repository.read_text(2, "mine").decode() == text_with_weight(8)
+        commit = repository.commit(request("mine", base=1, weight=8))
+        assert len(commit.later_edits) == 10
+
     def test_outage_before_the_head_is_written_is_no_edit(self, repository, store):
         store.before = lambda: store.set_faults(StoreFaults(outage=Outage.REFUSE))
 
@@ -237,6 +257,11 @@
                 request(f"e{revision}", base=revision, weight=10 + revision)
             )
 
+        whole = repository.history(repository.read_head().head)
+        repository.history = lambda *_args, **_kwargs: whole[5:]
+        assert collector.collect() == 0
+        del repository.history
+
         removed = collector.collect()
 
         assert removed > 0
