Filters of the audit command

Cause: an operator looks for one VM, target or person among many records. Conclusion: the trail can be searched from the command line.

--- a/packages/citrondock-cli/src/citrondock_cli/audit_command.py
+++ b/packages/citrondock-cli/src/citrondock_cli/audit_command.py
@@ -4,6 +4,7 @@
 
 from citrondock_cli.command import Command, Context
 from citrondock_cli.exit_code import ExitCode
+from citrondock_cli.options import Options
 from citrondock_cli.output import table
 from citrondock_cli.read_commands import changes_text, recent_edits, time_text
 from citrondock_core.audit_reader import read_audit
@@ -15,16 +16,25 @@
     """Reads the audit trail."""
 
     name = "audit"
-    usage = "[--limit=N]"
+    usage = "[--limit=N] [--kind=KIND] [--subject=NAME] [--who=NAME]"
     summary = "List edits, orders, drains, membership changes and takeovers."
 
     def run(self, context: Context, arguments: Sequence[str]) -> ExitCode:
         """List the records of the routers and the accepted edits together."""
-        limit = context.options.limit
-        records = [*read_audit(context.store, limit=limit)]
-        records += map(_edit_record, recent_edits(context))
+        options = context.options
+        records = [
+            *read_audit(
+                context.store,
+                limit=options.limit,
+                kind=options.kind,
+                subject=options.subject,
+                who=options.who,
+            )
+        ]
+        edits = map(_edit_record, recent_edits(context))
+        records += [record for record in edits if _fits(record, options)]
         records.sort(key=lambda record: record.at_unix_s)
-        newest = records[-limit:]
+        newest = records[-options.limit :]
         rows = [
             (
                 time_text(record.at_unix_s),
@@ -57,6 +67,14 @@
     )
 
 
+def _fits(record: AuditRecord, options: Options) -> bool:
+    return (
+        options.kind in (None, record.kind)
+        and options.subject in (None, record.subject)
+        and options.who in (None, record.who)
+    )
+
+
 def _revisions_text(record: AuditRecord) -> str:
     if record.to_revision is None:
         return ""
--- a/packages/citrondock-cli/src/citrondock_cli/options.py
+++ b/packages/citrondock-cli/src/citrondock_cli/options.py
@@ -8,6 +8,8 @@
 import attrs
 from absl import flags
 
+from citrondock_core.audit_record import AuditKind
+
 STORE_VARIABLE = "CITRONDOCK_STORE"
 ROUTERS_VARIABLE = "CITRONDOCK_ROUTERS"
 DEFAULT_STORE_URL = "http://127.0.0.1:7000"
@@ -41,6 +43,10 @@
         Longest wait, and longest time of one call, in seconds.
     undo : bool
         Whether a drain ends.
+    kind : AuditKind or None
+        Only audit records of this kind.
+    subject, who : str or None
+        Only audit records of this subject, or by this operator or router.
     """
 
     store_url: str
@@ -56,6 +62,9 @@
     wait_timeout_s: float
     timeout_s: float
     undo: bool
+    kind: AuditKind | None
+    subject: str | None
+    who: str | None
 
 
 def define_flags(environment: Mapping[str, str]) -> flags.FlagValues:
@@ -123,6 +132,22 @@
         flag_values=values,
     )
     flags.DEFINE_boolean("undo", False, "End a drain.", flag_values=values)
+    flags.DEFINE_enum(
+        "kind",
+        None,
+        [kind.value for kind in AuditKind],
+        "Only audit records of this kind.",
+        flag_values=values,
+    )
+    flags.DEFINE_string(
+        "subject", None, "Only audit records of this subject.", flag_values=values
+    )
+    flags.DEFINE_string(
+        "who",
+        None,
+        "Only audit records by this operator or router.",
+        flag_values=values,
+    )
     flags.DEFINE_boolean("help", False, "Show this help.", flag_values=values)
     return values
 
@@ -144,6 +169,9 @@
         wait_timeout_s=given["wait_timeout_s"],
         timeout_s=given["timeout_s"],
         undo=given["undo"],
+        kind=AuditKind(given["kind"]) if given["kind"] else None,
+        subject=given["subject"],
+        who=given["who"],
     )
 
 
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -147,6 +147,10 @@
             "membership",
             "edit",
         ]
+        for filtered in ("--kind=membership", "--who=router-a1"):
+            assert run("audit", filtered) == ExitCode.DONE
+            assert len(run.out.splitlines()) == 2
+            assert "b left" in run.out
         assert run("audit", "--json", "--limit=1") == ExitCode.DONE
         assert [record["why"] for record in json.loads(run.out)] == ["start"]
 
