--- a/packages/citrondock-router/src/citrondock_router/settings_flags.py
+++ b/packages/citrondock-router/src/citrondock_router/settings_flags.py
@@ -1,5 +1,6 @@
 """Command line flags that name the settings and override them."""
 
+import sys
 from typing import Any
 
 import attrs
@@ -76,6 +77,9 @@
         flags.DEFINE_string(
             name, None, f"Same as --set={setting}=…", flag_values=flag_values
         )
+    # --help shows the flags that the main module counts as its own.
+    for name in ("settings", "set", *_DIRECT_FLAGS):
+        flag_values.register_key_flag_for_module(sys.argv[0], flag_values[name])
 
 
 def settings_from_flags(flag_values: flags.FlagValues = flags.FLAGS) -> RouterSettings:
--- a/tests/router/test_settings.py
+++ b/tests/router/test_settings.py
@@ -93,7 +93,7 @@
         values = flags.FlagValues()
         define_flags(values)
 
-        help_text = values.get_help()
+        help_text = values.main_module_help()
 
         assert "callers.head_timeout_s [seconds] (default 10.0)" in help_text
 
