Ask peers after a start, so that an old read takes no restarted router back

Cause: a restarted router has no memory and trusted the first head that the store showed; an old read would have put an older revision in force there until the watch brought the newer one. Change: in the first 10 s the follower waits 1 s at a time and asks the peers as well, until one has answered, and takes the highest revision. Conclusion: a restart ends at the highest revision that store or peers hold; it may show an older one until the first peer is known.

--- a/packages/citrondock-router/src/citrondock_router/configuration_follower.py
+++ b/packages/citrondock-router/src/citrondock_router/configuration_follower.py
@@ -27,6 +27,9 @@
 MAX_SNAPSHOT_DELAY_S = 1.0
 """Spread of the reads that a change beyond the head's own deltas costs."""
 WATCH_MARGIN_S = 3.0
+START_WINDOW_S = 10.0
+"""Time after the start in which peers are asked too, until one has answered."""
+START_WATCH_WAIT_S = 1.0
 MIN_WATCH_S = 1.0
 """Pause where the store answers a watch at once without a change."""
 
@@ -103,7 +106,8 @@
     """Follows the head in the store by one waiting watch, on a thread of its own.
 
     While the store is out, it takes the highest revision that reachable peers hold.
-    Only higher revisions are applied, whoever sends them.
+    After a start it asks them as well, since an old read of the store is not to take a
+    restarted router back. Only higher revisions are applied, whoever sends them.
 
     Parameters
     ----------
@@ -153,6 +157,7 @@
         self._store_behind = False
         self._store_error = ""
         self._failure_count = 0
+        self._asks_peers_until_s = clock() + START_WINDOW_S
         self._encoded = (0, b"")
 
     def start(self) -> None:
@@ -235,12 +240,14 @@
             located = self._reader.read_head()
             if located.version:
                 self._take(located)
+                self._ask_peers_after_start()
                 self._confirm()
                 return 0.0
         started_at_s = self._clock()
         watched = self._reader.wait_for_head(
-            after_version=self._store_version, wait_s=self._watch_wait_s
+            after_version=self._store_version, wait_s=self._next_wait_s()
         )
+        self._ask_peers_after_start()
         if watched.found is not None:
             self._take(watched.found)
         elif watched.version < self._store_version:
@@ -253,6 +260,17 @@
         is_idle = watched.found is None and waited_s < MIN_WATCH_S
         return MIN_WATCH_S if is_idle else 0.0
 
+    def _next_wait_s(self) -> float:
+        if self._clock() < self._asks_peers_until_s:
+            return min(START_WATCH_WAIT_S, self._watch_wait_s)
+        return self._watch_wait_s
+
+    def _ask_peers_after_start(self) -> None:
+        if self._clock() >= self._asks_peers_until_s:
+            return
+        if self._take_from_peers():
+            self._asks_peers_until_s = self._clock()
+
     def _take(self, located: HeadVersion) -> None:
         current = self._configuration
         head = located.head
@@ -288,18 +306,19 @@
         self._failure_count = min(self._failure_count + 1, 16)
         return self._rng.uniform(longest_s / 2, longest_s)
 
-    def _take_from_peers(self) -> None:
+    def _take_from_peers(self) -> bool:
+        """Take the highest revision of the peers; tell whether any answered."""
         try:
             copies = self._peer_copies(self._configuration.revision)
         except CitrondockError as error:
             log_event("configuration_peers_failed", level="WARNING", error=str(error))
-            return
+            return False
         newest_first = sorted(copies, key=lambda copy: copy.revision, reverse=True)
         for copy in newest_first:
-            if copy.revision <= self._configuration.revision:
-                return
-            if self._take_copy(copy):
-                return
+            is_newer = copy.revision > self._configuration.revision
+            if is_newer and self._take_copy(copy):
+                break
+        return bool(copies)
 
     def _take_copy(self, copy: PeerConfiguration) -> bool:
         try:
--- a/tests/router/test_configuration_follower.py
+++ b/tests/router/test_configuration_follower.py
@@ -12,6 +12,7 @@
 )
 from citrondock_core.object_store import WatchResult
 from citrondock_router.configuration_follower import (
+    START_WINDOW_S,
     ConfigurationFollower,
     ConfigurationSource,
     PeerConfiguration,
@@ -130,6 +131,23 @@
             follower.step()
         assert [configuration.revision for configuration in seen] == [3, 4]
 
+    def test_an_old_read_at_the_start_does_not_take_it_back(self, fleet):
+        old_store = Fleet()
+        old_store.edit()
+        for _ in range(2):
+            fleet.edit()
+        follower, seen = old_store.follower()
+        follower.step()
+        old_store.peers = [fleet.copy(3)]
+
+        follower.step()
+
+        assert [configuration.revision for configuration in seen] == [1, 3]
+        old_store.peers = [fleet.copy(2)]
+        old_store.now_s += START_WINDOW_S
+        assert follower.step() >= 0
+        assert follower.configuration.revision == 3
+
     def test_a_store_that_answers_from_the_past_is_not_trusted(self, fleet):
         follower, _ = fleet.follower()
         follower.step()
