Run test files side by side in four processes

Cause: the whole test run took 111 s one file after another, most of it waiting for fleets of real processes to start and to notice faults. Change: pytest-xdist runs whole files in four processes; JOBS sets another number. Each fleet has ephemeral ports and folders of its own, so that files share nothing.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
+# Test files run side by side in this many processes.
+JOBS ?= 4
 PACKAGES := core wire router cli standins bench
 SOURCES := $(foreach p,$(PACKAGES),packages/citrondock-$(p)/src)
 empty :=
@@ -24,7 +26,7 @@
 	$(BIN)/python -m citrondock_bench.demo
 
 test: setup
-	$(BIN)/python -m pytest tests $(shell tools/known-red)
+	$(BIN)/python -m pytest -n $(JOBS) --dist loadfile tests $(shell tools/known-red)
 
 lint: setup
 	$(BIN)/ruff format --check .
