Lift joining accounts for as long as counters travel, and state demand less often

An account was lifted once, to what the router knew at that moment; a clamp ran at each total, and routers ended up to 28,000 tokens apart about one account. An account that joins is now lifted until counters have come round, the clamp runs at relays after a zone comes back, lent slots are bound to the account they were lent for, and the end of a demand is told when it stays so.

--- a/packages/citrondock-core/src/citrondock_core/cost_estimator.py
+++ b/packages/citrondock-core/src/citrondock_core/cost_estimator.py
@@ -4,7 +4,7 @@
 
 DEFAULT_ESTIMATE_TOKENS = 256.0
 SMOOTHING = 0.1
-HINT_FACTOR = 4.0
+HINT_FACTOR = 2.0
 MAX_ESTIMATES_COUNT = 20_000
 
 
--- a/packages/citrondock-core/src/citrondock_core/demand_table.py
+++ b/packages/citrondock-core/src/citrondock_core/demand_table.py
@@ -91,11 +91,22 @@
 
     def keep_members(self, vm_names: set[str]) -> list[DemandKey]:
         """Drop statements of routers that are gone; return what changed."""
-        return self._drop(lambda demand: demand.vm_name not in vm_names)
+        changed = []
+        for pool, account in list(self.keys()):
+            by_vm = self._by_pool[pool][account]
+            gone = set(by_vm) - vm_names
+            for vm_name in gone:
+                del by_vm[vm_name]
+            if gone:
+                changed.append((pool, account))
+                self._note(pool, account)
+        return changed
 
-    def drop_pool_of(self, vm_name: str, pool: str) -> list[DemandKey]:
-        """Drop what one router said of a pool, after it used no slot."""
-        return self._drop(lambda d: d.vm_name == vm_name and d.pool == pool)
+    def drop(self, vm_name: str, pool: str, account: str) -> None:
+        """Drop what a router said of an account, after it did not use a slot."""
+        by_vm = self._by_pool.get(pool, {}).get(account, {})
+        if by_vm.pop(vm_name, None) is not None:
+            self._note(pool, account)
 
     def statements(self, pool: str, account: str) -> list[Demand]:
         """Return all statements about one pool and account."""
@@ -157,18 +168,6 @@
         by_vm = self._by_pool[pool][account]
         return any(remote.open_count(now_s) > 0 for remote in by_vm.values())
 
-    def _drop(self, gone: Callable[[Demand], bool]) -> list[DemandKey]:
-        changed = []
-        for pool, account in list(self.keys()):
-            by_vm = self._by_pool[pool][account]
-            names = [n for n, r in by_vm.items() if gone(r.statement)]
-            for name in names:
-                del by_vm[name]
-            if names:
-                changed.append((pool, account))
-                self._note(pool, account)
-        return changed
-
     def _note(self, pool: str, account: str) -> None:
         by_vm = self._by_pool[pool][account]
         positive = self._positive.setdefault(pool, set())
--- a/packages/citrondock-core/src/citrondock_core/dispatch_options.py
+++ b/packages/citrondock-core/src/citrondock_core/dispatch_options.py
@@ -16,7 +16,7 @@
     quantum_tokens : float
         Change of a counter below which it is not sent.
     clamp_tokens : float
-        Largest lead over the lowest waiting account that is remembered.
+        Largest lead over the lowest waiting account that outlasts a partition.
     exchange_period_s, max_period_s : float
         Shortest and longest time between summaries.
     budget_bytes_per_s : float
@@ -41,9 +41,9 @@
 
     band_tokens: float = attrs.field(default=500.0, validator=ge(0))
     quantum_tokens: float = attrs.field(default=100.0, validator=ge(0))
-    clamp_tokens: float = attrs.field(default=8_000.0, validator=gt(0))
+    clamp_tokens: float = attrs.field(default=4_000.0, validator=gt(0))
     exchange_period_s: float = attrs.field(default=0.5, validator=gt(0))
-    max_period_s: float = attrs.field(default=2.0, validator=gt(0))
+    max_period_s: float = attrs.field(default=4.0, validator=gt(0))
     budget_bytes_per_s: float = attrs.field(default=2_000.0, validator=gt(0))
     refresh_period_s: float = attrs.field(default=30.0, validator=gt(0))
     grant_ttl_s: float = attrs.field(default=10.0, validator=gt(0))
--- a/packages/citrondock-core/src/citrondock_core/dispatcher.py
+++ b/packages/citrondock-core/src/citrondock_core/dispatcher.py
@@ -4,6 +4,7 @@
 
 from citrondock_core.actions import Action, Outcome, Refuse, Start
 from citrondock_core.affinity import AffinityTable
+from citrondock_core.backlog import Backlog
 from citrondock_core.configuration import Configuration, ServiceKind
 from citrondock_core.cost_estimator import CostEstimator
 from citrondock_core.demand_notice import DemandNotice
@@ -39,7 +40,7 @@
 
 AFFINITY_DEPTH_COUNT = 8
 RESERVED_PERIODS_COUNT = 3
-FLOOR_PERIOD_S = 0.1
+CLAMP_WINDOW_S = 5.0
 
 
 class Dispatcher:
@@ -83,7 +84,8 @@
             member, self._ledger, self._demand, self._options
         )
         self._notice = DemandNotice(member, self._targets)
-        self._floors: dict[str, tuple[float, float]] = {}
+        self._backlogs: dict[str, Backlog] = {}
+        self._clamp_until_s = 0.0
         self._outbox: list[Action] = []
         self._idle_slot_s = 0.0
         self._idle_count = 0
@@ -105,6 +107,9 @@
         self._members = {member.vm_name: member for member in all_members}
         if self._members == before:
             return
+        zones = {member.availability_zone for member in before.values()}
+        if any(member.availability_zone not in zones for member in all_members):
+            self._clamp_until_s = now_s + CLAMP_WINDOW_S
         self._lending.state_at_once(self._targets.set_members(all_members))
         self._exchange.set_members(all_members)
 
@@ -120,7 +125,7 @@
         was_idle = not self._waiting.queue(pool).count(account)
         self._waiting.admit(request, self._configuration)
         if was_idle and not self._demand.waits_elsewhere(pool, account):
-            self._lift(pool, account, now_s)
+            self._backlog(pool).join(account, now_s=now_s)
 
     def withdraw(self, request_id: str, *, now_s: float) -> bool:
         """Take a request out; return whether it was still waiting."""
@@ -202,10 +207,12 @@
 
     def _receive_summary(self, sender: Member, summary: Summary, now_s: float) -> None:
         for demand in summary.demands:
-            self._lift_remote(demand.pool, demand.account, now_s)
+            pool, account = demand.pool, demand.account
+            waits = self._waiting.queue(pool).count(account)
+            if not waits and not self._demand.waits_elsewhere(pool, account):
+                self._backlog(pool).join(account, now_s=now_s)
         self._outbox.extend(self._exchange.receive(sender, summary, now_s=now_s))
-        if summary.totals:
-            self._clamp(now_s)
+        self._clamp(now_s)
 
     def step(self, *, now_s: float) -> list[Action]:
         """Dispatch what can go, and return what the router has to do now."""
@@ -244,10 +251,10 @@
             count = self._waiting.queue(pool).count(account)
             self._exchange.note_demand(pool, account, count)
         self._waiting.changed.clear()
-        for pool in self._lending.refused_pools:
-            self._exchange.restate(pool)
+        for pool, account in sorted(self._lending.unused):
+            self._exchange.restate((pool, account))
             self._notice.restate(pool)
-        self._lending.refused_pools.clear()
+        self._lending.unused.clear()
 
     def _fill_own(self, pool: str, now_s: float) -> None:
         """Fill free slots of this home, here or at the router that waits most."""
@@ -314,14 +321,16 @@
                 account = self._policy.next_account(queue, self._ledger.level)
                 if account is None:
                     return
-                if held.used and not self._may_reuse(pool, account, now_s):
+                if not self._may_use(held, pool, account, now_s):
                     break
                 request = self._choose_request(pool, account, slots.name, now_s)
                 self._start(request, slots.name, held, now_s)
 
-    def _may_reuse(self, pool: str, account: str, now_s: float) -> bool:
-        """Return whether an account may have a lent slot again without asking."""
-        floor = self._floor(pool, now_s)
+    def _may_use(self, held: HeldSlots, pool: str, account: str, now_s: float) -> bool:
+        """Return whether an account may have a lent slot without asking."""
+        if account == held.grant.account and not held.used:
+            return True
+        floor = self._backlog(pool).floor(now_s=now_s)
         if floor is None:
             return True
         return self._ledger.level(account) <= floor + self._options.band_tokens
@@ -401,39 +410,22 @@
         self._journal.note(request_id, f"refused as not run: {reason}")
         self._outbox.append(Refuse(request_id, error))
 
-    def _floor(self, pool: str, now_s: float) -> float | None:
-        """Return the level of the lowest account that waits for a pool anywhere."""
-        known = self._floors.get(pool)
-        if known is not None and now_s < known[0]:
-            return known[1]
-        accounts = {*self._waiting.queue(pool).accounts, *self._demand.accounts(pool)}
-        if not accounts:
-            return known[1] if known else None
-        floor = min(self._ledger.level(account) for account in accounts)
-        self._floors[pool] = (now_s + FLOOR_PERIOD_S, floor)
-        return floor
-
-    def _lift(self, pool: str, account: str, now_s: float) -> None:
-        floor = self._floor(pool, now_s)
-        if floor is not None:
-            self._ledger.lift(account, floor)
-
-    def _lift_remote(self, pool: str, account: str, now_s: float) -> None:
-        if self._waiting.queue(pool).count(account):
-            return
-        if not self._demand.waits_elsewhere(pool, account):
-            self._lift(pool, account, now_s)
+    def _backlog(self, pool: str) -> Backlog:
+        backlog = self._backlogs.get(pool)
+        if backlog is None:
+            queue = self._waiting.queue(pool)
+            backlog = Backlog(
+                self._ledger, lambda: {*queue.accounts, *self._demand.accounts(pool)}
+            )
+            self._backlogs[pool] = backlog
+        return backlog
 
     def _clamp(self, now_s: float) -> None:
+        """Forget what built up while other routers were out of reach."""
+        if now_s >= self._clamp_until_s or not self._exchange.is_relay:
+            return
         for pool in self._configuration.pools:
-            floor = self._floor(pool, now_s)
-            if floor is not None:
-                accounts = {
-                    *self._waiting.queue(pool).accounts,
-                    *self._demand.accounts(pool),
-                }
-                lead = self._options.clamp_tokens
-                self._ledger.clamp(accounts, floor=floor, lead=lead)
+            self._backlog(pool).clamp(self._options.clamp_tokens, now_s=now_s)
 
     def _count_idle(self, now_s: float) -> None:
         if self._stepped_at_s is not None:
--- a/packages/citrondock-core/src/citrondock_core/slot_lending.py
+++ b/packages/citrondock-core/src/citrondock_core/slot_lending.py
@@ -3,7 +3,7 @@
 from collections import Counter as CountOf
 
 from citrondock_core.actions import Send
-from citrondock_core.demand_table import DemandTable
+from citrondock_core.demand_table import DemandKey, DemandTable
 from citrondock_core.dispatch_options import DispatchOptions
 from citrondock_core.messages import InFlight, Member, SlotGrant, SlotReturn
 from citrondock_core.slot_holder import HeldSlots, SlotHolder
@@ -41,25 +41,23 @@
         self._prefix = f"{member.incarnation & 0xFFFFF:x}"
         self._grant_count = 0
         self._sequence = 0
-        self._lending: CountOf[tuple[str, str]] = CountOf()
-        self._lending_for: dict[tuple[str, str], str] = {}
+        self._lending: CountOf[tuple[str, str, str]] = CountOf()
         self._state_until_s: dict[str, float] = {}
         self._state_at_once: set[str] = set()
         self._first_token_s: dict[str, float] = {}
         self._next_statement_s = 0.0
         self.holder = SlotHolder()
-        self.refused_pools: set[str] = set()
+        self.unused: set[DemandKey] = set()
 
     def lend(self, slots: TargetSlots, vm_name: str, account: str) -> None:
         """Add one slot to what is lent with the next `take_grants`."""
-        self._lending[(slots.name, vm_name)] += 1
-        self._lending_for.setdefault((slots.name, vm_name), account)
+        self._lending[(slots.name, vm_name, account)] += 1
         slots.lent_count += 1
 
     def take_grants(self, *, now_s: float) -> list[Send]:
         """Return the grants of this step, one for each target and router."""
         sends = []
-        for (target, vm_name), count in self._lending.items():
+        for (target, vm_name, account), count in self._lending.items():
             slots = self._targets.get(target)
             if slots is None:
                 continue
@@ -70,13 +68,14 @@
                 pool=slots.pool,
                 slot_count=count,
                 ttl_s=self._options.grant_ttl_s,
-                account=self._lending_for[(target, vm_name)],
+                account=account,
+            )
+            lent = LentSlots(
+                vm_name=vm_name, account=account, slot_count=count, lent_at_s=now_s
             )
-            lent = LentSlots(vm_name=vm_name, slot_count=count, lent_at_s=now_s)
             slots.lend(grant.grant_id, lent)
             sends.append(Send(vm_name, grant))
         self._lending.clear()
-        self._lending_for.clear()
         return sends
 
     def receive_grant(self, sender: Member, grant: SlotGrant, *, now_s: float) -> None:
@@ -85,13 +84,13 @@
         self._state_until_s[grant.target] = now_s + STATED_AFTER_GRANT_S
 
     def receive_return(self, sender: Member, message: SlotReturn) -> None:
-        """Take slots back; a router that used none of them has no demand."""
+        """Take slots back; a router that used none has no such demand."""
         slots = self._targets.get(message.target)
         if slots is None:
             return
-        slots.take_back(message)
-        if message.unused:
-            self._demand.drop_pool_of(sender.vm_name, slots.pool)
+        lent = slots.take_back(message)
+        if lent is not None and message.unused:
+            self._demand.drop(sender.vm_name, slots.pool, lent.account)
 
     def receive_in_flight(
         self, sender: Member, message: InFlight, *, now_s: float
@@ -111,7 +110,7 @@
     def give_back(self, held: HeldSlots, count: int) -> Send:
         """Return slots to their home."""
         if not held.used:
-            self.refused_pools.add(held.grant.pool)
+            self.unused.add((held.grant.pool, held.grant.account))
         return Send(held.home, self.holder.give_back(held, count))
 
     def note_first_token(self, target: str, first_token_s: float) -> None:
--- a/packages/citrondock-core/src/citrondock_core/summary_exchange.py
+++ b/packages/citrondock-core/src/citrondock_core/summary_exchange.py
@@ -125,12 +125,11 @@
         )
         self._changed_demand.add(key)
 
-    def restate(self, pool: str) -> None:
-        """Say again what waits here for a pool, after a home may have doubted it."""
-        for key in self._own_demand:
-            if key[0] == pool:
-                self._up_demand.forget_key(key)
-                self._changed_demand.add(key)
+    def restate(self, key: DemandKey) -> None:
+        """Say again what waits here, after a home may have doubted it."""
+        self._up_demand.forget_key(key)
+        if key in self._own_demand:
+            self._changed_demand.add(key)
 
     def receive(self, sender: Member, summary: Summary, *, now_s: float) -> list[Send]:
         """Merge a summary; return what it asks for."""
@@ -210,7 +209,7 @@
         )
         if self.is_relay:
             return self._relay_step(counters, quantum_tokens, now_s)
-        demands = self._changed_own_demands()
+        demands = self._changed_own_demands(now_s)
         if not counters and not demands:
             return []
         summary = Summary(counters=counters, demands=demands, sequence=self._sequence)
@@ -233,15 +232,14 @@
         )
         return sends
 
-    def _changed_own_demands(self) -> list[Demand]:
+    def _changed_own_demands(self, now_s: float) -> list[Demand]:
         demands: list[Demand] = []
-        for key in sorted(self._changed_demand):
+        changed = self._changed_demand | self._up_demand.take_held()
+        self._changed_demand = set()
+        for key in sorted(changed):
             own = self._own_demand.get(key)
             if own is not None:
-                demands.extend(self._up_demand.changed(key, [own]))
-                if not own.waiting_count:
-                    del self._own_demand[key]
-        self._changed_demand.clear()
+                demands.extend(self._up_demand.changed(key, [own], now_s=now_s))
         return demands
 
 
--- a/packages/citrondock-core/src/citrondock_core/target_slots.py
+++ b/packages/citrondock-core/src/citrondock_core/target_slots.py
@@ -15,8 +15,8 @@
 
     Parameters
     ----------
-    vm_name : str
-        Who holds them.
+    vm_name, account : str
+        Who holds them, and for whom.
     slot_count, returned_count : int
         How many were lent, and came back.
     lent_at_s : float
@@ -24,6 +24,7 @@
     """
 
     vm_name: str
+    account: str
     slot_count: int
     lent_at_s: float
     returned_count: int = 0
@@ -102,16 +103,23 @@
         self._grants[grant_id] = lent
         self._recount()
 
-    def take_back(self, message: SlotReturn) -> None:
-        """Merge a return; a doubled or late one changes nothing."""
+    def take_back(self, message: SlotReturn) -> LentSlots | None:
+        """Merge a return; a doubled or late one changes nothing.
+
+        Returns
+        -------
+        LentSlots or None
+            The block, or None when it is not lent any more.
+        """
         lent = self._grants.get(message.grant_id)
         if lent is None:
-            return
+            return None
         returned = min(message.returned_count, lent.slot_count)
         lent.returned_count = max(lent.returned_count, returned)
         if not lent.outstanding_count:
             del self._grants[message.grant_id]
         self._recount()
+        return lent
 
     def merge_in_flight(self, vm_name: str, message: InFlight, *, now_s: float) -> None:
         """Correct what a router holds by what it says that it has in flight."""
--- a/tests/core/simulated_fleet.py
+++ b/tests/core/simulated_fleet.py
@@ -140,6 +140,12 @@
             },
         )
 
+    def flood(self, account, depth):
+        """Let many more requests of an account come to every router, and go on."""
+        for router in self.members:
+            for _ in range(depth):
+                self.at(self.now_s + self.random.random(), self.submit, account, router)
+
     def start_router(self, name):
         dispatcher = Dispatcher(
             self.members[name], policy=policy_named(self.policy), options=self.options
@@ -278,7 +284,8 @@
         self.leave_engine(request_id, call)
         account = call.request.account
         self.largest_tokens = max(self.largest_tokens, call.cost_tokens)
-        self.service[account] += call.cost_tokens
+        zone = self.members[call.router].availability_zone
+        self.service[account, zone] += call.cost_tokens
         usage = Usage(generated_tokens=call.cost_tokens)
         dispatcher = self.dispatchers[call.router]
         dispatcher.settle(request_id, usage, Outcome.DONE, now_s=self.now_s)
@@ -330,12 +337,16 @@
             for n in self.members
         )
 
-    def gap(self, since_s, until_s, accounts=None):
+    def gap(self, since_s, until_s, *, accounts=None, zones=None):
         """Largest gap over any interval, in multiples of the largest cost."""
-        accounts = accounts or self.accounts
-        rows = [s for t, s in self.samples if since_s <= t <= until_s]
+        zones = zones or list(ROUTERS_BY_ZONE)
+        rows = [
+            {a: sum(s.get((a, z), 0) for z in zones) for a in accounts or self.accounts}
+            for t, s in self.samples
+            if since_s <= t <= until_s
+        ]
         worst = 0.0
-        for a, b in itertools.combinations(accounts, 2):
-            differences = [row.get(a, 0) - row.get(b, 0) for row in rows]
+        for a, b in itertools.combinations(rows[0], 2):
+            differences = [row[a] - row[b] for row in rows]
             worst = max(worst, max(differences) - min(differences))
         return worst / self.largest_tokens
