Send larger changes only when summaries must slow down

With 500 accounts the relays sent 3.9 to 5.4 KB/s. The quantum now grows with the period that the byte budget forces, the end of a demand waits for two periods, and totals leave out the corrections where none changed.

--- a/packages/citrondock-core/src/citrondock_core/demand_channel.py
+++ b/packages/citrondock-core/src/citrondock_core/demand_channel.py
@@ -9,7 +9,6 @@
 
 SIGNIFICANT_FACTOR = 4.0
 STATED_ROUTERS_COUNT = 2
-ZERO_HOLD_S = 2.0
 
 
 @attrs.define
@@ -44,22 +43,41 @@
         return held
 
     def changed(
-        self, key: DemandKey, statements: Iterable[Demand], *, now_s: float
+        self,
+        key: DemandKey,
+        statements: Iterable[Demand],
+        *,
+        zero_hold_s: float,
+        now_s: float,
     ) -> list[Demand]:
-        """Return statements to send; of many routers only the longest queues."""
+        """Return statements to send; of many routers only the longest queues.
+
+        Parameters
+        ----------
+        key : tuple of str
+            Pool and account.
+        statements : iterable of Demand
+            What is known of them.
+        zero_hold_s : float
+            How long nothing must wait before that is told.
+        now_s : float
+            Time now.
+        """
         ordered = sorted(statements, key=lambda d: (-d.waiting_count, d.vm_name))
         sent = self._sent.setdefault(key, {})
         result = []
         for rank, demand in enumerate(ordered):
             count = demand.waiting_count if rank < STATED_ROUTERS_COUNT else 0
             before = sent.setdefault(demand.vm_name, _Sent())
-            if self._worth_sending(key, before, count, now_s):
+            if self._worth_sending(before, count, zero_hold_s, now_s):
                 before.waiting_count = count
                 result.append(attrs.evolve(demand, waiting_count=count))
+            elif before.zero_since_s is not None:
+                self._held.add(key)
         return result
 
     def _worth_sending(
-        self, key: DemandKey, before: _Sent, count: int, now_s: float
+        self, before: _Sent, count: int, zero_hold_s: float, now_s: float
     ) -> bool:
         if count:
             before.zero_since_s = None
@@ -68,9 +86,9 @@
             return False
         if before.zero_since_s is None:
             before.zero_since_s = now_s
-        if now_s < before.zero_since_s + ZERO_HOLD_S:
-            self._held.add(key)
+        if now_s < before.zero_since_s + zero_hold_s:
             return False
+        before.zero_since_s = None
         return True
 
 
--- a/packages/citrondock-core/src/citrondock_core/summary_exchange.py
+++ b/packages/citrondock-core/src/citrondock_core/summary_exchange.py
@@ -16,7 +16,9 @@
 ENTRY_BYTES = 14
 HEADER_BYTES = 150
 LOST_PERIODS_COUNT = 3
-NOTICE_VALID_S = 5.0
+NOTICE_VALID_S = 10.0
+MAX_QUANTUM_FACTOR = 4.0
+MIN_ZERO_HOLD_S = 2.0
 
 
 class OwnCounters(dict[str, Counter]):
@@ -186,10 +188,16 @@
         self.period_s = min(period_s, self._options.max_period_s)
         self._next_period_s = now_s + self.period_s
 
+    @property
+    def _zero_hold_s(self) -> float:
+        return max(MIN_ZERO_HOLD_S, 2 * self.period_s)
+
     def _quantum(self, now_s: float) -> float:
         """Return the change worth sending; nothing is too small at a refresh."""
         if now_s < self._next_refresh_s:
-            return self._options.quantum_tokens
+            slower = self.period_s / self._options.exchange_period_s
+            factor = min(slower, MAX_QUANTUM_FACTOR)
+            return self._options.quantum_tokens * factor
         self._next_refresh_s = now_s + self._options.refresh_period_s
         self._up_demand.forget()
         self._changed_demand.update(self._own_demand)
@@ -228,6 +236,7 @@
             self._own_demand,
             wants_totals=not self._has_totals,
             quantum_tokens=quantum_tokens,
+            zero_hold_s=self._zero_hold_s,
             now_s=now_s,
         )
         return sends
@@ -239,7 +248,11 @@
         for key in sorted(changed):
             own = self._own_demand.get(key)
             if own is not None:
-                demands.extend(self._up_demand.changed(key, [own], now_s=now_s))
+                demands.extend(
+                    self._up_demand.changed(
+                        key, [own], zero_hold_s=self._zero_hold_s, now_s=now_s
+                    )
+                )
         return demands
 
 
--- a/packages/citrondock-core/src/citrondock_core/summary_relay.py
+++ b/packages/citrondock-core/src/citrondock_core/summary_relay.py
@@ -148,16 +148,17 @@
         *,
         wants_totals: bool,
         quantum_tokens: float,
+        zero_hold_s: float,
         now_s: float,
     ) -> list[Send]:
         """Return summaries for the zone's members and the other relays."""
         statements = self._statements(changed_demand, own_demand)
         held = self._side_demand.take_held()
         for_side = statements | self._statements(held, own_demand)
-        sends = self._side(for_side, wants_totals, quantum_tokens, now_s)
+        sends = self._side(for_side, wants_totals, quantum_tokens, zero_hold_s, now_s)
         held = self._down_demand.take_held()
         for_down = statements | self._statements(held, own_demand)
-        sends += self._down(for_down, wants_totals, quantum_tokens, now_s)
+        sends += self._down(for_down, wants_totals, quantum_tokens, zero_hold_s, now_s)
         self._table.fold()
         return sends
 
@@ -181,6 +182,7 @@
         statements: Mapping[DemandKey, list[Demand]],
         wants_totals: bool,
         quantum_tokens: float,
+        zero_hold_s: float,
         now_s: float,
     ) -> list[Send]:
         """Tell the other relays of this zone."""
@@ -188,7 +190,11 @@
         demands: list[Demand] = []
         for key, known in statements.items():
             local = [d for d in known if self._zone_of(d.vm_name) == zone]
-            demands.extend(self._side_demand.changed(key, local, now_s=now_s))
+            demands.extend(
+                self._side_demand.changed(
+                    key, local, zero_hold_s=zero_hold_s, now_s=now_s
+                )
+            )
         lost_before_s = now_s - LOST_PERIODS_COUNT * self._options.max_period_s
         sends = []
         for name, peer in self._peers.items():
@@ -218,12 +224,17 @@
         statements: Mapping[DemandKey, list[Demand]],
         wants_totals: bool,
         quantum_tokens: float,
+        zero_hold_s: float,
         now_s: float,
     ) -> list[Send]:
         """Tell the members of this zone."""
         demands: list[Demand] = []
         for key, known in statements.items():
-            demands.extend(self._down_demand.changed(key, known, now_s=now_s))
+            demands.extend(
+                self._down_demand.changed(
+                    key, known, zero_hold_s=zero_hold_s, now_s=now_s
+                )
+            )
         totals = self._changed_totals(quantum_tokens)
         sends = []
         for member in self._members.values():
--- a/packages/citrondock-wire/peer.thrift
+++ b/packages/citrondock-wire/peer.thrift
@@ -20,8 +20,8 @@
   1: list<i64> accounts
   2: list<i64> charged_tokens
   3: list<i64> refunded_tokens
-  4: list<i64> lifted_tokens
-  5: list<i64> clamped_tokens
+  4: optional list<i64> lifted_tokens
+  5: optional list<i64> clamped_tokens
 }
 
 struct DemandColumns {
--- a/packages/citrondock-wire/src/citrondock_wire/summary_columns.py
+++ b/packages/citrondock-wire/src/citrondock_wire/summary_columns.py
@@ -132,8 +132,8 @@
             accounts=steps,
             charged_tokens=[int(t.charged_tokens) for t in ordered],
             refunded_tokens=[int(t.refunded_tokens) for t in ordered],
-            lifted_tokens=[int(t.lifted_tokens) for t in ordered],
-            clamped_tokens=[int(t.clamped_tokens) for t in ordered],
+            lifted_tokens=_unless_zero([int(t.lifted_tokens) for t in ordered]),
+            clamped_tokens=_unless_zero([int(t.clamped_tokens) for t in ordered]),
         )
 
     def _decode_totals(
@@ -142,12 +142,13 @@
         columns = entry.totals
         if columns is None:
             return
+        zeros = [0] * len(columns.accounts)
         rows = zip(
             self._accounts(columns.accounts, lists),
             columns.charged_tokens,
             columns.refunded_tokens,
-            columns.lifted_tokens,
-            columns.clamped_tokens,
+            columns.lifted_tokens or zeros,
+            columns.clamped_tokens or zeros,
             strict=True,
         )
         for account, charged, refunded, lifted, clamped in rows:
@@ -202,6 +203,10 @@
                     )
 
 
+def _unless_zero(column: list[int]) -> list[int] | None:
+    return column if any(column) else None
+
+
 def _grouped(
     entries: Iterable[Entry], key: Callable[[Entry], Any]
 ) -> dict[Any, list[Entry]]:
