--- a/packages/citrondock-core/src/citrondock_core/counter_stream.py
+++ b/packages/citrondock-core/src/citrondock_core/counter_stream.py
@@ -52,6 +52,11 @@
             return None
         return Increment(counter.account, charged, refunded)
 
+    @property
+    def stream_count(self) -> int:
+        """Streams that are not folded."""
+        return sum(len(streams) for streams in self._sources.values())
+
     def total(self, account: str) -> Counter:
         """Return the sum over all routers, incarnations and streams."""
         total = self._base.get(account, Counter()).copy()
--- a/packages/citrondock-core/src/citrondock_core/demand_table.py
+++ b/packages/citrondock-core/src/citrondock_core/demand_table.py
@@ -1,6 +1,7 @@
 """Requests that wait at other routers, as far as they said so."""
 
 import heapq
+import itertools
 import math
 from collections.abc import Callable, Container, Iterator
 
@@ -8,6 +9,9 @@
 
 from citrondock_core.messages import Demand
 
+ORDER_VALID_S = 0.25
+COMPARED_COUNT = 8
+
 DemandKey = tuple[str, str]
 """Pool and account."""
 
@@ -34,6 +38,7 @@
     def __init__(self) -> None:
         self._by_pool: dict[str, dict[str, dict[str, RemoteDemand]]] = {}
         self._positive: dict[str, set[str]] = {}
+        self._orders: dict[str, tuple[float, list[str]]] = {}
         self._expiring: list[tuple[float, str, str, str]] = []
 
     def accounts(self, pool: str) -> set[str]:
@@ -122,9 +127,20 @@
     def lowest(
         self, pool: str, level: Callable[[str], float], *, now_s: float
     ) -> str | None:
-        """Return the account of the lowest level that can use a slot elsewhere."""
-        usable = [a for a in self.accounts(pool) if self._usable(pool, a, now_s)]
-        return min(usable, key=lambda a: (level(a), a), default=None)
+        """Return the account of the lowest level that can use a slot elsewhere.
+
+        The order of all accounts is kept for `ORDER_VALID_S`; levels of the first
+        few are compared as they are now.
+        """
+        if not self.accounts(pool):
+            return None
+        valid_until_s, order = self._orders.get(pool, (0.0, []))
+        if now_s >= valid_until_s:
+            order = sorted(self.accounts(pool), key=lambda a: (level(a), a))
+            self._orders[pool] = (now_s + ORDER_VALID_S, order)
+        usable = (a for a in order if self._usable(pool, a, now_s))
+        first = itertools.islice(usable, COMPARED_COUNT)
+        return min(first, key=lambda a: (level(a), a), default=None)
 
     def grant(
         self,
@@ -165,14 +181,16 @@
         return best.statement.vm_name
 
     def _usable(self, pool: str, account: str, now_s: float) -> bool:
-        by_vm = self._by_pool[pool][account]
+        by_vm = self._by_pool[pool].get(account, {})
         return any(remote.open_count(now_s) > 0 for remote in by_vm.values())
 
     def _note(self, pool: str, account: str) -> None:
         by_vm = self._by_pool[pool][account]
         positive = self._positive.setdefault(pool, set())
         if any(r.statement.waiting_count > 0 for r in by_vm.values()):
-            positive.add(account)
+            if account not in positive:
+                positive.add(account)
+                self._orders.pop(pool, None)
         else:
             positive.discard(account)
         if not by_vm:
--- /dev/null
+++ b/tests/core/test_slots.py
@@ -0,0 +1,122 @@
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from citrondock_core.concurrency_limit import ConcurrencyLimit
+from citrondock_core.configuration import Target
+from citrondock_core.messages import InFlight, Member, SlotGrant, SlotReturn
+from citrondock_core.rendezvous import choose, choose_member
+from citrondock_core.slot_holder import SlotHolder
+from citrondock_core.target_slots import LentSlots, TargetSlots
+
+GRANT = SlotGrant(grant_id="1.1", target="t", pool="p", slot_count=3, ttl_s=1.0)
+
+
+def lent_slots():
+    target = Target(
+        name="t",
+        availability_zone="zone-1",
+        host="127.0.0.1",
+        port=9000,
+        max_in_flight=8,
+    )
+    slots = TargetSlots(target, "p", learned=False)
+    slots.lend("1.1", LentSlots(vm_name="r", account="a", slot_count=3, lent_at_s=0.0))
+    return slots
+
+
+class TestTargetSlots:
+    @settings(derandomize=True)
+    @given(st.lists(st.integers(0, 3)))
+    def test_returns_in_any_order_count_as_their_maximum(self, returned_counts):
+        slots = lent_slots()
+        for count in returned_counts:
+            slots.take_back(
+                SlotReturn(grant_id="1.1", target="t", returned_count=count)
+            )
+
+        assert slots.free_count(1.0) == 5 + max(returned_counts, default=0)
+
+    def test_a_lost_return_is_made_good_by_a_statement(self):
+        slots = lent_slots()
+        statement = InFlight(target="t", in_flight_count=1, sequence=1)
+        slots.merge_in_flight("r", statement, now_s=1.0)
+        before = slots.free_count(1.0)
+        later = InFlight(target="t", in_flight_count=1, sequence=2)
+        slots.merge_in_flight("r", later, now_s=10.0)
+
+        assert (before, slots.free_count(10.0)) == (5, 7)
+
+    def test_a_new_home_learns_from_statements_and_late_ones_are_dropped(self):
+        slots = lent_slots()
+        slots.forget_lent()
+        for count, sequence in ((4, 2), (1, 1)):
+            statement = InFlight(target="t", in_flight_count=count, sequence=sequence)
+            slots.merge_in_flight("r", statement, now_s=5.0)
+
+        assert slots.free_count(5.0) == 4
+
+    def test_a_router_that_is_gone_holds_nothing(self):
+        slots = lent_slots()
+        slots.keep_holders({"other"})
+
+        assert slots.free_count(0.0) == 8
+
+
+class TestSlotHolder:
+    def test_a_doubled_grant_counts_once(self):
+        holder = SlotHolder()
+        holder.accept("home", GRANT, now_s=0.0)
+        holder.accept("home", GRANT, now_s=0.1)
+
+        assert holder.slot_count == 3
+
+    def test_a_returned_grant_that_comes_late_again_is_not_held(self):
+        holder = SlotHolder()
+        held = holder.accept("home", GRANT, now_s=0.0)
+        message = holder.give_back(held, 3)
+        holder.accept("home", GRANT, now_s=0.1)
+
+        assert message.unused
+        assert holder.slot_count == 0
+
+
+class TestConcurrencyLimit:
+    def test_never_above_the_operators_bound(self):
+        limit = ConcurrencyLimit(8)
+        for second in range(100):
+            limit.observe_first_token(0.1, in_flight_count=20, now_s=second)
+
+        assert limit.count == 8
+
+    def test_shrinks_to_what_the_target_runs(self):
+        limit = ConcurrencyLimit(64)
+        limit.observe_load(running_count=5, queued_count=27, now_s=0.0)
+
+        assert limit.count == 5
+
+    def test_shrinks_while_first_tokens_are_late(self):
+        limit = ConcurrencyLimit(16)
+        limit.observe_first_token(0.1, in_flight_count=1, now_s=0.0)
+        for second in range(1, 20):
+            limit.observe_first_token(2.0, in_flight_count=8, now_s=second)
+
+        assert limit.count == 1
+
+
+class TestRendezvous:
+    @settings(derandomize=True)
+    @given(st.sets(st.text(min_size=1), min_size=2), st.text())
+    def test_only_keys_of_a_name_that_left_move(self, names, key):
+        first = choose(key, names)
+        gone = min(names - {first})
+
+        assert choose(key, names - {gone}) == first
+
+    def test_members_of_the_own_zone_go_first(self):
+        members = [
+            Member(vm_name=f"r-{zone}", availability_zone=zone, incarnation=1)
+            for zone in "ab"
+        ]
+
+        assert choose_member("key", "b", members) == "r-b"
+        assert choose_member("key", "c", members) in {"r-a", "r-b"}
