Hold joining accounts at the floor, and lift them once counters came round

A joining account was lifted at once, while its own earlier charges were still on their way: they came on top, and zones disagreed about it by thousands of tokens for good. It is now held at the floor for the grace period and lifted for good at its end. Demand joins after the totals of the same summary. Each start also reserves what routers with the same knowledge likely start, account ids take 24 bits, and everything is sent again after 5 to 60 s depending on the number of accounts.

--- a/packages/citrondock-core/src/citrondock_core/backlog.py
+++ b/packages/citrondock-core/src/citrondock_core/backlog.py
@@ -11,9 +11,9 @@
 class Backlog:
     """Accounts with requests that wait for one pool, as this router knows them.
 
-    What others were charged becomes known late. So an account that comes out of
-    idleness is lifted to the lowest one that waited before it, not once but for as
-    long as it takes for counters to come round.
+    What accounts were charged elsewhere becomes known late. So an account that comes
+    out of idleness is held at the level of the lowest one that waited before it, and
+    lifted there for good only when counters have had time to come round.
 
     Parameters
     ----------
@@ -50,16 +50,16 @@
 
     def _recount(self, now_s: float) -> None:
         self._next_count_s = now_s + RECOUNT_PERIOD_S
-        for account, joined_at_s in list(self._joined_at_s.items()):
-            if joined_at_s + JOIN_GRACE_S <= now_s:
-                del self._joined_at_s[account]
         level = self._ledger.level
         waiting = self._waiting()
         settled = (level(a) for a in waiting if a not in self._joined_at_s)
         floor = min(settled, default=None)
-        for account in self._joined_at_s:
-            if floor is not None:
+        for account, joined_at_s in list(self._joined_at_s.items()):
+            if joined_at_s + JOIN_GRACE_S <= now_s:
+                del self._joined_at_s[account]
                 self._ledger.lift(account, floor)
+            elif floor is not None:
+                self._ledger.hold(account, floor)
             if account in waiting:
                 own = level(account)
                 floor = own if floor is None else min(floor, own)
--- a/packages/citrondock-core/src/citrondock_core/dispatch_options.py
+++ b/packages/citrondock-core/src/citrondock_core/dispatch_options.py
@@ -22,11 +22,15 @@
     budget_bytes_per_s : float
         Control traffic that summaries are spread out for.
     refresh_period_s : float
-        Time in which every counter is sent again, changed or not.
+        Longest time after which everything is sent again, changed or not; with few
+        accounts it is shorter.
     grant_ttl_s : float
         How long a lent slot may be used for new requests.
     statement_period_s : float
         Time between statements of what is in flight at targets of other homes.
+    expected_fraction : float
+        Part of a dispatched estimate that is expected of each other router where
+        the account waits, until counters have come round.
     prompt_token_weight : float
         Cost of a prompt token; a generated token costs 1.
     slot_second_tokens : float
@@ -45,9 +49,10 @@
     exchange_period_s: float = attrs.field(default=0.5, validator=gt(0))
     max_period_s: float = attrs.field(default=4.0, validator=gt(0))
     budget_bytes_per_s: float = attrs.field(default=2_000.0, validator=gt(0))
-    refresh_period_s: float = attrs.field(default=30.0, validator=gt(0))
+    refresh_period_s: float = attrs.field(default=60.0, validator=gt(0))
     grant_ttl_s: float = attrs.field(default=10.0, validator=gt(0))
     statement_period_s: float = attrs.field(default=1.0, validator=gt(0))
+    expected_fraction: float = attrs.field(default=1.0, validator=ge(0))
     prompt_token_weight: float = attrs.field(default=0.2, validator=ge(0))
     slot_second_tokens: float = attrs.field(default=30.0, validator=gt(0))
     affinity_hold_s: float = attrs.field(default=0.5, validator=ge(0))
--- a/packages/citrondock-core/src/citrondock_core/dispatcher.py
+++ b/packages/citrondock-core/src/citrondock_core/dispatcher.py
@@ -122,9 +122,9 @@
             When a cap is reached, or its pool or account is not configured.
         """
         pool, account = request.pool, request.account
-        was_idle = not self._waiting.queue(pool).count(account)
+        joins = self._joins(pool, account)
         self._waiting.admit(request, self._configuration)
-        if was_idle and not self._demand.waits_elsewhere(pool, account):
+        if joins:
             self._backlog(pool).join(account, now_s=now_s)
 
     def withdraw(self, request_id: str, *, now_s: float) -> bool:
@@ -206,14 +206,18 @@
                 self._lending.receive_in_flight(sender, message, now_s=now_s)
 
     def _receive_summary(self, sender: Member, summary: Summary, now_s: float) -> None:
-        for demand in summary.demands:
-            pool, account = demand.pool, demand.account
-            waits = self._waiting.queue(pool).count(account)
-            if not waits and not self._demand.waits_elsewhere(pool, account):
-                self._backlog(pool).join(account, now_s=now_s)
+        joined = [d for d in summary.demands if self._joins(d.pool, d.account)]
         self._outbox.extend(self._exchange.receive(sender, summary, now_s=now_s))
+        for demand in joined:
+            self._backlog(demand.pool).join(demand.account, now_s=now_s)
         self._clamp(now_s)
 
+    def _joins(self, pool: str, account: str) -> bool:
+        """Return whether an account waited nowhere so far."""
+        if self._waiting.queue(pool).count(account):
+            return False
+        return not self._demand.waits_elsewhere(pool, account)
+
     def step(self, *, now_s: float) -> list[Action]:
         """Dispatch what can go, and return what the router has to do now."""
         self._count_idle(now_s)
@@ -356,6 +360,7 @@
             account, request.service, hint_tokens=request.cost_hint_tokens
         )
         self._ledger.charge(account, estimate)
+        self._expect_others(request.pool, account, estimate, now_s)
         self._running[request.request_id] = RunningRequest(
             request=request,
             target=target,
@@ -386,6 +391,16 @@
         if running.held is not None:
             running.held.running_count -= 1
 
+    def _expect_others(
+        self, pool: str, account: str, tokens: float, now_s: float
+    ) -> None:
+        """Reserve what routers of the same knowledge likely start as well."""
+        others = self._demand.router_count(pool, account)
+        expected = tokens * others * self._options.expected_fraction
+        if expected:
+            until_s = now_s + RESERVED_PERIODS_COUNT * self._exchange.period_s
+            self._ledger.reserve(account, expected, deadline_s=until_s)
+
     def _note_first_token(self, running: RunningRequest, now_s: float) -> None:
         slots = self._targets.get(running.target)
         if slots is None:
--- a/packages/citrondock-core/src/citrondock_core/service_ledger.py
+++ b/packages/citrondock-core/src/citrondock_core/service_ledger.py
@@ -1,5 +1,6 @@
 """Service that accounts received, fleet-wide, and their order by it."""
 
+import math
 from collections import deque
 from collections.abc import Iterable, Mapping
 
@@ -54,6 +55,8 @@
         Estimates of slots lent for the account that no counter shows yet.
     lifted_tokens, clamped_tokens : float
         Corrections of the normalised service.
+    least_level : float
+        Level that it has at least while its counters may be on their way.
     """
 
     weight: float = 1.0
@@ -63,6 +66,7 @@
     reserved_tokens: float = 0.0
     lifted_tokens: float = 0.0
     clamped_tokens: float = 0.0
+    least_level: float = -math.inf
 
     @property
     def service_tokens(self) -> float:
@@ -75,7 +79,8 @@
     def level(self) -> float:
         """Normalised service by which accounts are ordered."""
         received = self.service_tokens + self.reserved_tokens
-        return received / self.weight + self.lifted_tokens - self.clamped_tokens
+        level = received / self.weight + self.lifted_tokens - self.clamped_tokens
+        return max(level, self.least_level)
 
 
 @attrs.frozen
@@ -156,9 +161,16 @@
                 0.0, record.reserved_tokens - reservation.tokens
             )
 
-    def lift(self, account: str, floor: float) -> None:
-        """Raise an account that was idle to the lowest one that waits."""
+    def hold(self, account: str, floor: float) -> None:
+        """Keep an account that was idle at the lowest one that waits, for now."""
+        self.record(account).least_level = floor
+
+    def lift(self, account: str, floor: float | None) -> None:
+        """Raise an account that was idle to the lowest one that waits, for good."""
         record = self.record(account)
+        record.least_level = -math.inf
+        if floor is None:
+            return
         record.lifted_tokens += max(0.0, floor - record.level)
 
     def clamp(self, accounts: Iterable[str], *, floor: float, lead: float) -> None:
--- a/packages/citrondock-core/src/citrondock_core/summary_exchange.py
+++ b/packages/citrondock-core/src/citrondock_core/summary_exchange.py
@@ -18,6 +18,8 @@
 LOST_PERIODS_COUNT = 3
 NOTICE_VALID_S = 10.0
 MAX_QUANTUM_FACTOR = 4.0
+MIN_REFRESH_S = 5.0
+REFRESH_S_PER_ACCOUNT = 0.12
 MIN_ZERO_HOLD_S = 6.0
 
 
@@ -198,7 +200,8 @@
             slower = self.period_s / self._options.exchange_period_s
             factor = min(slower, MAX_QUANTUM_FACTOR)
             return self._options.quantum_tokens * factor
-        self._next_refresh_s = now_s + self._options.refresh_period_s
+        refresh_s = max(MIN_REFRESH_S, len(self._ledger) * REFRESH_S_PER_ACCOUNT)
+        self._next_refresh_s = now_s + min(refresh_s, self._options.refresh_period_s)
         self._up_demand.forget()
         self._changed_demand.update(self._own_demand)
         self._changed_demand.update(self._demand.keys())
--- a/packages/citrondock-wire/src/citrondock_wire/account_names.py
+++ b/packages/citrondock-wire/src/citrondock_wire/account_names.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-ID_MASK = 0x7FFFFFFF
+ID_MASK = 0xFFFFFF
 
 
 class AccountNames:
--- a/tests/core/simulated_fleet.py
+++ b/tests/core/simulated_fleet.py
@@ -51,6 +51,14 @@
     router: str
     cost_tokens: int
     engine: Engine | None = None
+    admitted_at_s: float | None = None
+
+    def received_tokens(self, now_s):
+        """Tokens generated so far."""
+        if self.admitted_at_s is None:
+            return 0.0
+        elapsed_s = now_s - self.admitted_at_s
+        return min(float(self.cost_tokens), elapsed_s * self.engine.tokens_per_s)
 
 
 @attrs.define(kw_only=True, slots=False)
@@ -83,7 +91,7 @@
         self.codec = MessageCodec()
         self.calls, self.largest_tokens = {}, 0
         self.service = Counter()
-        self.samples = []
+        self.samples, self.finished_samples = [], []
         self.sent_bytes, self.received_bytes = Counter(), Counter()
         self.kinds = Counter()
         self.busy_s = self.capacity_s = 0.0
@@ -255,6 +263,7 @@
             request_id = engine.queued.popleft()
             call = self.calls[request_id]
             engine.running.add(request_id)
+            call.admitted_at_s = self.now_s
             duration_s = call.cost_tokens / engine.tokens_per_s
             first_s = self.now_s + min(duration_s, 0.05)
             self.at(first_s, self.progress, request_id, 1)
@@ -310,7 +319,12 @@
         self.step(receiver)
 
     def sample(self):
-        self.samples.append((self.now_s, dict(self.service)))
+        received = self.service.copy()
+        for call in self.calls.values():
+            zone = self.members[call.router].availability_zone
+            received[call.request.account, zone] += call.received_tokens(self.now_s)
+        self.samples.append((self.now_s, received))
+        self.finished_samples.append((self.now_s, self.service.copy()))
         for engine in self.engines.values():
             self.busy_s += SAMPLE_S * len(engine.running)
             self.capacity_s += SAMPLE_S * engine.slot_count
@@ -337,12 +351,16 @@
             for n in self.members
         )
 
-    def gap(self, since_s, until_s, *, accounts=None, zones=None):
-        """Largest gap over any interval, in multiples of the largest cost."""
+    def gap(self, since_s, until_s, *, accounts=None, zones=None, finished=False):
+        """Largest gap over any interval, in multiples of the largest cost.
+
+        Service counts as it is generated, or with ``finished`` at its end.
+        """
+        samples = self.finished_samples if finished else self.samples
         zones = zones or list(ROUTERS_BY_ZONE)
         rows = [
             {a: sum(s.get((a, z), 0) for z in zones) for a in accounts or self.accounts}
-            for t, s in self.samples
+            for t, s in samples
             if since_s <= t <= until_s
         ]
         worst = 0.0
--- a/tests/core/test_fair_shares.py
+++ b/tests/core/test_fair_shares.py
@@ -7,7 +7,7 @@
 MIN_UTILISATION = 0.95
 MAX_CONTROL_BYTES_PER_S = 3_000
 WARM_S = 20.0
-END_S = 70.0
+END_S = 80.0
 UNEVEN = {"account-000": ["router-a0"], "account-001": ["router-b1"]}
 UNEVEN_DEPTHS = {"account-000": 150, "account-001": 100}
 
@@ -104,7 +104,7 @@
 
     def test_control_traffic_with_500_accounts_waiting(self):
         fleet = warm(seed=1, account_count=500, depth=1)
-        fleet.run(50.0)
+        fleet.run(WARM_S + fleet.options.refresh_period_s)
 
         assert fleet.utilisation >= MIN_UTILISATION
         assert fleet.control_bytes_per_s <= MAX_CONTROL_BYTES_PER_S
