Let a holder use a slot lent for an account that waits, and keep slots longer

A holder gave a fresh slot back when another account was lowest in its view, although the one it was lent for waited; home and holder then sent the slot back and forth (up to 9.4 KB/s). The home's decision now stands. Slots are lent for 30 s, the band is 1,000 tokens, and statements of what is in flight go out every 2 s.

--- a/packages/citrondock-core/src/citrondock_core/dispatch_options.py
+++ b/packages/citrondock-core/src/citrondock_core/dispatch_options.py
@@ -43,15 +43,15 @@
         Caps on all requests that wait at this router.
     """
 
-    band_tokens: float = attrs.field(default=500.0, validator=ge(0))
+    band_tokens: float = attrs.field(default=1_000.0, validator=ge(0))
     quantum_tokens: float = attrs.field(default=100.0, validator=ge(0))
     clamp_tokens: float = attrs.field(default=4_000.0, validator=gt(0))
     exchange_period_s: float = attrs.field(default=0.5, validator=gt(0))
     max_period_s: float = attrs.field(default=4.0, validator=gt(0))
     budget_bytes_per_s: float = attrs.field(default=2_000.0, validator=gt(0))
     refresh_period_s: float = attrs.field(default=60.0, validator=gt(0))
-    grant_ttl_s: float = attrs.field(default=10.0, validator=gt(0))
-    statement_period_s: float = attrs.field(default=1.0, validator=gt(0))
+    grant_ttl_s: float = attrs.field(default=30.0, validator=gt(0))
+    statement_period_s: float = attrs.field(default=2.0, validator=gt(0))
     expected_fraction: float = attrs.field(default=1.0, validator=ge(0))
     prompt_token_weight: float = attrs.field(default=0.2, validator=ge(0))
     slot_second_tokens: float = attrs.field(default=30.0, validator=gt(0))
--- a/packages/citrondock-core/src/citrondock_core/dispatcher.py
+++ b/packages/citrondock-core/src/citrondock_core/dispatcher.py
@@ -332,7 +332,8 @@
 
     def _may_use(self, held: HeldSlots, pool: str, account: str, now_s: float) -> bool:
         """Return whether an account may have a lent slot without asking."""
-        if account == held.grant.account and not held.used:
+        is_fresh = held.started_count < held.grant.slot_count
+        if is_fresh and self._waiting.queue(pool).count(held.grant.account):
             return True
         floor = self._backlog(pool).floor(now_s=now_s)
         if floor is None:
@@ -373,7 +374,7 @@
             slots.local_count += 1
         if held is not None:
             held.running_count += 1
-            held.used = True
+            held.started_count += 1
         self._affinity.note(request.affinity_key, target)
         home = held.home if held else self._member.vm_name
         self._journal.note(
--- a/packages/citrondock-core/src/citrondock_core/slot_holder.py
+++ b/packages/citrondock-core/src/citrondock_core/slot_holder.py
@@ -21,8 +21,8 @@
         Time after which no request is started on them.
     running_count, returned_count : int
         Slots in use, and given back.
-    used : bool
-        Whether a request was started on any of them.
+    started_count : int
+        Requests started on them so far.
     """
 
     home: str
@@ -30,7 +30,7 @@
     deadline_s: float
     running_count: int = 0
     returned_count: int = 0
-    used: bool = False
+    started_count: int = 0
 
     @property
     def idle_count(self) -> int:
@@ -80,5 +80,5 @@
             grant_id=grant.grant_id,
             target=grant.target,
             returned_count=held.returned_count,
-            unused=not held.used,
+            unused=not held.started_count,
         )
--- a/packages/citrondock-core/src/citrondock_core/slot_lending.py
+++ b/packages/citrondock-core/src/citrondock_core/slot_lending.py
@@ -109,7 +109,7 @@
 
     def give_back(self, held: HeldSlots, count: int) -> Send:
         """Return slots to their home."""
-        if not held.used:
+        if not held.started_count:
             self.unused.add((held.grant.pool, held.grant.account))
         return Send(held.home, self.holder.give_back(held, count))
 
--- a/tests/core/test_fair_shares.py
+++ b/tests/core/test_fair_shares.py
@@ -10,6 +10,10 @@
 END_S = 80.0
 UNEVEN = {"account-000": ["router-a0"], "account-001": ["router-b1"]}
 UNEVEN_DEPTHS = {"account-000": 150, "account-001": 100}
+BY_ZONE = {
+    f"account-{i:03d}": ["router-a0", "router-a1"] if i < 8 else ["router-b0"]
+    for i in range(16)
+}
 
 
 def warm(**more):
@@ -74,16 +78,22 @@
 
         assert_bounds(fleet)
 
-    def test_a_zone_cut_off_and_rejoined(self):
-        fleet = warm(seed=7)
+    @pytest.mark.parametrize("placement", [{}, BY_ZONE])
+    def test_a_zone_cut_off_and_rejoined(self, placement):
+        fleet = warm(seed=7, depth=10, placement=placement)
         fleet.cut_off("zone-a")
         fleet.run(50.0)
-        parts = [["zone-a"], ["zone-b", "zone-c"]]
-        gaps = [fleet.gap(WARM_S, 50.0, zones=zones) for zones in parts]
+        inside = [
+            fleet.gap(WARM_S, 50.0, zones=zones, accounts=accounts)
+            for zones, accounts in (
+                (["zone-a"], fleet.accounts[:8]),
+                (["zone-b", "zone-c"], fleet.accounts[8:]),
+            )
+        ]
         fleet.cut_off(None)
         fleet.run(110.0)
 
-        assert max(gaps) <= MAX_GAP
+        assert max(inside) <= MAX_GAP
         assert_bounds(fleet, since_s=80.0)
 
     @pytest.mark.parametrize("policy", ["fifo", "round_robin"])
