Start limits at the bound, recall slots, and scale the band with the requests

On real processes with requests of at most 165 tokens the band of 1,000 tokens was six requests wide, limits began at half, and homes believed a demand used up for 1.5 s. Band, quantum and clamp are now at most a multiple of the largest request seen; limits begin at the operators' bound; slots above a limit that shrank are recalled; a restarted router's loans end; a loan whose holder never spoke of it is taken back after 4.5 s; a granted slot counts against a demand for 0.1 s.

--- a/packages/citrondock-core/src/citrondock_core/concurrency_limit.py
+++ b/packages/citrondock-core/src/citrondock_core/concurrency_limit.py
@@ -12,25 +12,22 @@
 class ConcurrencyLimit:
     """Learned limit of one target, between 1 and ``max_count``.
 
-    It grows while all slots are in use and first tokens come as fast as they do
-    on an empty target; it shrinks when they are late, or when the target says that
-    requests queue inside it.
+    It starts at the bound, so that no target idles. It shrinks when first tokens are
+    late, or when the target says that requests queue inside it, and grows again while
+    all slots are in use and first tokens come as fast as they did at best.
 
     Parameters
     ----------
     max_count : int
         Upper bound given by the operators.
-    starts_full : bool
-        Whether the limit starts at the bound, not at half of it.
     """
 
-    def __init__(self, max_count: int, *, starts_full: bool = False) -> None:
+    def __init__(self, max_count: int) -> None:
         self._max_count = max_count
-        start = max_count if starts_full else max_count / 2
-        self._limit = max(1.0, float(start))
-        self._growing_fast = True
+        self._limit = float(max_count)
         self._best_first_token_s: float | None = None
         self._decrease_after_s = 0.0
+        self._shrunk_at_s = 0.0
         self._ceiling = float("inf")
         self._ceiling_until_s = 0.0
 
@@ -47,14 +44,18 @@
     def observe_first_token(
         self, first_token_s: float, *, in_flight_count: int, now_s: float
     ) -> None:
-        """Learn from the time between a start and its first token, in seconds."""
+        """Learn from the time between a start and its first token, in seconds.
+
+        Requests that were started before the limit last shrank tell nothing of it.
+        """
         best = self._best_first_token_s
         if best is None or first_token_s < best:
             best = first_token_s
         self._best_first_token_s = best * BASELINE_GROWTH
         late_s = SLOW_FIRST_TOKEN_FACTOR * best + FIRST_TOKEN_SLACK_S
         if first_token_s > late_s:
-            self._decrease(now_s)
+            if now_s - first_token_s >= self._shrunk_at_s:
+                self._decrease(now_s)
         elif in_flight_count >= self.count:
             self._increase(now_s)
 
@@ -69,7 +70,7 @@
             self._increase(now_s)
 
     def _increase(self, now_s: float) -> None:
-        step = 1.0 if self._growing_fast else 1.0 / self._limit
+        step = 1.0 / self._limit
         if self._limit + step >= self._ceiling and now_s < self._ceiling_until_s:
             step *= SLOW_GROWTH_FACTOR
         self._limit = min(self._limit + step, float(self._max_count))
@@ -82,7 +83,7 @@
 
     def _shrink(self, limit: float, now_s: float) -> None:
         """Take a smaller limit, and come back slowly to where it was too large."""
-        self._growing_fast = False
+        self._shrunk_at_s = now_s
         self._decrease_after_s = now_s + DECREASE_PAUSE_S
         self._ceiling = float(int(limit)) + 1.0
         self._ceiling_until_s = now_s + CEILING_VALID_S
--- a/packages/citrondock-core/src/citrondock_core/cost_estimator.py
+++ b/packages/citrondock-core/src/citrondock_core/cost_estimator.py
@@ -5,6 +5,7 @@
 DEFAULT_ESTIMATE_TOKENS = 256.0
 SMOOTHING = 0.1
 HINT_FACTOR = 2.0
+LARGEST_DECAY = 0.9995
 MAX_ESTIMATES_COUNT = 20_000
 
 
@@ -21,6 +22,12 @@
         self._by_account: OrderedDict[tuple[str, str], float] = OrderedDict()
         self._by_service: dict[str, float] = {}
         self._max_count = max_count
+        self._largest_tokens = 0.0
+
+    @property
+    def largest_tokens(self) -> float:
+        """Cost of the largest request seen lately."""
+        return self._largest_tokens or DEFAULT_ESTIMATE_TOKENS
 
     def estimate(
         self, account: str, service: str, *, hint_tokens: float | None = None
@@ -52,6 +59,8 @@
 
     def observe(self, account: str, service: str, cost_tokens: float) -> None:
         """Learn what a request did cost, in tokens."""
+        faded = self._largest_tokens * LARGEST_DECAY
+        self._largest_tokens = max(faded, cost_tokens)
         self._observe(account, service, cost_tokens)
         self._observe(account, "", cost_tokens)
 
--- a/packages/citrondock-core/src/citrondock_core/demand_table.py
+++ b/packages/citrondock-core/src/citrondock_core/demand_table.py
@@ -118,11 +118,6 @@
         by_vm = self._by_pool.get(pool, {}).get(account, {})
         return [remote.statement for remote in by_vm.values()]
 
-    def router_count(self, pool: str, account: str) -> int:
-        """Return at how many other routers an account is known to wait."""
-        by_vm = self._by_pool.get(pool, {}).get(account, {})
-        return sum(r.statement.waiting_count > 0 for r in by_vm.values())
-
     def keys(self) -> Iterator[DemandKey]:
         """Return pools and accounts with any statement."""
         for pool, entries in self._by_pool.items():
--- a/packages/citrondock-core/src/citrondock_core/dispatch_options.py
+++ b/packages/citrondock-core/src/citrondock_core/dispatch_options.py
@@ -17,6 +17,8 @@
         Change of a counter below which it is not sent.
     clamp_tokens : float
         Largest lead over the lowest waiting account that outlasts a partition.
+    band_requests, quantum_requests, clamp_requests : float
+        The same in multiples of the largest request seen; the smaller one counts.
     exchange_period_s, max_period_s : float
         Shortest and longest time between summaries.
     budget_bytes_per_s : float
@@ -28,9 +30,6 @@
         How long a lent slot may be used for new requests.
     statement_period_s : float
         Time between statements of what is in flight at targets of other homes.
-    expected_fraction : float
-        Part of a dispatched estimate that is expected of each other router where
-        the account waits, until counters have come round.
     prompt_token_weight : float
         Cost of a prompt token; a generated token costs 1.
     slot_second_tokens : float
@@ -46,13 +45,15 @@
     band_tokens: float = attrs.field(default=1_000.0, validator=ge(0))
     quantum_tokens: float = attrs.field(default=100.0, validator=ge(0))
     clamp_tokens: float = attrs.field(default=4_000.0, validator=gt(0))
+    band_requests: float = attrs.field(default=1.0, validator=ge(0))
+    quantum_requests: float = attrs.field(default=0.05, validator=ge(0))
+    clamp_requests: float = attrs.field(default=2.0, validator=gt(0))
     exchange_period_s: float = attrs.field(default=0.5, validator=gt(0))
     max_period_s: float = attrs.field(default=4.0, validator=gt(0))
     budget_bytes_per_s: float = attrs.field(default=2_000.0, validator=gt(0))
     refresh_period_s: float = attrs.field(default=60.0, validator=gt(0))
     grant_ttl_s: float = attrs.field(default=30.0, validator=gt(0))
     statement_period_s: float = attrs.field(default=2.0, validator=gt(0))
-    expected_fraction: float = attrs.field(default=1.0, validator=ge(0))
     prompt_token_weight: float = attrs.field(default=0.2, validator=ge(0))
     slot_second_tokens: float = attrs.field(default=30.0, validator=gt(0))
     affinity_hold_s: float = attrs.field(default=0.5, validator=ge(0))
--- a/packages/citrondock-core/src/citrondock_core/dispatcher.py
+++ b/packages/citrondock-core/src/citrondock_core/dispatcher.py
@@ -40,6 +40,7 @@
 
 AFFINITY_DEPTH_COUNT = 8
 RESERVED_PERIODS_COUNT = 3
+GRANT_TRAVEL_S = 0.1
 CLAMP_WINDOW_S = 5.0
 
 
@@ -81,7 +82,7 @@
         self._targets = TargetTable(member, has_homes=self._policy.exchanges)
         self._lending = SlotLending(member, self._targets, self._demand, self._options)
         self._exchange = SummaryExchange(
-            member, self._ledger, self._demand, self._options
+            member, self._ledger, self._demand, self._estimator, self._options
         )
         self._notice = DemandNotice(member, self._targets)
         self._backlogs: dict[str, Backlog] = {}
@@ -241,6 +242,7 @@
         for held in self._lending.holder.all_idle():
             self._outbox.append(self._lending.give_back(held, held.idle_count))
         self._outbox.extend(self._lending.take_grants(now_s=now_s))
+        self._outbox.extend(self._lending.recalls(now_s=now_s))
         self._note_demand()
         for pool in self._configuration.pools:
             queue = self._waiting.queue(pool)
@@ -287,11 +289,17 @@
         self._start(request, slots.name, None, now_s)
         return True
 
+    @property
+    def _band_tokens(self) -> float:
+        """Lead that needs no exchange, small beside the requests that there are."""
+        relative = self._options.band_requests * self._estimator.largest_tokens
+        return min(self._options.band_tokens, relative)
+
     def _lend_away(self, local: str | None, remote: str) -> bool:
         if local is None:
             return True
         lead = self._ledger.level(local) - self._ledger.level(remote)
-        return lead > self._options.band_tokens
+        return lead > self._band_tokens
 
     def _lend(
         self, pool: str, account: str, free: list[TargetSlots], now_s: float
@@ -303,7 +311,7 @@
         }
         reserved_until_s = now_s + RESERVED_PERIODS_COUNT * self._exchange.period_s
         vm_name = self._demand.grant(
-            pool, account, near=near, until_s=reserved_until_s, now_s=now_s
+            pool, account, near=near, until_s=now_s + GRANT_TRAVEL_S, now_s=now_s
         )
         if vm_name is None:
             return False
@@ -338,7 +346,7 @@
         floor = self._backlog(pool).floor(now_s=now_s)
         if floor is None:
             return True
-        return self._ledger.level(account) <= floor + self._options.band_tokens
+        return self._ledger.level(account) <= floor + self._band_tokens
 
     def _choose_request(
         self, pool: str, account: str, target: str, now_s: float
@@ -361,7 +369,6 @@
             account, request.service, hint_tokens=request.cost_hint_tokens
         )
         self._ledger.charge(account, estimate)
-        self._expect_others(request.pool, account, estimate, now_s)
         self._running[request.request_id] = RunningRequest(
             request=request,
             target=target,
@@ -392,16 +399,6 @@
         if running.held is not None:
             running.held.running_count -= 1
 
-    def _expect_others(
-        self, pool: str, account: str, tokens: float, now_s: float
-    ) -> None:
-        """Reserve what routers of the same knowledge likely start as well."""
-        others = self._demand.router_count(pool, account)
-        expected = tokens * others * self._options.expected_fraction
-        if expected:
-            until_s = now_s + RESERVED_PERIODS_COUNT * self._exchange.period_s
-            self._ledger.reserve(account, expected, deadline_s=until_s)
-
     def _note_first_token(self, running: RunningRequest, now_s: float) -> None:
         slots = self._targets.get(running.target)
         if slots is None:
@@ -441,7 +438,11 @@
         if now_s >= self._clamp_until_s or not self._exchange.is_relay:
             return
         for pool in self._configuration.pools:
-            self._backlog(pool).clamp(self._options.clamp_tokens, now_s=now_s)
+            lead_tokens = min(
+                self._options.clamp_tokens,
+                self._options.clamp_requests * self._estimator.largest_tokens,
+            )
+            self._backlog(pool).clamp(lead_tokens, now_s=now_s)
 
     def _count_idle(self, now_s: float) -> None:
         if self._stepped_at_s is not None:
--- a/packages/citrondock-core/src/citrondock_core/slot_holder.py
+++ b/packages/citrondock-core/src/citrondock_core/slot_holder.py
@@ -51,9 +51,16 @@
         return sum(h.running_count + h.idle_count for h in self._held.values())
 
     def accept(self, home: str, grant: SlotGrant, *, now_s: float) -> HeldSlots | None:
-        """Take a block; return None when it came before."""
+        """Take a block; one that came before can only end sooner.
+
+        Returns
+        -------
+        HeldSlots or None
+            The block, or None when it came before.
+        """
         key = (home, grant.grant_id)
         if key in self._seen:
+            self._shorten(key, now_s + grant.ttl_s)
             return None
         self._seen[key] = now_s
         while len(self._seen) > REMEMBERED_GRANTS_COUNT:
@@ -62,6 +69,11 @@
         self._held[key] = held
         return held
 
+    def _shorten(self, key: tuple[str, str], deadline_s: float) -> None:
+        held = self._held.get(key)
+        if held is not None:
+            held.deadline_s = min(held.deadline_s, deadline_s)
+
     def idle(self, pool: str) -> list[HeldSlots]:
         """Return blocks of a pool with an idle slot."""
         return [h for h in self._held.values() if h.grant.pool == pool and h.idle_count]
--- a/packages/citrondock-core/src/citrondock_core/slot_lending.py
+++ b/packages/citrondock-core/src/citrondock_core/slot_lending.py
@@ -78,6 +78,27 @@
         self._lending.clear()
         return sends
 
+    def recalls(self, *, now_s: float) -> list[Send]:
+        """Return grants sent again with no time left, where a limit has shrunk."""
+        sends = []
+        for slots in self._targets.all_own():
+            if not slots.lent_count:
+                continue
+            slots.drop_unstated(now_s=now_s)
+            if slots.in_flight_count <= slots.limit_count:
+                continue
+            for grant_id, lent in slots.recall():
+                grant = SlotGrant(
+                    grant_id=grant_id,
+                    target=slots.name,
+                    pool=slots.pool,
+                    slot_count=lent.slot_count,
+                    ttl_s=0.0,
+                    account=lent.account,
+                )
+                sends.append(Send(lent.vm_name, grant))
+        return sends
+
     def receive_grant(self, sender: Member, grant: SlotGrant, *, now_s: float) -> None:
         """Hold the slots of a grant."""
         self.holder.accept(sender.vm_name, grant, now_s=now_s)
--- a/packages/citrondock-core/src/citrondock_core/summary_exchange.py
+++ b/packages/citrondock-core/src/citrondock_core/summary_exchange.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping, Sequence
 
 from citrondock_core.actions import Send
+from citrondock_core.cost_estimator import CostEstimator
 from citrondock_core.counter_stream import CounterStream
 from citrondock_core.demand_channel import DemandChannel
 from citrondock_core.demand_table import DemandKey, DemandTable
@@ -46,6 +47,8 @@
         Where totals are merged.
     demand : DemandTable
         Where demand of other routers is merged.
+    estimator : CostEstimator
+        Knows the largest request, beside which a change is small.
     options : DispatchOptions
         Periods, quantum and budget.
     """
@@ -55,11 +58,13 @@
         member: Member,
         ledger: ServiceLedger,
         demand: DemandTable,
+        estimator: CostEstimator,
         options: DispatchOptions,
     ) -> None:
         self._member = member
         self._ledger = ledger
         self._demand = demand
+        self._estimator = estimator
         self._options = options
         self._members: dict[str, Member] = {member.vm_name: member}
         self._relay_member = member
@@ -104,7 +109,8 @@
             self.relay.start()
         fresh = [m for m in members if known.get(m.vm_name) != m]
         self.relay.set_members(members, fresh=bool(fresh))
-        self._changed_demand.update(self._demand.keep_members(set(self._members)))
+        same = {m.vm_name for m in members if known.get(m.vm_name) == m}
+        self._changed_demand.update(self._demand.keep_members(same))
 
     def _restart(self) -> None:
         self._number += 1
@@ -199,7 +205,8 @@
         if now_s < self._next_refresh_s:
             slower = self.period_s / self._options.exchange_period_s
             factor = min(slower, MAX_QUANTUM_FACTOR)
-            return self._options.quantum_tokens * factor
+            relative = self._options.quantum_requests * self._estimator.largest_tokens
+            return min(self._options.quantum_tokens, relative) * factor
         refresh_s = max(MIN_REFRESH_S, len(self._ledger) * REFRESH_S_PER_ACCOUNT)
         self._next_refresh_s = now_s + min(refresh_s, self._options.refresh_period_s)
         self._up_demand.forget()
--- a/packages/citrondock-core/src/citrondock_core/target_slots.py
+++ b/packages/citrondock-core/src/citrondock_core/target_slots.py
@@ -7,6 +7,8 @@
 from citrondock_core.messages import InFlight, SlotReturn
 
 LOST_RETURN_GRACE_S = 2.0
+UNSTATED_S = 4.5
+RECALL_SLACK_COUNT = 1
 
 
 @attrs.define(kw_only=True)
@@ -21,6 +23,8 @@
         How many were lent, and came back.
     lent_at_s : float
         Monotonic time of the loan.
+    recalled : bool
+        Whether the holder was told to start nothing more on them.
     """
 
     vm_name: str
@@ -28,6 +32,7 @@
     slot_count: int
     lent_at_s: float
     returned_count: int = 0
+    recalled: bool = False
 
     @property
     def outstanding_count(self) -> int:
@@ -44,14 +49,12 @@
         Its configuration.
     pool : str
         Pool it belongs to.
-    learned : bool
-        Whether the limit starts low and is learned.
     """
 
-    def __init__(self, target: Target, pool: str, *, learned: bool = True) -> None:
+    def __init__(self, target: Target, pool: str) -> None:
         self.target = target
         self.pool = pool
-        self.limit = ConcurrencyLimit(target.max_in_flight, starts_full=not learned)
+        self.limit = ConcurrencyLimit(target.max_in_flight)
         self.local_count = 0
         self.available = True
         self.penalised_until_s = 0.0
@@ -60,6 +63,7 @@
         self._grants: dict[str, LentSlots] = {}
         self._unattributed: dict[str, int] = {}
         self._in_flight_sequence: dict[str, int] = {}
+        self._stated_at_s: dict[str, float] = {}
 
     @property
     def name(self) -> str:
@@ -103,6 +107,39 @@
         self._grants[grant_id] = lent
         self._recount()
 
+    def drop_unstated(self, *, now_s: float) -> None:
+        """Take back loans that their holder has never spoken of: they were lost."""
+        before_s = now_s - UNSTATED_S
+        lost = [
+            grant_id
+            for grant_id, lent in self._grants.items()
+            if lent.lent_at_s < before_s
+            and self._stated_at_s.get(lent.vm_name, before_s) <= before_s
+        ]
+        for grant_id in lost:
+            del self._grants[grant_id]
+        if lost:
+            self._recount()
+
+    def recall(self) -> list[tuple[str, LentSlots]]:
+        """Choose loans to end because more is in flight than the target takes.
+
+        Returns
+        -------
+        list of tuple of str and LentSlots
+            Grant ids and blocks whose holders must start nothing more on them.
+        """
+        excess = self.in_flight_count - self.limit_count - RECALL_SLACK_COUNT
+        chosen = []
+        for grant_id, lent in self._grants.items():
+            if excess <= 0:
+                break
+            excess -= lent.outstanding_count
+            if not lent.recalled:
+                lent.recalled = True
+                chosen.append((grant_id, lent))
+        return chosen
+
     def take_back(self, message: SlotReturn) -> LentSlots | None:
         """Merge a return; a doubled or late one changes nothing.
 
@@ -126,6 +163,7 @@
         if message.sequence <= self._in_flight_sequence.get(vm_name, -1):
             return
         self._in_flight_sequence[vm_name] = message.sequence
+        self._stated_at_s[vm_name] = now_s
         self._reclaim(vm_name, message.in_flight_count, now_s)
         held = sum(g.outstanding_count for g in self._held_by(vm_name))
         self._unattributed[vm_name] = max(0, message.in_flight_count - held)
@@ -139,6 +177,7 @@
         for vm_name in set(self._in_flight_sequence) - vm_names:
             del self._in_flight_sequence[vm_name]
             self._unattributed.pop(vm_name, None)
+            self._stated_at_s.pop(vm_name, None)
         self._recount()
 
     def forget_lent(self) -> None:
--- a/packages/citrondock-core/src/citrondock_core/target_table.py
+++ b/packages/citrondock-core/src/citrondock_core/target_table.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 
-from citrondock_core.configuration import Configuration, PoolKind
+from citrondock_core.configuration import Configuration
 from citrondock_core.messages import Member
 from citrondock_core.rendezvous import home_of
 from citrondock_core.target_slots import TargetSlots
@@ -66,8 +66,7 @@
             for target in pool.targets:
                 slots = self._targets.get(target.name)
                 if slots is None:
-                    learned = pool.kind is PoolKind.ENGINE
-                    slots = TargetSlots(target, pool.name, learned=learned)
+                    slots = TargetSlots(target, pool.name)
                 slots.update(target, pool.name)
                 targets[target.name] = slots
         self._targets = targets
@@ -78,11 +77,11 @@
         before = {m.vm_name: m for m in self._members}
         fresh = {m.vm_name for m in members if before.get(m.vm_name) != m}
         self._members = tuple(members)
-        vm_names = {member.vm_name for member in members}
+        same = {m.vm_name for m in members if before.get(m.vm_name) == m}
         old_homes = self._homes
         self._place()
         for slots in self._targets.values():
-            slots.keep_holders(vm_names)
+            slots.keep_holders(same)
         return {
             name
             for name, home in self._homes.items()
