--- a/packages/citrondock-core/src/citrondock_core/demand_table.py
+++ b/packages/citrondock-core/src/citrondock_core/demand_table.py
@@ -1,6 +1,7 @@
 """Requests that wait at other routers, as far as they said so."""
 
 import heapq
+import itertools
 import math
 from collections.abc import Callable, Container, Iterator
 
@@ -8,6 +9,9 @@
 
 from citrondock_core.messages import Demand
 
+ORDER_VALID_S = 0.25
+COMPARED_COUNT = 8
+
 DemandKey = tuple[str, str]
 """Pool and account."""
 
@@ -34,6 +38,7 @@
     def __init__(self) -> None:
         self._by_pool: dict[str, dict[str, dict[str, RemoteDemand]]] = {}
         self._positive: dict[str, set[str]] = {}
+        self._orders: dict[str, tuple[float, list[str]]] = {}
         self._expiring: list[tuple[float, str, str, str]] = []
 
     def accounts(self, pool: str) -> set[str]:
@@ -91,11 +96,22 @@
 
     def keep_members(self, vm_names: set[str]) -> list[DemandKey]:
         """Drop statements of routers that are gone; return what changed."""
-        return self._drop(lambda demand: demand.vm_name not in vm_names)
+        changed = []
+        for pool, account in list(self.keys()):
+            by_vm = self._by_pool[pool][account]
+            gone = set(by_vm) - vm_names
+            for vm_name in gone:
+                del by_vm[vm_name]
+            if gone:
+                changed.append((pool, account))
+                self._note(pool, account)
+        return changed
 
-    def drop_pool_of(self, vm_name: str, pool: str) -> list[DemandKey]:
-        """Drop what one router said of a pool, after it used no slot."""
-        return self._drop(lambda d: d.vm_name == vm_name and d.pool == pool)
+    def drop(self, vm_name: str, pool: str, account: str) -> None:
+        """Drop what a router said of an account, after it did not use a slot."""
+        by_vm = self._by_pool.get(pool, {}).get(account, {})
+        if by_vm.pop(vm_name, None) is not None:
+            self._note(pool, account)
 
     def statements(self, pool: str, account: str) -> list[Demand]:
         """Return all statements about one pool and account."""
@@ -111,9 +127,20 @@
     def lowest(
         self, pool: str, level: Callable[[str], float], *, now_s: float
     ) -> str | None:
-        """Return the account of the lowest level that can use a slot elsewhere."""
-        usable = [a for a in self.accounts(pool) if self._usable(pool, a, now_s)]
-        return min(usable, key=lambda a: (level(a), a), default=None)
+        """Return the account of the lowest level that can use a slot elsewhere.
+
+        The order of all accounts is kept for `ORDER_VALID_S`; levels of the first
+        few are compared as they are now.
+        """
+        if not self.accounts(pool):
+            return None
+        valid_until_s, order = self._orders.get(pool, (0.0, []))
+        if now_s >= valid_until_s:
+            order = sorted(self.accounts(pool), key=lambda a: (level(a), a))
+            self._orders[pool] = (now_s + ORDER_VALID_S, order)
+        usable = (a for a in order if self._usable(pool, a, now_s))
+        first = itertools.islice(usable, COMPARED_COUNT)
+        return min(first, key=lambda a: (level(a), a), default=None)
 
     def grant(
         self,
@@ -154,26 +181,16 @@
         return best.statement.vm_name
 
     def _usable(self, pool: str, account: str, now_s: float) -> bool:
-        by_vm = self._by_pool[pool][account]
+        by_vm = self._by_pool[pool].get(account, {})
         return any(remote.open_count(now_s) > 0 for remote in by_vm.values())
 
-    def _drop(self, gone: Callable[[Demand], bool]) -> list[DemandKey]:
-        changed = []
-        for pool, account in list(self.keys()):
-            by_vm = self._by_pool[pool][account]
-            names = [n for n, r in by_vm.items() if gone(r.statement)]
-            for name in names:
-                del by_vm[name]
-            if names:
-                changed.append((pool, account))
-                self._note(pool, account)
-        return changed
-
     def _note(self, pool: str, account: str) -> None:
         by_vm = self._by_pool[pool][account]
         positive = self._positive.setdefault(pool, set())
         if any(r.statement.waiting_count > 0 for r in by_vm.values()):
-            positive.add(account)
+            if account not in positive:
+                positive.add(account)
+                self._orders.pop(pool, None)
         else:
             positive.discard(account)
         if not by_vm:
--- a/packages/citrondock-core/src/citrondock_core/dispatch_options.py
+++ b/packages/citrondock-core/src/citrondock_core/dispatch_options.py
@@ -16,13 +16,16 @@
     quantum_tokens : float
         Change of a counter below which it is not sent.
     clamp_tokens : float
-        Largest lead over the lowest waiting account that is remembered.
+        Largest lead over the lowest waiting account that outlasts a partition.
+    band_requests, quantum_requests, clamp_requests : float
+        The same in multiples of the largest request seen; the smaller one counts.
     exchange_period_s, max_period_s : float
         Shortest and longest time between summaries.
     budget_bytes_per_s : float
         Control traffic that summaries are spread out for.
     refresh_period_s : float
-        Time in which every counter is sent again, changed or not.
+        Longest time after which everything is sent again, changed or not; with few
+        accounts it is shorter.
     grant_ttl_s : float
         How long a lent slot may be used for new requests.
     statement_period_s : float
@@ -39,15 +42,18 @@
         Caps on all requests that wait at this router.
     """
 
-    band_tokens: float = attrs.field(default=500.0, validator=ge(0))
+    band_tokens: float = attrs.field(default=1_000.0, validator=ge(0))
     quantum_tokens: float = attrs.field(default=100.0, validator=ge(0))
-    clamp_tokens: float = attrs.field(default=8_000.0, validator=gt(0))
+    clamp_tokens: float = attrs.field(default=4_000.0, validator=gt(0))
+    band_requests: float = attrs.field(default=1.0, validator=ge(0))
+    quantum_requests: float = attrs.field(default=0.05, validator=ge(0))
+    clamp_requests: float = attrs.field(default=2.0, validator=gt(0))
     exchange_period_s: float = attrs.field(default=0.5, validator=gt(0))
-    max_period_s: float = attrs.field(default=2.0, validator=gt(0))
+    max_period_s: float = attrs.field(default=4.0, validator=gt(0))
     budget_bytes_per_s: float = attrs.field(default=2_000.0, validator=gt(0))
-    refresh_period_s: float = attrs.field(default=30.0, validator=gt(0))
-    grant_ttl_s: float = attrs.field(default=10.0, validator=gt(0))
-    statement_period_s: float = attrs.field(default=1.0, validator=gt(0))
+    refresh_period_s: float = attrs.field(default=60.0, validator=gt(0))
+    grant_ttl_s: float = attrs.field(default=30.0, validator=gt(0))
+    statement_period_s: float = attrs.field(default=2.0, validator=gt(0))
     prompt_token_weight: float = attrs.field(default=0.2, validator=ge(0))
     slot_second_tokens: float = attrs.field(default=30.0, validator=gt(0))
     affinity_hold_s: float = attrs.field(default=0.5, validator=ge(0))
--- a/packages/citrondock-core/src/citrondock_core/dispatcher.py
+++ b/packages/citrondock-core/src/citrondock_core/dispatcher.py
@@ -4,6 +4,7 @@
 
 from citrondock_core.actions import Action, Outcome, Refuse, Start
 from citrondock_core.affinity import AffinityTable
+from citrondock_core.backlog import Backlog
 from citrondock_core.configuration import Configuration, ServiceKind
 from citrondock_core.cost_estimator import CostEstimator
 from citrondock_core.demand_notice import DemandNotice
@@ -39,7 +40,8 @@
 
 AFFINITY_DEPTH_COUNT = 8
 RESERVED_PERIODS_COUNT = 3
-FLOOR_PERIOD_S = 0.1
+GRANT_TRAVEL_S = 0.1
+CLAMP_WINDOW_S = 5.0
 
 
 class Dispatcher:
@@ -80,10 +82,11 @@
         self._targets = TargetTable(member, has_homes=self._policy.exchanges)
         self._lending = SlotLending(member, self._targets, self._demand, self._options)
         self._exchange = SummaryExchange(
-            member, self._ledger, self._demand, self._options
+            member, self._ledger, self._demand, self._estimator, self._options
         )
         self._notice = DemandNotice(member, self._targets)
-        self._floors: dict[str, tuple[float, float]] = {}
+        self._backlogs: dict[str, Backlog] = {}
+        self._clamp_until_s = 0.0
         self._outbox: list[Action] = []
         self._idle_slot_s = 0.0
         self._idle_count = 0
@@ -105,6 +108,9 @@
         self._members = {member.vm_name: member for member in all_members}
         if self._members == before:
             return
+        zones = {member.availability_zone for member in before.values()}
+        if any(member.availability_zone not in zones for member in all_members):
+            self._clamp_until_s = now_s + CLAMP_WINDOW_S
         self._lending.state_at_once(self._targets.set_members(all_members))
         self._exchange.set_members(all_members)
 
@@ -117,10 +123,10 @@
             When a cap is reached, or its pool or account is not configured.
         """
         pool, account = request.pool, request.account
-        was_idle = not self._waiting.queue(pool).count(account)
+        joins = self._joins(pool, account)
         self._waiting.admit(request, self._configuration)
-        if was_idle and not self._demand.waits_elsewhere(pool, account):
-            self._lift(pool, account, now_s)
+        if joins:
+            self._backlog(pool).join(account, now_s=now_s)
 
     def withdraw(self, request_id: str, *, now_s: float) -> bool:
         """Take a request out; return whether it was still waiting."""
@@ -201,11 +207,17 @@
                 self._lending.receive_in_flight(sender, message, now_s=now_s)
 
     def _receive_summary(self, sender: Member, summary: Summary, now_s: float) -> None:
-        for demand in summary.demands:
-            self._lift_remote(demand.pool, demand.account, now_s)
+        joined = [d for d in summary.demands if self._joins(d.pool, d.account)]
         self._outbox.extend(self._exchange.receive(sender, summary, now_s=now_s))
-        if summary.totals:
-            self._clamp(now_s)
+        for demand in joined:
+            self._backlog(demand.pool).join(demand.account, now_s=now_s)
+        self._clamp(now_s)
+
+    def _joins(self, pool: str, account: str) -> bool:
+        """Return whether an account waited nowhere so far."""
+        if self._waiting.queue(pool).count(account):
+            return False
+        return not self._demand.waits_elsewhere(pool, account)
 
     def step(self, *, now_s: float) -> list[Action]:
         """Dispatch what can go, and return what the router has to do now."""
@@ -230,6 +242,7 @@
         for held in self._lending.holder.all_idle():
             self._outbox.append(self._lending.give_back(held, held.idle_count))
         self._outbox.extend(self._lending.take_grants(now_s=now_s))
+        self._outbox.extend(self._lending.recalls(now_s=now_s))
         self._note_demand()
         for pool in self._configuration.pools:
             queue = self._waiting.queue(pool)
@@ -244,10 +257,10 @@
             count = self._waiting.queue(pool).count(account)
             self._exchange.note_demand(pool, account, count)
         self._waiting.changed.clear()
-        for pool in self._lending.refused_pools:
-            self._exchange.restate(pool)
+        for pool, account in sorted(self._lending.unused):
+            self._exchange.restate((pool, account))
             self._notice.restate(pool)
-        self._lending.refused_pools.clear()
+        self._lending.unused.clear()
 
     def _fill_own(self, pool: str, now_s: float) -> None:
         """Fill free slots of this home, here or at the router that waits most."""
@@ -276,11 +289,17 @@
         self._start(request, slots.name, None, now_s)
         return True
 
+    @property
+    def _band_tokens(self) -> float:
+        """Lead that needs no exchange, small beside the requests that there are."""
+        relative = self._options.band_requests * self._estimator.largest_tokens
+        return min(self._options.band_tokens, relative)
+
     def _lend_away(self, local: str | None, remote: str) -> bool:
         if local is None:
             return True
         lead = self._ledger.level(local) - self._ledger.level(remote)
-        return lead > self._options.band_tokens
+        return lead > self._band_tokens
 
     def _lend(
         self, pool: str, account: str, free: list[TargetSlots], now_s: float
@@ -292,7 +311,7 @@
         }
         reserved_until_s = now_s + RESERVED_PERIODS_COUNT * self._exchange.period_s
         vm_name = self._demand.grant(
-            pool, account, near=near, until_s=reserved_until_s, now_s=now_s
+            pool, account, near=near, until_s=now_s + GRANT_TRAVEL_S, now_s=now_s
         )
         if vm_name is None:
             return False
@@ -314,17 +333,20 @@
                 account = self._policy.next_account(queue, self._ledger.level)
                 if account is None:
                     return
-                if held.used and not self._may_reuse(pool, account, now_s):
+                if not self._may_use(held, pool, account, now_s):
                     break
                 request = self._choose_request(pool, account, slots.name, now_s)
                 self._start(request, slots.name, held, now_s)
 
-    def _may_reuse(self, pool: str, account: str, now_s: float) -> bool:
-        """Return whether an account may have a lent slot again without asking."""
-        floor = self._floor(pool, now_s)
+    def _may_use(self, held: HeldSlots, pool: str, account: str, now_s: float) -> bool:
+        """Return whether an account may have a lent slot without asking."""
+        is_fresh = held.started_count < held.grant.slot_count
+        if is_fresh and self._waiting.queue(pool).count(held.grant.account):
+            return True
+        floor = self._backlog(pool).floor(now_s=now_s)
         if floor is None:
             return True
-        return self._ledger.level(account) <= floor + self._options.band_tokens
+        return self._ledger.level(account) <= floor + self._band_tokens
 
     def _choose_request(
         self, pool: str, account: str, target: str, now_s: float
@@ -359,7 +381,7 @@
             slots.local_count += 1
         if held is not None:
             held.running_count += 1
-            held.used = True
+            held.started_count += 1
         self._affinity.note(request.affinity_key, target)
         home = held.home if held else self._member.vm_name
         self._journal.note(
@@ -401,39 +423,26 @@
         self._journal.note(request_id, f"refused as not run: {reason}")
         self._outbox.append(Refuse(request_id, error))
 
-    def _floor(self, pool: str, now_s: float) -> float | None:
-        """Return the level of the lowest account that waits for a pool anywhere."""
-        known = self._floors.get(pool)
-        if known is not None and now_s < known[0]:
-            return known[1]
-        accounts = {*self._waiting.queue(pool).accounts, *self._demand.accounts(pool)}
-        if not accounts:
-            return known[1] if known else None
-        floor = min(self._ledger.level(account) for account in accounts)
-        self._floors[pool] = (now_s + FLOOR_PERIOD_S, floor)
-        return floor
-
-    def _lift(self, pool: str, account: str, now_s: float) -> None:
-        floor = self._floor(pool, now_s)
-        if floor is not None:
-            self._ledger.lift(account, floor)
-
-    def _lift_remote(self, pool: str, account: str, now_s: float) -> None:
-        if self._waiting.queue(pool).count(account):
-            return
-        if not self._demand.waits_elsewhere(pool, account):
-            self._lift(pool, account, now_s)
+    def _backlog(self, pool: str) -> Backlog:
+        backlog = self._backlogs.get(pool)
+        if backlog is None:
+            queue = self._waiting.queue(pool)
+            backlog = Backlog(
+                self._ledger, lambda: {*queue.accounts, *self._demand.accounts(pool)}
+            )
+            self._backlogs[pool] = backlog
+        return backlog
 
     def _clamp(self, now_s: float) -> None:
+        """Forget what built up while other routers were out of reach."""
+        if now_s >= self._clamp_until_s or not self._exchange.is_relay:
+            return
         for pool in self._configuration.pools:
-            floor = self._floor(pool, now_s)
-            if floor is not None:
-                accounts = {
-                    *self._waiting.queue(pool).accounts,
-                    *self._demand.accounts(pool),
-                }
-                lead = self._options.clamp_tokens
-                self._ledger.clamp(accounts, floor=floor, lead=lead)
+            lead_tokens = min(
+                self._options.clamp_tokens,
+                self._options.clamp_requests * self._estimator.largest_tokens,
+            )
+            self._backlog(pool).clamp(lead_tokens, now_s=now_s)
 
     def _count_idle(self, now_s: float) -> None:
         if self._stepped_at_s is not None:
--- a/packages/citrondock-core/src/citrondock_core/summary_exchange.py
+++ b/packages/citrondock-core/src/citrondock_core/summary_exchange.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping, Sequence
 
 from citrondock_core.actions import Send
+from citrondock_core.cost_estimator import CostEstimator
 from citrondock_core.counter_stream import CounterStream
 from citrondock_core.demand_channel import DemandChannel
 from citrondock_core.demand_table import DemandKey, DemandTable
@@ -16,7 +17,11 @@
 ENTRY_BYTES = 14
 HEADER_BYTES = 150
 LOST_PERIODS_COUNT = 3
-NOTICE_VALID_S = 5.0
+NOTICE_VALID_S = 10.0
+MAX_QUANTUM_FACTOR = 4.0
+MIN_REFRESH_S = 5.0
+REFRESH_S_PER_ACCOUNT = 0.12
+MIN_ZERO_HOLD_S = 6.0
 
 
 class OwnCounters(dict[str, Counter]):
@@ -42,6 +47,8 @@
         Where totals are merged.
     demand : DemandTable
         Where demand of other routers is merged.
+    estimator : CostEstimator
+        Knows the largest request, beside which a change is small.
     options : DispatchOptions
         Periods, quantum and budget.
     """
@@ -51,11 +58,13 @@
         member: Member,
         ledger: ServiceLedger,
         demand: DemandTable,
+        estimator: CostEstimator,
         options: DispatchOptions,
     ) -> None:
         self._member = member
         self._ledger = ledger
         self._demand = demand
+        self._estimator = estimator
         self._options = options
         self._members: dict[str, Member] = {member.vm_name: member}
         self._relay_member = member
@@ -100,7 +109,8 @@
             self.relay.start()
         fresh = [m for m in members if known.get(m.vm_name) != m]
         self.relay.set_members(members, fresh=bool(fresh))
-        self._changed_demand.update(self._demand.keep_members(set(self._members)))
+        same = {m.vm_name for m in members if known.get(m.vm_name) == m}
+        self._changed_demand.update(self._demand.keep_members(same))
 
     def _restart(self) -> None:
         self._number += 1
@@ -125,12 +135,11 @@
         )
         self._changed_demand.add(key)
 
-    def restate(self, pool: str) -> None:
-        """Say again what waits here for a pool, after a home may have doubted it."""
-        for key in self._own_demand:
-            if key[0] == pool:
-                self._up_demand.forget_key(key)
-                self._changed_demand.add(key)
+    def restate(self, key: DemandKey) -> None:
+        """Say again what waits here, after a home may have doubted it."""
+        self._up_demand.forget_key(key)
+        if key in self._own_demand:
+            self._changed_demand.add(key)
 
     def receive(self, sender: Member, summary: Summary, *, now_s: float) -> list[Send]:
         """Merge a summary; return what it asks for."""
@@ -187,11 +196,19 @@
         self.period_s = min(period_s, self._options.max_period_s)
         self._next_period_s = now_s + self.period_s
 
+    @property
+    def _zero_hold_s(self) -> float:
+        return max(MIN_ZERO_HOLD_S, 2 * self.period_s)
+
     def _quantum(self, now_s: float) -> float:
         """Return the change worth sending; nothing is too small at a refresh."""
         if now_s < self._next_refresh_s:
-            return self._options.quantum_tokens
-        self._next_refresh_s = now_s + self._options.refresh_period_s
+            slower = self.period_s / self._options.exchange_period_s
+            factor = min(slower, MAX_QUANTUM_FACTOR)
+            relative = self._options.quantum_requests * self._estimator.largest_tokens
+            return min(self._options.quantum_tokens, relative) * factor
+        refresh_s = max(MIN_REFRESH_S, len(self._ledger) * REFRESH_S_PER_ACCOUNT)
+        self._next_refresh_s = now_s + min(refresh_s, self._options.refresh_period_s)
         self._up_demand.forget()
         self._changed_demand.update(self._own_demand)
         self._changed_demand.update(self._demand.keys())
@@ -210,7 +227,7 @@
         )
         if self.is_relay:
             return self._relay_step(counters, quantum_tokens, now_s)
-        demands = self._changed_own_demands()
+        demands = self._changed_own_demands(now_s)
         if not counters and not demands:
             return []
         summary = Summary(counters=counters, demands=demands, sequence=self._sequence)
@@ -229,19 +246,23 @@
             self._own_demand,
             wants_totals=not self._has_totals,
             quantum_tokens=quantum_tokens,
+            zero_hold_s=self._zero_hold_s,
             now_s=now_s,
         )
         return sends
 
-    def _changed_own_demands(self) -> list[Demand]:
+    def _changed_own_demands(self, now_s: float) -> list[Demand]:
         demands: list[Demand] = []
-        for key in sorted(self._changed_demand):
+        changed = self._changed_demand | self._up_demand.take_held()
+        self._changed_demand = set()
+        for key in sorted(changed):
             own = self._own_demand.get(key)
             if own is not None:
-                demands.extend(self._up_demand.changed(key, [own]))
-                if not own.waiting_count:
-                    del self._own_demand[key]
-        self._changed_demand.clear()
+                demands.extend(
+                    self._up_demand.changed(
+                        key, [own], zero_hold_s=self._zero_hold_s, now_s=now_s
+                    )
+                )
         return demands
 
 
