Hostile and flooding callers get typed refusals before their bodies are read

Cause: cheroot answered malformed heads with plain text, a repeated or conflicting header reached the second parser, a worker thread waited up to 60 s for a caller that read no refusals, bytes over the total were dropped without an answer, and caps were checked only after the body was in memory. A path such as /works/../bookings/1 could carry a call of a plain service to another one.

Change: MessageProbe names what two parsers could read differently; every refusal is the typed JSON with ran "no"; AnswerSender writes refusals without a worker; IntakeQuota bounds unfinished requests by account (a quarter of all) and in total, together with what waits in the dispatcher (check_capacity, the same code as submit); the connection that has been idle or without a whole head for longest makes room; numbers in headers have at most 12 digits.

--- a/packages/citrondock-core/src/citrondock_core/dispatcher.py
+++ b/packages/citrondock-core/src/citrondock_core/dispatcher.py
@@ -122,6 +122,21 @@
         if was_idle and not self._demand.waits_elsewhere(pool, account):
             self._lift(pool, account, now_s)
 
+    def check_capacity(self, account: str, request_count: int, body_bytes: int) -> None:
+        """Tell early whether requests of an account could wait.
+
+        Unlike the rest it may be called from any thread: it only reads counters, and
+        `submit` decides.
+
+        Raises
+        ------
+        RequestRefusedError
+            When a cap would be exceeded.
+        """
+        configured = self._configuration.accounts.get(account)
+        if configured is not None:
+            self._waiting.check_capacity(configured, request_count, body_bytes)
+
     def withdraw(self, request_id: str, *, now_s: float) -> bool:
         """Take a request out; return whether it was still waiting."""
         return self._waiting.remove(request_id) is not None
--- a/packages/citrondock-core/src/citrondock_core/waiting_requests.py
+++ b/packages/citrondock-core/src/citrondock_core/waiting_requests.py
@@ -4,7 +4,7 @@
 from collections import Counter as CountOf
 from collections.abc import Mapping
 
-from citrondock_core.configuration import Configuration
+from citrondock_core.configuration import ClientAccount, Configuration
 from citrondock_core.dispatch_options import DispatchOptions
 from citrondock_core.fair_queue import FairQueue
 from citrondock_core.request import RefusalReason, RequestRefusedError, WaitingRequest
@@ -59,20 +59,27 @@
         if account is None:
             text = f"no account {request.account}"
             raise self._refusal(RefusalReason.UNKNOWN_KEY, text)
-        waiting_bytes = self._bytes_by_account[request.account] + request.body_bytes
+        self.check_capacity(account, 1, request.body_bytes)
+        self.push(request)
+
+    def check_capacity(
+        self, account: ClientAccount, request_count: int, body_bytes: int
+    ) -> None:
+        """Raise `RequestRefusedError` when so much more may not wait."""
+        waiting_bytes = self._bytes_by_account.get(account.name, 0) + body_bytes
+        waiting_count = self._count_by_account.get(account.name, 0) + request_count
         if (
-            self._count_by_account[request.account] >= account.max_waiting_requests
+            waiting_count > account.max_waiting_requests
             or waiting_bytes > account.max_waiting_bytes
         ):
-            text = f"account {request.account} has too much waiting"
+            text = f"account {account.name} has too much waiting"
             raise self._refusal(RefusalReason.ACCOUNT_QUEUE_FULL, text)
         if (
-            len(self._requests) >= self._options.max_waiting_requests
-            or self._bytes + request.body_bytes > self._options.max_waiting_bytes
+            len(self._requests) + request_count > self._options.max_waiting_requests
+            or self._bytes + body_bytes > self._options.max_waiting_bytes
         ):
             text = "the router has too much waiting"
             raise self._refusal(RefusalReason.ROUTER_QUEUE_FULL, text)
-        self.push(request)
 
     @staticmethod
     def _refusal(cause: RefusalReason, reason: str) -> RequestRefusedError:
--- a/packages/citrondock-router/src/citrondock_router/admission.py
+++ b/packages/citrondock-router/src/citrondock_router/admission.py
@@ -4,6 +4,7 @@
 import time
 import uuid
 from collections.abc import Mapping
+from urllib.parse import unquote
 
 import attrs
 from cheroot.server import HTTPRequest
@@ -18,11 +19,14 @@
 from citrondock_core.request import RefusalReason, RequestRefusedError, WaitingRequest
 from citrondock_router.call import Call
 from citrondock_router.caller_connection import CallerConnection
+from citrondock_router.intake_quota import CapacityCheck
 
 CHAT_PATH = "/v1/chat/completions"
 _STEP = "admission"
 _BEARER = "bearer "
 _MAX_IDEMPOTENCY_KEY_CHARACTERS = 200
+_MAX_DIGITS = 12
+_MAX_SHOWN_CHARACTERS = 100
 _NOT_READY_RETRY_S = 2.0
 _PASSED_HEADERS = ("accept", "content-type", "accept-language", "user-agent")
 
@@ -56,10 +60,13 @@
     ----------
     max_body_bytes : int
         Longest body that is taken.
+    check_capacity : callable
+        See `CapacityCheck`.
     """
 
-    def __init__(self, *, max_body_bytes: int) -> None:
+    def __init__(self, *, max_body_bytes: int, check_capacity: CapacityCheck) -> None:
         self._max_body_bytes = max_body_bytes
+        self.check_capacity = check_capacity
         self._configuration = Configuration()
         self._closed = False
 
@@ -71,14 +78,23 @@
         """Refuse everything from now on."""
         self._closed = True
 
-    def wants_body(self, headers: Mapping[str, str]) -> bool:
-        """Whether a request's body is worth reading, from its headers alone."""
-        try:
-            self.account_of(headers.get("authorization", ""))
-        except RequestRefusedError:
-            return False
-        length = headers.get("content-length", "0")
-        return length.isdigit() and int(length) <= self._max_body_bytes
+    def check_head(self, headers: Mapping[str, str]) -> ClientAccount:
+        """Return who sends a request, from its headers alone.
+
+        Raises
+        ------
+        RequestRefusedError
+            When the body is not worth reading.
+        """
+        account = self.account_of(headers.get("authorization", ""))
+        longest_bytes = min(self._max_body_bytes, account.max_waiting_bytes)
+        length = headers.get("content-length", "")
+        if length.isdecimal() and int(length) > longest_bytes:
+            raise _refused(
+                RefusalReason.TOO_LARGE,
+                f"the body has {length} bytes, of at most {longest_bytes}",
+            )
+        return account
 
     def account_of(self, authorization: str) -> ClientAccount:
         """Return the account whose key a request carries.
@@ -120,31 +136,26 @@
             With ``ran`` always ``Ran.NO``.
         """
         head = _head_of(request)
-        account = self.account_of(head.header("authorization"))
-        self._check_length(head)
+        account = self.check_head(head.headers)
         body = request.rfile.read()
-        self._check_whole(head, body)
+        self._check_whole(head, body, account)
+        self.check_capacity(account.name, 1, len(body))
         service, document = self._route(head, body)
         return self._call(
             request, connection, request_id, head, account, service, body, document
         )
 
-    def _check_length(self, head: RequestHead) -> None:
-        length = head.header("content-length")
-        if length.isdigit() and int(length) > self._max_body_bytes:
-            raise _refused(
-                RefusalReason.TOO_LARGE,
-                f"the body has {length} bytes, of at most {self._max_body_bytes}",
-            )
-
-    def _check_whole(self, head: RequestHead, body: bytes) -> None:
+    def _check_whole(
+        self, head: RequestHead, body: bytes, account: ClientAccount
+    ) -> None:
         length = head.header("content-length")
-        if length.isdigit() and len(body) != int(length):
+        if length.isdecimal() and len(body) != int(length):
             raise _refused(RefusalReason.BAD_REQUEST, "the body was cut short")
-        if len(body) > self._max_body_bytes:
+        if len(body) > min(self._max_body_bytes, account.max_waiting_bytes):
             raise _refused(RefusalReason.TOO_LARGE, "the body is too long")
 
     def _route(self, head: RequestHead, body: bytes) -> tuple[Service, "_ChatDocument"]:
+        _check_path(head.path)
         if head.path == CHAT_PATH:
             document = _chat_document(head, body)
             return self._chat_service(document.model), document
@@ -152,7 +163,8 @@
             if service.kind is ServiceKind.PLAIN and _under(head.path, service.path):
                 return service, _ChatDocument()
         raise _refused(
-            RefusalReason.UNKNOWN_SERVICE, f"no service has the path {head.path!r}"
+            RefusalReason.UNKNOWN_SERVICE,
+            f"no service has the path {_shown(head.path)}",
         )
 
     def _chat_service(self, model: str) -> Service:
@@ -163,7 +175,8 @@
             ):
                 return service
         raise _refused(
-            RefusalReason.UNKNOWN_SERVICE, f"no chat service has the model {model!r}"
+            RefusalReason.UNKNOWN_SERVICE,
+            f"no chat service has the model {_shown(model)}",
         )
 
     def _call(
@@ -241,6 +254,19 @@
     return path == prefix or path.startswith(f"{prefix}/")
 
 
+def _check_path(path: str) -> None:
+    """Refuse a path that a target may take for one of another service."""
+    segments = unquote(path).replace("\\", "/").split("/")
+    if "." in segments or ".." in segments:
+        raise _refused(
+            RefusalReason.BAD_REQUEST, "a path has no segments of '.' or '..'"
+        )
+
+
+def _shown(text: str) -> str:
+    return repr(text[:_MAX_SHOWN_CHARACTERS])
+
+
 def _chat_document(head: RequestHead, body: bytes) -> _ChatDocument:
     if head.method != "POST":
         raise _refused(RefusalReason.BAD_REQUEST, "chat completions take POST")
@@ -261,25 +287,28 @@
 
 
 def _timeout_s(head: RequestHead, service: Service) -> float:
-    given = head.header("x-deadline-ms")
-    if not given:
+    given_ms = _whole_number(head, "x-deadline-ms")
+    if given_ms is None:
         return service.timeout_s
-    if not given.isdigit():
-        raise _refused(
-            RefusalReason.BAD_REQUEST, "X-Deadline-Ms is a whole number of milliseconds"
-        )
-    return min(int(given) / 1000, service.timeout_s)
+    return min(given_ms / 1000, service.timeout_s)
 
 
 def _cost_hint_tokens(head: RequestHead) -> float | None:
-    given = head.header("x-cost-hint-tokens")
+    hint_tokens = _whole_number(head, "x-cost-hint-tokens")
+    return None if hint_tokens is None else float(hint_tokens)
+
+
+def _whole_number(head: RequestHead, name: str) -> int | None:
+    given = head.header(name)
     if not given:
         return None
-    if not given.isdigit():
+    digits = given.isascii() and given.isdecimal()
+    if not digits or len(given) > _MAX_DIGITS:
         raise _refused(
-            RefusalReason.BAD_REQUEST, "X-Cost-Hint-Tokens is a whole number of tokens"
+            RefusalReason.BAD_REQUEST,
+            f"{name} is a whole number of at most {_MAX_DIGITS} digits",
         )
-    return float(given)
+    return int(given)
 
 
 def _idempotency_key(head: RequestHead) -> str:
--- a/packages/citrondock-router/src/citrondock_router/caller_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/caller_connection.py
@@ -30,6 +30,13 @@
         return self.tell() < len(self.getbuffer())
 
 
+class _Unwritten:
+    """Takes what cheroot would write itself; a worker never waits for a caller."""
+
+    def write(self, data: bytes) -> None:
+        """Drop the data."""
+
+
 class _Ownership(enum.Enum):
     SERVER = enum.auto()
     LEAVING_WORKER = enum.auto()
@@ -41,12 +48,18 @@
 
     After `detach`, cheroot's worker lets go of the socket without closing it. Whoever
     took it over ends with `give_back` or `destroy`.
+
+    Attributes
+    ----------
+    is_whole : bool
+        Whether the buffer holds a whole request.
     """
 
     def __init__(self, server: Any, sock: socket.socket, makefile: Any = MakeFile):
         super().__init__(server, sock, makefile)
         self.rfile = RequestBuffer()
-        self.malformed = False
+        self.wfile = _Unwritten()
+        self.is_whole = False
         self._ownership = _Ownership.SERVER
         self._wanted_back = False
         self._lock = threading.Lock()
--- a/packages/citrondock-router/src/citrondock_router/caller_front.py
+++ b/packages/citrondock-router/src/citrondock_router/caller_front.py
@@ -7,6 +7,7 @@
 
 from citrondock_core.request import RefusalReason, RequestRefusedError
 from citrondock_router.admission import Admission, new_request_id
+from citrondock_router.call import Call
 from citrondock_router.call_runner import CallRunner
 from citrondock_router.caller_connection import CallerConnection
 from citrondock_router.caller_response import render_refusal
@@ -46,7 +47,9 @@
             host=settings.host,
             port=settings.port,
             handler=self._handle,
-            wants_body=admission.wants_body,
+            refuse=self._refuse_unparsed,
+            check_head=admission.check_head,
+            check_capacity=admission.check_capacity,
             options=GathererOptions(
                 max_head_bytes=settings.max_head_bytes,
                 max_body_bytes=settings.max_body_bytes,
@@ -75,15 +78,42 @@
         answered = copy.copy(request)
         answered.outheaders = []
         request.sent_headers = True
+        request.close_connection = True
+        connection.detach()
         try:
-            call = self._admission.admit(answered, connection, request_id)
+            call = self._admit(answered, connection, request_id)
         except RequestRefusedError as error:
-            self._refuse(request, connection, error, request_id)
+            self._refuse(answered, connection, error, request_id)
             return
-        request.close_connection = True
-        connection.detach()
         self._runner.submit(call)
 
+    def _admit(
+        self, request: HTTPRequest, connection: CallerConnection, request_id: str
+    ) -> Call:
+        try:
+            return self._admission.admit(request, connection, request_id)
+        except Exception as error:
+            if isinstance(error, RequestRefusedError):
+                raise
+            log_event(
+                "admission_error",
+                level="ERROR",
+                request_id=request_id,
+                error=type(error).__name__,
+                detail=str(error),
+            )
+            raise RequestRefusedError(
+                "internal error", step="admission", cause=RefusalReason.NOT_READY
+            ) from error
+
+    def _refuse_unparsed(
+        self,
+        request: HTTPRequest,
+        connection: CallerConnection,
+        error: RequestRefusedError,
+    ) -> None:
+        self._refuse(request, connection, error, new_request_id())
+
     def _refuse(
         self,
         request: HTTPRequest,
@@ -101,13 +131,11 @@
             detail=error.reason,
         )
         self._on_refused(error.cause)
-        whole = _read_rest(request)
-        request.close_connection |= not whole
-        connection.wfile.write(render_refusal(request, error, request_id))
-        request.chunked_write = False
-        if not whole:
-            connection.detach()
-            self._server.gatherer.discard(connection)
+        if not request.close_connection:
+            request.close_connection = not _read_rest(request)
+        data = render_refusal(request, error, request_id)
+        keeps = not request.close_connection
+        self._server.answers.send(connection, data, keeps=keeps)
 
 
 def _read_rest(request: HTTPRequest) -> bool:
--- a/packages/citrondock-router/src/citrondock_router/caller_server.py
+++ b/packages/citrondock-router/src/citrondock_router/caller_server.py
@@ -1,4 +1,4 @@
-"""The callers' HTTP server: cheroot parses, a gatherer collects, a handler admits."""
+"""HTTP server for callers and operators; a gatherer collects, cheroot parses."""
 
 import math
 import ssl
@@ -10,11 +10,21 @@
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 from cheroot.workers.threadpool import ThreadPool
 
+from citrondock_core.request import RefusalReason, RequestRefusedError
+from citrondock_router.answer_sender import AnswerSender
 from citrondock_router.caller_connection import CallerConnection
+from citrondock_router.intake_quota import CapacityCheck
 from citrondock_router.log import log_event
-from citrondock_router.request_gatherer import GathererOptions, RequestGatherer
+from citrondock_router.request_gatherer import (
+    GathererOptions,
+    HeadCheck,
+    RequestGatherer,
+)
 
 RequestHandler = Callable[[HTTPRequest, CallerConnection], None]
+RefusalHandler = Callable[[HTTPRequest, CallerConnection, RequestRefusedError], None]
+
+_TOO_LONG_STATUSES = ("413", "414")
 
 
 class _LazyHandshakeAdapter(BuiltinSSLAdapter):
@@ -35,14 +45,25 @@
 
 
 class _CallerRequest(HTTPRequest):
-    """A request that refuses what the gatherer found malformed."""
+    """A request whose refusals all have the form that callers know."""
+
+    method = b""
 
-    def parse_request(self) -> None:
-        if self.conn.malformed:
-            self.close_connection = True
-            self.simple_response("400 Bad Request", "Malformed request")
-            return
-        super().parse_request()
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Refuse in place of cheroot's plain text."""
+        text = str(status)
+        too_long = text.startswith(_TOO_LONG_STATUSES)
+        cause = RefusalReason.TOO_LARGE if too_long else RefusalReason.BAD_REQUEST
+        reason = f"{text}: {msg}" if msg else text
+        self.conn.detach()
+        self.refuse(RequestRefusedError(reason, step="parse", cause=cause))
+
+    def refuse(self, error: RequestRefusedError) -> None:
+        """Answer a request that was not parsed, or not wholly."""
+        self.response_protocol = "HTTP/1.1"
+        self.close_connection = True
+        self.sent_headers = True
+        self.server.refuse(self, self.conn, error)
 
 
 class _CheckedConnection(CallerConnection):
@@ -52,7 +73,7 @@
 
 
 class CallerServer(HTTPServer):
-    """Accepts callers; never waits for one of them in a worker thread.
+    """Accepts clients; never waits for one of them in a worker thread.
 
     Parameters
     ----------
@@ -60,7 +81,10 @@
         Address; port 0 binds an ephemeral one.
     handler : callable
         Runs in a worker thread with a parsed request and its connection.
-    wants_body : callable
+    refuse : callable
+        Given a request that is refused unparsed, its connection, which is taken over,
+        and the reason; must not block.
+    check_head, check_capacity : callable
         See `RequestGatherer`.
     worker_count : int
         Threads that parse and admit.
@@ -76,7 +100,9 @@
         host: str,
         port: int,
         handler: RequestHandler,
-        wants_body: Callable[[dict[str, str]], bool],
+        refuse: RefusalHandler,
+        check_head: HeadCheck,
+        check_capacity: CapacityCheck,
         options: GathererOptions,
         worker_count: int = 8,
         tls_certificate_path: str = "",
@@ -85,6 +111,7 @@
         super().__init__((host, port), gateway=_CallerGateway)
         self.requests = ThreadPool(self, min=worker_count, max=worker_count)
         self.handle_request = handler
+        self.refuse = refuse
         self.server_name = "citrondock"
         self.timeout = math.ceil(options.idle_timeout_s)
         self.max_request_header_size = options.max_head_bytes
@@ -96,13 +123,19 @@
             self.ssl_adapter = _LazyHandshakeAdapter(tls_certificate_path, tls_key_path)
             self.ssl_adapter.context.minimum_version = ssl.TLSVersion.TLSv1_2
         self.gatherer = RequestGatherer(
-            on_ready=super().process_conn, wants_body=wants_body, options=options
+            on_ready=super().process_conn,
+            on_refused=lambda conn, error: _CallerRequest(self, conn).refuse(error),
+            check_head=check_head,
+            check_capacity=check_capacity,
+            options=options,
         )
+        self.answers = AnswerSender()
         self._thread = threading.Thread(target=self.serve, name="caller-server")
 
     def start_serving(self) -> int:
         """Bind, start all threads and return the port."""
         self.gatherer.start()
+        self.answers.start()
         self.prepare()
         self._thread.start()
         return int(self.bind_addr[1])
@@ -112,11 +145,19 @@
         self.stop()
         self._thread.join()
         self.gatherer.stop()
+        self.answers.stop()
 
     def process_conn(self, conn: CallerConnection) -> None:
         """Gather a request before any worker is bothered."""
         self.gatherer.add(conn)
 
+    def put_conn(self, conn: CallerConnection) -> None:
+        """Wait for the next request of a connection in the gatherer."""
+        if self.ready:
+            self.gatherer.add(conn)
+        else:
+            conn.close()
+
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
     ) -> None:
--- a/packages/citrondock-router/src/citrondock_router/request_gatherer.py
+++ b/packages/citrondock-router/src/citrondock_router/request_gatherer.py
@@ -7,17 +7,24 @@
 import socket
 import ssl
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
-import httptools
 
+from citrondock_core.configuration import ClientAccount
+from citrondock_core.request import RefusalReason, RequestRefusedError
 from citrondock_router.caller_connection import CallerConnection
+from citrondock_router.intake_quota import CapacityCheck, IntakeQuota, Reservation
+from citrondock_router.message_probe import MessageProbe
 from citrondock_router.selector_loop import SelectorLoop
 
+HeadCheck = Callable[[Mapping[str, str]], ClientAccount]
+"""Given lower-case headers; returns who asks, or raises `RequestRefusedError`."""
+
+_STEP = "intake"
 _RECEIVE_BYTES = 65_536
 _SWEEP_PERIOD_S = 0.25
-_DISCARD_S = 1.0
+_RETRY_AFTER_S = 1.0
 
 
 @attrs.frozen(kw_only=True)
@@ -31,9 +38,9 @@
     max_body_bytes : int
         Longest body.
     max_total_bytes : int
-        Most bytes of unfinished requests, over all callers.
+        Most body bytes of unfinished requests, over all callers.
     max_connections : int
-        Most connections with an unfinished request.
+        Most connections that are idle or have an unfinished request.
     head_timeout_s : float
         Longest time from the first byte to the end of the headers.
     body_timeout_s : float
@@ -51,127 +58,128 @@
     idle_timeout_s: float = 30.0
 
 
-class _MessageProbe:
-    """Tells from the bytes so far whether a whole request is there."""
-
-    def __init__(self) -> None:
-        self.head_complete = False
-        self.complete = False
-        self.malformed = False
-        self.expects_continue = False
-        self.head: dict[str, str] = {}
-        self._parser = httptools.HttpRequestParser(self)
-
-    def feed(self, data: bytes) -> None:
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.complete = True
-        except httptools.HttpParserError:
-            self.malformed = not self.complete
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if self.head_complete:
-            return
-        key = name.decode("latin-1").lower()
-        self.head[key] = value.decode("latin-1")
-
-    def on_headers_complete(self) -> None:
-        self.head_complete = True
-        self.expects_continue = self.head.get("expect", "").lower() == "100-continue"
-
-    def on_message_complete(self) -> None:
-        self.complete = True
-
-
 @attrs.define(eq=False)
 class _Gathering:
     connection: CallerConnection
-    probe: _MessageProbe
+    descriptor: int
     deadline_s: float
+    probe: MessageProbe = attrs.field(factory=MessageProbe)
     received_bytes: int = 0
-    discarding: bool = False
+    reservation: Reservation | None = None
+    refusal: RequestRefusedError | None = None
+
+    def refuse(self, cause: RefusalReason, reason: str) -> None:
+        retry_after_s = None
+        if cause is RefusalReason.ROUTER_QUEUE_FULL:
+            retry_after_s = _RETRY_AFTER_S
+        self.refusal = self.refusal or RequestRefusedError(
+            reason, step=_STEP, cause=cause, retry_after_s=retry_after_s
+        )
 
 
 class RequestGatherer(SelectorLoop):
     """Reads requests from all callers in one thread.
 
+    When there are too many connections, the one that has been idle or without a whole
+    head for longest makes room.
+
     Parameters
     ----------
     on_ready : callable
-        Given a connection whose buffer holds a whole request, or enough of one to be
-        refused.
-    wants_body : callable
-        Given the lower-case headers of a request, whether its body is worth reading.
+        Given a connection whose buffer holds a whole request.
+    on_refused : callable
+        Given a connection whose request is not taken in, and the reason.
+    check_head : callable
+        See `HeadCheck`; asked before the body is read.
+    check_capacity : callable
+        See `CapacityCheck`.
     """
 
     def __init__(
         self,
         *,
         on_ready: Callable[[CallerConnection], None],
-        wants_body: Callable[[dict[str, str]], bool],
+        on_refused: Callable[[CallerConnection, RequestRefusedError], None],
+        check_head: HeadCheck,
+        check_capacity: CapacityCheck,
         options: GathererOptions,
     ) -> None:
         super().__init__(name="request-gatherer")
         self._on_ready = on_ready
-        self._wants_body = wants_body
+        self._on_refused = on_refused
+        self._check_head = check_head
         self._options = options
+        self._quota = IntakeQuota(
+            max_request_count=options.max_connections,
+            max_total_bytes=options.max_total_bytes,
+            max_body_bytes=options.max_body_bytes,
+            check_capacity=check_capacity,
+        )
         self._gatherings: dict[int, _Gathering] = {}
-        self._total_bytes = 0
+        self._without_head: dict[int, _Gathering] = {}
         self._next_sweep_s = 0.0
 
     def add(self, connection: CallerConnection) -> None:
         """Gather the next request of a connection."""
         self.call_soon(lambda: self._start(connection))
 
-    def discard(self, connection: CallerConnection) -> None:
-        """Close a connection whose caller may still be sending.
-
-        Closing at once would reset it, and could take the answer away from the caller.
-        """
-        self.call_soon(lambda: self._discard(connection))
-
     @property
     def connection_count(self) -> int:
-        """Connections with an unfinished request."""
+        """Connections that are idle or have an unfinished request."""
         return len(self._gatherings)
 
     def _start(self, connection: CallerConnection) -> None:
-        if len(self._gatherings) >= self._options.max_connections:
-            connection.close()
-            return
-        connection.socket.setblocking(False)
-        deadline_s = time.monotonic() + self._options.idle_timeout_s
-        gathering = _Gathering(connection, _MessageProbe(), deadline_s)
-        unread = connection.rfile.unread()
-        if unread:
-            self._feed(gathering, unread)
-        if self._is_ready(gathering):
-            self._hand_over(gathering)
-            return
         descriptor = connection.socket.fileno()
         if descriptor < 0:
             return
+        connection.socket.setblocking(False)
+        deadline_s = time.monotonic() + self._options.idle_timeout_s
+        gathering = _Gathering(connection, descriptor, deadline_s)
+        if not self._make_room():
+            gathering.refuse(
+                RefusalReason.ROUTER_QUEUE_FULL, "the router has too many connections"
+            )
         self._gatherings[descriptor] = gathering
+        self._without_head[descriptor] = gathering
         self.selector.register(descriptor, selectors.EVENT_READ, gathering)
-        self._receive(gathering)
+        self._advance(gathering, connection.rfile.unread())
+
+    def _make_room(self) -> bool:
+        if len(self._gatherings) < self._options.max_connections:
+            return True
+        if not self._without_head:
+            return False
+        oldest = next(iter(self._without_head.values()))
+        if oldest.received_bytes:
+            reason = "the router has too many connections; send the head at once"
+            oldest.refuse(RefusalReason.ROUTER_QUEUE_FULL, reason)
+            self._hand_over(oldest)
+        else:
+            self._drop(oldest)
+        return True
 
     def on_event(self, key: selectors.SelectorKey, mask: int) -> None:
         """Read what a caller sent."""
-        if key.data.discarding:
-            self._read_away(key.data)
-        else:
-            self._receive(key.data)
+        gathering: _Gathering = key.data
+        # An event may concern a connection that made room in the same round.
+        if self._gatherings.get(gathering.descriptor) is gathering:
+            self._receive(gathering)
 
     def on_idle(self) -> None:
-        """Drop callers whose request did not end in time."""
+        """Refuse callers whose request did not end in time."""
         now_s = time.monotonic()
         if now_s < self._next_sweep_s:
             return
         self._next_sweep_s = now_s + _SWEEP_PERIOD_S
         late = [g for g in self._gatherings.values() if g.deadline_s <= now_s]
         for gathering in late:
-            self._drop(gathering)
+            if gathering.received_bytes:
+                gathering.refuse(
+                    RefusalReason.BAD_REQUEST, "the request did not arrive in time"
+                )
+                self._hand_over(gathering)
+            else:
+                self._drop(gathering)
 
     def on_stop(self) -> None:
         """Close what is unfinished."""
@@ -179,89 +187,111 @@
             self._drop(gathering)
 
     def _receive(self, gathering: _Gathering) -> None:
-        while not self._is_ready(gathering):
-            try:
-                data = gathering.connection.socket.recv(_RECEIVE_BYTES)
-            except (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError):
-                return
-            except OSError:
-                data = b""
-            if not data:
-                self._drop(gathering)
-                return
-            if gathering.received_bytes == 0:
-                gathering.deadline_s = time.monotonic() + self._options.head_timeout_s
-            gathering.connection.rfile.feed(data)
+        try:
+            data = gathering.connection.socket.recv(_RECEIVE_BYTES)
+        except (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError):
+            return
+        except OSError:
+            data = b""
+        if not data:
+            self._drop(gathering)
+            return
+        gathering.connection.rfile.feed(data)
+        self._advance(gathering, data)
+
+    def _advance(self, gathering: _Gathering, data: bytes) -> None:
+        if data:
             self._feed(gathering, data)
-            if self._total_bytes > self._options.max_total_bytes:
-                self._drop(gathering)
-                return
-        self._forget(gathering)
-        self._hand_over(gathering)
+        if gathering.refusal is not None or gathering.probe.complete:
+            self._hand_over(gathering)
+        elif _has_pending(gathering.connection.socket) or not data:
+            self._receive(gathering)
 
     def _feed(self, gathering: _Gathering, data: bytes) -> None:
+        if not gathering.received_bytes:
+            gathering.deadline_s = time.monotonic() + self._options.head_timeout_s
         gathering.received_bytes += len(data)
-        self._total_bytes += len(data)
         probe = gathering.probe
         had_head = probe.head_complete
         probe.feed(data)
-        if not probe.head_complete or had_head or probe.complete:
-            return
+        if probe.fault:
+            gathering.refuse(RefusalReason.BAD_REQUEST, probe.fault)
+        elif probe.head_complete and not had_head:
+            self._take_head(gathering)
+        elif had_head and gathering.reservation is not None:
+            self._take_body(gathering, gathering.reservation, len(data))
+        self._check_length(gathering)
+
+    def _take_head(self, gathering: _Gathering) -> None:
+        del self._without_head[gathering.descriptor]
         gathering.deadline_s = time.monotonic() + self._options.body_timeout_s
-        if not self._wants_body(probe.head):
-            probe.complete = True
-        elif probe.expects_continue:
+        probe = gathering.probe
+        try:
+            account = self._check_head(probe.head)
+            if probe.declared_body_bytes > self._options.max_body_bytes:
+                self._refuse_body(gathering)
+            gathering.reservation = self._quota.reserve(
+                account, probe.declared_body_bytes
+            )
+        except RequestRefusedError as error:
+            gathering.refusal = error
+            return
+        if probe.expects_continue and not probe.complete:
             _send_continue(gathering.connection.socket)
 
-    def _is_ready(self, gathering: _Gathering) -> bool:
+    def _take_body(
+        self, gathering: _Gathering, reservation: Reservation, received_bytes: int
+    ) -> None:
+        try:
+            self._quota.receive(reservation, received_bytes)
+        except RequestRefusedError as error:
+            if not gathering.probe.complete:
+                gathering.refusal = gathering.refusal or error
+
+    def _check_length(self, gathering: _Gathering) -> None:
         probe = gathering.probe
-        if probe.complete or probe.malformed:
-            return True
         limit_bytes = self._options.max_head_bytes
-        if probe.head_complete:
-            limit_bytes += self._options.max_body_bytes
-        return gathering.received_bytes > limit_bytes
+        if not probe.head_complete:
+            if gathering.received_bytes > limit_bytes:
+                reason = f"the head has more than {limit_bytes} bytes"
+                gathering.refuse(RefusalReason.TOO_LARGE, reason)
+            return
+        limit_bytes += self._options.max_body_bytes
+        if not probe.complete and gathering.received_bytes > limit_bytes:
+            self._refuse_body(gathering)
+
+    def _refuse_body(self, gathering: _Gathering) -> None:
+        reason = f"the body has more than {self._options.max_body_bytes} bytes"
+        gathering.refuse(RefusalReason.TOO_LARGE, reason)
 
     def _hand_over(self, gathering: _Gathering) -> None:
-        self._total_bytes -= gathering.received_bytes
+        self._forget(gathering)
         connection = gathering.connection
-        connection.malformed = gathering.probe.malformed
+        connection.is_whole = gathering.probe.complete
+        if gathering.refusal is not None:
+            self._on_refused(connection, gathering.refusal)
+            return
         connection.socket.settimeout(connection.server.timeout)
         self._on_ready(connection)
 
-    def _discard(self, connection: CallerConnection) -> None:
-        deadline_s = time.monotonic() + _DISCARD_S
-        gathering = _Gathering(connection, _MessageProbe(), deadline_s, discarding=True)
-        try:
-            connection.socket.setblocking(False)
-            connection.socket.shutdown(socket.SHUT_WR)
-        except OSError:
-            connection.destroy()
-            return
-        self._gatherings[connection.socket.fileno()] = gathering
-        self.selector.register(connection.socket, selectors.EVENT_READ, gathering)
-
-    def _read_away(self, gathering: _Gathering) -> None:
-        try:
-            data = gathering.connection.socket.recv(_RECEIVE_BYTES)
-        except (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError):
-            return
-        except OSError:
-            data = b""
-        if not data:
-            self._drop(gathering)
-
     def _forget(self, gathering: _Gathering) -> None:
-        descriptor = gathering.connection.socket.fileno()
-        self.selector.unregister(descriptor)
-        del self._gatherings[descriptor]
+        self.selector.unregister(gathering.descriptor)
+        del self._gatherings[gathering.descriptor]
+        self._without_head.pop(gathering.descriptor, None)
+        if gathering.reservation is not None:
+            self._quota.release(gathering.reservation)
+            gathering.reservation = None
 
     def _drop(self, gathering: _Gathering) -> None:
         self._forget(gathering)
-        self._total_bytes -= gathering.received_bytes
         gathering.connection.destroy()
 
 
+def _has_pending(sock: socket.socket) -> bool:
+    """Whether a TLS socket holds decrypted bytes, of which no selector tells."""
+    return isinstance(sock, ssl.SSLSocket) and sock.pending() > 0
+
+
 def _send_continue(sock: socket.socket) -> None:
     try:
         sock.send(b"HTTP/1.1 100 Continue\r\n\r\n")
--- a/packages/citrondock-router/src/citrondock_router/router.py
+++ b/packages/citrondock-router/src/citrondock_router/router.py
@@ -159,12 +159,13 @@
             metrics=self._metrics,
             slow_reader_timeout_s=settings.limits.slow_reader_timeout_s,
         )
+        dispatcher = Dispatcher(
+            self._member,
+            policy=policy_named(settings.dispatch.policy),
+            options=_dispatch_options(settings),
+        )
         self._dispatch = DispatchActor.start(
-            dispatcher=Dispatcher(
-                self._member,
-                policy=policy_named(settings.dispatch.policy),
-                options=_dispatch_options(settings),
-            ),
+            dispatcher=dispatcher,
             on_start=self._runner.start,
             on_refuse=self._runner.refuse,
             on_send=self._on_send,
@@ -173,7 +174,10 @@
         self._target_watch = TargetWatch(
             on_load=self._on_load, on_available=self._on_available
         )
-        self._admission = Admission(max_body_bytes=settings.callers.max_body_bytes)
+        self._admission = Admission(
+            max_body_bytes=settings.callers.max_body_bytes,
+            check_capacity=dispatcher.check_capacity,
+        )
         self._front = CallerFront(
             settings=settings.callers,
             admission=self._admission,
