Idle connections to targets are polled, so that descriptors above 1023 work

Cause: under 1,500 connections of callers, half of all calls ended with 502: the check of an idle connection used select(), which raises "filedescriptor out of range" from descriptor 1024 on. Change: poll().

--- a/packages/citrondock-wire/src/citrondock_wire/target_connection.py
+++ b/packages/citrondock-wire/src/citrondock_wire/target_connection.py
@@ -195,8 +195,9 @@
         sock = self._http.sock
         if sock is None or time.monotonic() >= self.idle_until_s:
             return False
-        readable, _, _ = select.select([sock], [], [], 0)
-        return not readable
+        poll = select.poll()
+        poll.register(sock, select.POLLIN)
+        return not poll.poll(0)
 
     def close(self) -> None:
         """Close the socket; the target cancels what it still runs."""
