Operators' port holds no thread for slow clients and takes drains only from tools

Cause: four silent connections held all four threads of the operators' port for 10 s each, health checks of the balancer among the waiting; a drain with an empty body, deep JSON or a form from a browser's page was not told apart. Change: it runs on the same gathering server as callers, with a head of 8 KB and a body of 64 KB at most; POST /v1/drain takes a JSON object with short texts, and refuses requests with an Origin or another content type. Guards taken out in a scratch copy, tests that failed: origin and content type, checks of the order, length of the body.

--- a/packages/citrondock-router/src/citrondock_router/operators_server.py
+++ b/packages/citrondock-router/src/citrondock_router/operators_server.py
@@ -1,20 +1,34 @@
 """The operators' port: health, readiness, metrics, status and explanations."""
 
+import copy
 import json
-import threading
 from abc import ABC, abstractmethod
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Mapping
 from typing import Any
 from urllib.parse import unquote
 
 import attrs
-import cattrs
-from cheroot.wsgi import Server
-
+from attrs.validators import and_, instance_of, max_len
+from cheroot.server import HTTPRequest
+
+from citrondock_core.configuration import ClientAccount
+from citrondock_core.request import RefusalReason, RequestRefusedError
+from citrondock_router.caller_connection import CallerConnection
+from citrondock_router.caller_response import render_head
+from citrondock_router.caller_server import CallerServer
 from citrondock_router.log import log_event
+from citrondock_router.request_gatherer import GathererOptions
 
 _JSON = "application/json"
-_MAX_BODY_BYTES = 65_536
+_MAX_TEXT_CHARACTERS = 200
+_OPTIONS = GathererOptions(
+    max_head_bytes=8_192,
+    max_body_bytes=65_536,
+    max_total_bytes=1_000_000,
+    max_connections=200,
+)
+_is_short_text = and_(instance_of(str), max_len(_MAX_TEXT_CHARACTERS))
+_OPERATORS = ClientAccount(name="operators")
 
 
 @attrs.frozen(kw_only=True)
@@ -48,9 +62,9 @@
         Who and why.
     """
 
-    vm_name: str = ""
-    author: str = ""
-    reason: str = ""
+    vm_name: str = attrs.field(default="", validator=_is_short_text)
+    author: str = attrs.field(default="", validator=_is_short_text)
+    reason: str = attrs.field(default="", validator=_is_short_text)
 
 
 class OperatorHandler(ABC):
@@ -77,19 +91,11 @@
         """Begin a graceful stop; False when another router is meant."""
 
 
-class _QuietServer(Server):
-    """A WSGI server that writes its messages as events."""
-
-    def error_log(
-        self, msg: str = "", level: int = 20, traceback: bool = False
-    ) -> None:
-        name = "ERROR" if traceback else "DEBUG"
-        log_event("operators_server", level=name, message=str(msg))
-
-
 class OperatorsServer:
     """Serves operators on a port that callers never reach.
 
+    Slow or idle clients hold no thread of it: a balancer's health checks pass.
+
     Parameters
     ----------
     host, port : str, int
@@ -104,43 +110,79 @@
         self, *, host: str, port: int, handler: OperatorHandler, worker_count: int = 4
     ) -> None:
         self._handler = handler
-        self._server = _QuietServer(
-            (host, port), self._application, numthreads=worker_count, max=worker_count
-        )
-        self._server.server_name = "citrondock-operators"
-        self._server.max_request_body_size = _MAX_BODY_BYTES
-        self._thread = threading.Thread(
-            target=self._server.serve, name="operators", daemon=True
+        self._server = CallerServer(
+            host=host,
+            port=port,
+            handler=self._handle,
+            refuse=self._refuse,
+            check_head=_check_head,
+            check_capacity=lambda *_: None,
+            options=_OPTIONS,
+            worker_count=worker_count,
         )
 
     def start(self) -> int:
         """Serve from now on and return the port."""
-        self._server.prepare()
-        self._thread.start()
-        return int(self._server.bind_addr[1])
+        return self._server.start_serving()
 
     def stop(self) -> None:
         """End all threads."""
-        self._server.stop()
-        self._thread.join()
+        self._server.stop_serving()
 
-    def _application(
+    def _handle(self, request: HTTPRequest, connection: CallerConnection) -> None:
+        answered = copy.copy(request)
+        request.sent_headers = True
+        request.close_connection = True
+        connection.detach()
+        try:
+            answer = self._dispatch(answered)
+        except Exception as error:
+            log_event(
+                "operators_error",
+                level="ERROR",
+                error=type(error).__name__,
+                detail=str(error),
+            )
+            answer = _json({"error": "internal"}, status="500 Internal Server Error")
+        self._send(answered, connection, answer)
+
+    def _refuse(
         self,
-        environ: Mapping[str, Any],
-        start_response: Callable[[str, list[tuple[str, str]]], Any],
-    ) -> Iterable[bytes]:
-        method = environ["REQUEST_METHOD"]
-        path = unquote(environ["PATH_INFO"])
+        request: HTTPRequest,
+        connection: CallerConnection,
+        error: RequestRefusedError,
+    ) -> None:
+        log_event(
+            "operator_refused", client=connection.remote_addr, detail=error.reason
+        )
+        status = "400 Bad Request"
+        if error.cause is RefusalReason.TOO_LARGE:
+            status = "413 Request Entity Too Large"
+        request.close_connection = True
+        self._send(request, connection, _json({"error": error.reason}, status=status))
+
+    def _send(
+        self, request: HTTPRequest, connection: CallerConnection, answer: OperatorAnswer
+    ) -> None:
+        headers = {
+            "Content-Type": answer.content_type,
+            "Content-Length": str(len(answer.body)),
+        }
+        code, _, reason = answer.status.partition(" ")
+        data = render_head(request, status=int(code), headers=headers, reason=reason)
+        if request.method != b"HEAD":
+            data += answer.body
+        keeps = not request.close_connection
+        self._server.answers.send(connection, data, keeps=keeps)
+
+    def _dispatch(self, request: HTTPRequest) -> OperatorAnswer:
+        method = request.method.decode("latin-1")
+        raw_path = request.uri.partition(b"?")[0].decode("latin-1")
+        path = unquote(raw_path)
+        body = request.rfile.read()
         if method == "POST" and path == "/v1/drain":
-            answer = self._drain(environ["wsgi.input"].read())
-        else:
-            answer = self._answer(method, path)
-        headers = [
-            ("Content-Type", answer.content_type),
-            ("Content-Length", str(len(answer.body))),
-        ]
-        start_response(answer.status, headers)
-        return [answer.body]
+            return self._drain(request, body)
+        return self._answer(method, path)
 
     def _answer(self, method: str, path: str) -> OperatorAnswer:
         if method != "GET":
@@ -159,12 +201,15 @@
             return _json({"subject": subject, "lines": self._handler.explain(subject)})
         return _json({"error": f"no page {path!r}"}, status="404 Not Found")
 
-    def _drain(self, body: bytes) -> OperatorAnswer:
+    def _drain(self, request: HTTPRequest, body: bytes) -> OperatorAnswer:
+        if not _comes_from_a_tool(request):
+            error = "send application/json from a tool; browsers may not drain"
+            return _json({"error": error}, status="403 Forbidden")
         try:
-            request = cattrs.structure(json.loads(body or b"{}"), DrainRequest)
-        except (ValueError, cattrs.BaseValidationError) as error:
+            order = _drain_request(body)
+        except (ValueError, TypeError, RecursionError) as error:
             return _json({"error": str(error)}, status="400 Bad Request")
-        if not self._handler.drain(request):
+        if not self._handler.drain(order):
             return _json({"error": "another router"}, status="409 Conflict")
         return _json({"draining": True}, status="202 Accepted")
 
@@ -176,3 +221,20 @@
 
 def _json(document: Mapping[str, Any], *, status: str = "200 OK") -> OperatorAnswer:
     return OperatorAnswer(status=status, body=json.dumps(document).encode() + b"\n")
+
+
+def _check_head(_headers: Mapping[str, str]) -> ClientAccount:
+    return _OPERATORS
+
+
+def _comes_from_a_tool(request: HTTPRequest) -> bool:
+    """Whether no page of another site can have made an operator's browser ask."""
+    content_type = request.inheaders.get(b"Content-Type", _JSON.encode())
+    return b"Origin" not in request.inheaders and content_type == _JSON.encode()
+
+
+def _drain_request(body: bytes) -> DrainRequest:
+    document = json.loads(body)
+    if not isinstance(document, dict):
+        raise ValueError("the body is no JSON object")
+    return DrainRequest(**document)
