Peers: two shared keys while one is replaced, bounded unproven connections

Cause: replacing the shared key cut the routers off from each other; 256 silent connections shut out all peers for 60 s; a TLS handshake that failed ended the thread of a link (AttributeError in close); a batch with missing fields reached the actors as None; an engine's usage with deep JSON or 1e999 raised in the scanner; a NUL in a name could shift the fields that the tag covers. Change: peers.further_shared_key_path names a key that is accepted too; at most 32 connections wait for a first valid envelope, 5 s between bytes, the oldest makes room; missing fields are a BadMessageError; close works without handshake.

--- a/packages/citrondock-core/src/citrondock_core/event_stream.py
+++ b/packages/citrondock-core/src/citrondock_core/event_stream.py
@@ -86,7 +86,7 @@
             prompt_tokens=int(reported["prompt_tokens"]),
             generated_tokens=int(reported["completion_tokens"]),
         )
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, OverflowError, RecursionError):
         return None
 
 
--- a/packages/citrondock-router/src/citrondock_router/router.py
+++ b/packages/citrondock-router/src/citrondock_router/router.py
@@ -208,7 +208,11 @@
             host=peers.host,
             port=peers.port,
             handler=self._inbox,
-            opener=EnvelopeOpener(self._member.vm_name, shared_key=peers.key_bytes()),
+            opener=EnvelopeOpener(
+                self._member.vm_name,
+                shared_key=peers.key_bytes(),
+                further_keys=peers.further_keys(),
+            ),
             incarnation=self._member.incarnation,
             tls=server_context(peers),
         )
--- a/packages/citrondock-router/src/citrondock_router/settings.py
+++ b/packages/citrondock-router/src/citrondock_router/settings.py
@@ -130,6 +130,9 @@
     port: int = _port()
     shared_key: str = _setting("Secret that all routers share.", default="")
     shared_key_path: str = _optional_file("File that holds the secret instead.")
+    further_shared_key_path: str = _optional_file(
+        "File that holds a secret to accept too, while the secret is replaced."
+    )
     tls_certificate_path: str = _optional_file("Certificate chain; empty is no TLS.")
     tls_key_path: str = _optional_file("Private key of the certificate.")
     tls_ca_path: str = _optional_file("Authorities that sign the peers' certificates.")
@@ -142,7 +145,8 @@
             raise ValueError(
                 "needs exactly one key; give shared_key or shared_key_path"
             )
-        if len(self.key_bytes()) < MIN_KEY_BYTES:
+        keys = (self.key_bytes(), *self.further_keys())
+        if min(len(key) for key in keys) < MIN_KEY_BYTES:
             raise ValueError(
                 f"has a key that is too short; use at least {MIN_KEY_BYTES} characters"
             )
@@ -153,6 +157,12 @@
             return Path(self.shared_key_path).read_bytes().strip()
         return self.shared_key.encode()
 
+    def further_keys(self) -> tuple[bytes, ...]:
+        """Return the keys that are accepted besides, read from their file."""
+        if not self.further_shared_key_path:
+            return ()
+        return (Path(self.further_shared_key_path).read_bytes().strip(),)
+
 
 @attrs.frozen(kw_only=True)
 class PlatformSettings:
--- a/packages/citrondock-wire/src/citrondock_wire/envelope.py
+++ b/packages/citrondock-wire/src/citrondock_wire/envelope.py
@@ -5,6 +5,7 @@
 import itertools
 import threading
 import time
+from collections.abc import Sequence
 
 import attrs
 
@@ -64,11 +65,15 @@
         Name of the own VM.
     shared_key : bytes
         Key of all routers of a deployment.
+    further_keys : sequence of bytes
+        Keys that are accepted too, while the key is being replaced.
     """
 
-    def __init__(self, receiver: str, *, shared_key: bytes) -> None:
+    def __init__(
+        self, receiver: str, *, shared_key: bytes, further_keys: Sequence[bytes] = ()
+    ) -> None:
         self._receiver = receiver
-        self._shared_key = shared_key
+        self._keys = (shared_key, *further_keys)
         self._latest: dict[tuple[str, str], tuple[int, int]] = {}
         self._lock = threading.Lock()
 
@@ -82,8 +87,12 @@
             than the last one of its sender.
         """
         self._check_shape(envelope)
-        expected = _tag(envelope, method, self._shared_key)
-        if not hmac.compare_digest(expected, envelope.tag):
+        # No early end: the time taken does not tell which key matched.
+        matches = [
+            hmac.compare_digest(_tag(envelope, method, key), envelope.tag)
+            for key in self._keys
+        ]
+        if not any(matches):
             raise _refused("wrong tag", "unknown")
         if envelope.receiver != self._receiver:
             raise _refused(f"meant for {envelope.receiver!r}", envelope.sender)
@@ -101,11 +110,11 @@
         numbers = (envelope.incarnation, envelope.sequence)
         binaries = (envelope.payload, envelope.tag)
         if not (
-            all(isinstance(text, str) for text in texts)
+            all(isinstance(text, str) and "\0" not in text for text in texts)
             and all(isinstance(number, int) for number in numbers)
             and all(isinstance(binary, bytes) for binary in binaries)
         ):
-            raise _refused("a field is missing", "unknown")
+            raise _refused("a field is missing or malformed", "unknown")
 
 
 def _tag(envelope: Envelope, method: str, shared_key: bytes) -> bytes:
--- a/packages/citrondock-wire/src/citrondock_wire/message_codec.py
+++ b/packages/citrondock-wire/src/citrondock_wire/message_codec.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Iterator, Sequence
 
+import attrs
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.Thrift import TException
 from thrift.TSerialization import deserialize, serialize
@@ -113,30 +114,34 @@
 
     def _messages(self, batch: ttypes.Batch) -> Iterator[WireMessage]:
         lists = NameLists(
-            routers=[(r.vm_name, r.incarnation) for r in batch.routers or ()],
+            routers=[_router(entry) for entry in batch.routers or ()],
             accounts=batch.accounts or [],
             pools=batch.pools or [],
         )
         for heartbeat in batch.heartbeats or ():
-            yield _heartbeat(heartbeat)
+            yield _whole(_heartbeat(heartbeat))
         for summary in batch.summaries or ():
             yield self._columns.decode(summary, lists)
         for grant in batch.grants or ():
-            yield _grant(grant)
+            yield _whole(_grant(grant))
         for returned in batch.returns or ():
-            yield SlotReturn(
-                grant_id=returned.grant_id,
-                target=returned.target,
-                returned_count=returned.returned_count,
-                unused=bool(returned.unused),
-            )
+            yield _whole(_return(returned))
         for in_flight in batch.in_flights or ():
-            yield InFlight(
-                target=in_flight.target,
-                in_flight_count=in_flight.in_flight_count,
-                sequence=in_flight.sequence,
-                first_token_s=(in_flight.first_token_ms or 0) / MS_PER_S,
-            )
+            yield _whole(_in_flight(in_flight))
+
+
+def _router(entry: ttypes.RouterRef) -> tuple[str, int]:
+    if entry.vm_name is None or entry.incarnation is None:
+        raise ValueError("a router lacks its name or incarnation")
+    return entry.vm_name, entry.incarnation
+
+
+def _whole(message: WireMessage) -> WireMessage:
+    """Return a message, unless the sender left one of its fields out."""
+    for field in attrs.fields(type(message)):
+        if getattr(message, field.name) is None:
+            raise ValueError(f"a {type(message).__name__} lacks {field.name}")
+    return message
 
 
 def _grant_entry(grant: SlotGrant) -> ttypes.GrantEntry:
@@ -170,6 +175,15 @@
     )
 
 
+def _return(entry: ttypes.ReturnEntry) -> SlotReturn:
+    return SlotReturn(
+        grant_id=entry.grant_id,
+        target=entry.target,
+        returned_count=entry.returned_count,
+        unused=bool(entry.unused),
+    )
+
+
 def _in_flight_entry(message: InFlight) -> ttypes.InFlightEntry:
     return ttypes.InFlightEntry(
         target=message.target,
@@ -179,6 +193,15 @@
     )
 
 
+def _in_flight(entry: ttypes.InFlightEntry) -> InFlight:
+    return InFlight(
+        target=entry.target,
+        in_flight_count=entry.in_flight_count,
+        sequence=entry.sequence,
+        first_token_s=(entry.first_token_ms or 0) / MS_PER_S,
+    )
+
+
 def _heartbeat_entry(heartbeat: Heartbeat) -> ttypes.HeartbeatEntry:
     return ttypes.HeartbeatEntry(
         vm_name=heartbeat.vm_name,
--- a/packages/citrondock-wire/src/citrondock_wire/peer_client.py
+++ b/packages/citrondock-wire/src/citrondock_wire/peer_client.py
@@ -64,6 +64,11 @@
         self.received_bytes += len(data)
         return data
 
+    def close(self) -> None:
+        # The base class fails where no handshake succeeded.
+        if self.handle is not None:
+            super().close()
+
 
 class PeerClient:
     """Calls one peer; used by one thread at a time.
--- a/packages/citrondock-wire/src/citrondock_wire/peer_server.py
+++ b/packages/citrondock-wire/src/citrondock_wire/peer_server.py
@@ -1,10 +1,10 @@
 """The thrift service by which routers talk to each other."""
 
 import logging
+import socket
 import ssl
 import threading
 from abc import ABC, abstractmethod
-from typing import Any
 
 import attrs
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
@@ -24,10 +24,13 @@
 
 MAX_FRAME_BYTES = 4_000_000
 _MAX_CONNECTIONS = 256
+_MAX_UNPROVEN_CONNECTIONS = 32
+_UNPROVEN_TIMEOUT_MS = 5_000
 _IDLE_TIMEOUT_MS = 60_000
 
 # thrift logs each broken frame with a traceback of its own.
 logging.getLogger("thrift").setLevel(logging.CRITICAL)
+_current = threading.local()
 
 
 class PeerHandler(ABC):
@@ -76,53 +79,91 @@
         if envelope is None:
             raise PeerRefused(reason="no envelope", step="envelope")
         try:
-            return self.opener.open(envelope, method=method)
+            sender = self.opener.open(envelope, method=method)
         except EnvelopeError as error:
             raise PeerRefused(reason=error.reason, step=error.step) from error
+        _current.client.prove()
+        return sender
+
+
+class _Client(TSocket):
+    """A peer's connection, unproven until an envelope of it was opened."""
+
+    is_proven = False
+
+    def __init__(self, sock: socket.socket) -> None:
+        super().__init__()
+        self._socket = sock
+        self.setHandle(sock)
+        self.setTimeout(_UNPROVEN_TIMEOUT_MS)
+
+    def prove(self) -> None:
+        if not self.is_proven:
+            self.is_proven = True
+            self.setTimeout(_IDLE_TIMEOUT_MS)
+
+    def is_closed(self) -> bool:
+        return self._socket.fileno() < 0
+
+    def cut(self) -> None:
+        """Wake the thread that reads; it closes the connection."""
+        try:
+            # Not the TLS method, which another thread must not call while one reads.
+            socket.socket.shutdown(self._socket, socket.SHUT_RDWR)
+        except OSError:
+            return
 
 
 class _BoundedServerSocket(TServerSocket):
-    """A listening socket whose connections are bounded in number and idle time."""
+    """A listening socket whose connections are bounded in number and idle time.
+
+    Of connections whose envelope is still awaited, the oldest makes room.
+    """
 
     def __init__(self, host: str, port: int, tls: ssl.SSLContext | None) -> None:
         super().__init__(host=host, port=port)
         self._tls = tls
-        self._clients: set[TSocket] = set()
+        self._clients: list[_Client] = []
         self._lock = threading.Lock()
 
     @property
     def bound_port(self) -> int:
         return int(self.handle.getsockname()[1])
 
-    def accept(self) -> TSocket | None:
+    def accept(self) -> _Client | None:
         accepted, _ = self.handle.accept()
-        with self._lock:
-            self._clients = {client for client in self._clients if client.isOpen()}
-            if len(self._clients) >= _MAX_CONNECTIONS:
-                accepted.close()
-                return None
-        accepted.settimeout(_IDLE_TIMEOUT_MS / 1000)
+        if not self._make_room():
+            accepted.close()
+            return None
+        accepted.settimeout(_UNPROVEN_TIMEOUT_MS / 1000)
         if self._tls is not None:
             # The handshake runs with the first read, in the connection's own thread.
             accepted = self._tls.wrap_socket(
                 accepted, server_side=True, do_handshake_on_connect=False
             )
-        client = TSocket()
-        client.setHandle(accepted)
-        client.setTimeout(_IDLE_TIMEOUT_MS)
+        client = _Client(accepted)
         with self._lock:
-            self._clients.add(client)
+            self._clients.append(client)
         return client
 
+    def _make_room(self) -> bool:
+        with self._lock:
+            self._clients = [each for each in self._clients if not each.is_closed()]
+            unproven = [each for each in self._clients if not each.is_proven]
+            if len(unproven) >= _MAX_UNPROVEN_CONNECTIONS:
+                unproven[0].cut()
+                self._clients.remove(unproven[0])
+            return len(self._clients) < _MAX_CONNECTIONS
+
     def close(self) -> None:
         if self.handle is not None:
             # Wakes the thread that waits in accept.
-            self.handle.shutdown(2)
+            self.handle.shutdown(socket.SHUT_RDWR)
             self.handle.close()
         with self._lock:
-            clients, self._clients = self._clients, set()
+            clients, self._clients = self._clients, []
         for client in clients:
-            client.close()
+            client.cut()
 
 
 class _Server(TThreadedServer):
@@ -141,7 +182,8 @@
                     target=self._handle_quietly, args=(client,), daemon=True
                 ).start()
 
-    def _handle_quietly(self, client: Any) -> None:
+    def _handle_quietly(self, client: _Client) -> None:
+        _current.client = client
         try:
             self.handle(client)
         except (OSError, TException):
--- a/packages/citrondock-wire/src/citrondock_wire/summary_columns.py
+++ b/packages/citrondock-wire/src/citrondock_wire/summary_columns.py
@@ -109,6 +109,8 @@
     ) -> Iterator[ServiceCounter]:
         for columns in entry.counter_columns or ():
             vm_name, incarnation = lists.routers[columns.router]
+            if columns.stream is None:
+                raise ValueError("counters lack their stream")
             accounts = self._accounts(columns.accounts, lists)
             rows = zip(
                 accounts, columns.charged_tokens, columns.refunded_tokens, strict=True
