Libraries and uncaught exceptions write log lines of the same form

Cause: the standard library's loggers, warnings and exceptions that end a thread wrote lines or tracebacks of their own form to stderr, with line breaks. Measured: a run at level TRACE has no line off the form and none with a key, a shared key or a body (test).

--- /dev/null
+++ b/tests/router/test_logs.py
@@ -0,0 +1,130 @@
+import io
+import json
+import logging
+import re
+import sys
+import threading
+import warnings
+
+import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+from loguru import logger
+
+from citrondock_router.log import configure_logging, log_event
+from citrondock_standins.fleet import SHARED_KEY, EnginePlan, Fleet, FleetPlan
+from citrondock_standins.raw_caller import head, send
+from citrondock_standins.small_deployment import key_of, publisher
+
+PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|[^\s"=]*)')
+LINE = re.compile(rf"{PAIR.pattern}( {PAIR.pattern})*")
+SECRET = "take-down-the-appeal"
+
+
+@pytest.fixture
+def stream():
+    hooks = sys.excepthook, threading.excepthook
+    root = logging.getLogger()
+    handlers, level = root.handlers[:], root.level
+    written = io.StringIO()
+    configure_logging(level="DEBUG", stream=written)
+    yield written
+    logger.remove()
+    logging.captureWarnings(False)
+    sys.excepthook, threading.excepthook = hooks
+    root.handlers[:], root.level = handlers, level
+
+
+def fields_of(text):
+    (line,) = text.splitlines()
+    assert LINE.fullmatch(line)
+    return {name: value for name, value in PAIR.findall(line)}
+
+
+class TestEvents:
+    @given(st.text(max_size=80))
+    @example('x" event=forged ran="no')
+    @example("x\nevent=forged")
+    @example("x\r\u2028\u0085\x1c\x0bevent=forged")
+    @example("\\")
+    @example('\\" event=forged')
+    @example("\ud800")
+    @example("{event} <red>")
+    @settings(derandomize=True, deadline=None)
+    def test_a_value_forges_neither_line_nor_field(self, text):
+        written = io.StringIO()
+        logger.remove()
+        logger.add(written, format="{message}", colorize=False)
+        log_event("seen", caller=text, ran="maybe")
+        logger.remove()
+
+        fields = fields_of(written.getvalue())
+
+        assert list(fields) == ["event", "caller", "ran"]
+        assert (fields["event"], fields["ran"]) == ("seen", "maybe")
+
+    def test_libraries_write_the_same_form(self, stream):
+        logging.getLogger("urllib3").warning("a\nevent=%s", "forged")
+
+        fields = fields_of(stream.getvalue())
+        assert (fields["event"], fields["logger"]) == ("library_message", "urllib3")
+
+    def test_an_exception_that_a_library_logs_is_one_line(self, stream):
+        try:
+            raise ValueError("a\nb")
+        except ValueError:
+            logging.getLogger("pykka").exception("actor %s ended")
+
+        assert fields_of(stream.getvalue())["error"] == "ValueError"
+
+    def test_warnings_are_events(self, stream):
+        warnings.warn("a\nb", stacklevel=1)
+
+        assert fields_of(stream.getvalue())["event"] == "library_message"
+
+    def test_an_exception_that_ends_a_thread_is_one_line(self, stream):
+        thread = threading.Thread(target=lambda: {}["a\nb"], name="worker")
+        thread.start()
+        thread.join()
+
+        fields = fields_of(stream.getvalue())
+        assert (fields["event"], fields["thread"]) == ("uncaught_exception", "worker")
+
+
+class TestLogOfARun:
+    def test_no_line_holds_a_key_or_a_body_or_breaks_the_form(self):
+        plan = FleetPlan(
+            router_zones=("a",),
+            engines=(EnginePlan(availability_zone="a", speed=8),),
+            application_zones=("a",),
+            settings={
+                "log": {"level": "TRACE"},
+                "shutdown": {"drain_grace_s": 0.1, "deadline_s": 5},
+            },
+        )
+        message = {"role": "user", "content": SECRET}
+        chat = json.dumps({"model": "small", "messages": [message], "max_tokens": 2})
+        with Fleet(plan, publish=publisher()) as fleet:
+            fleet.wait_ready()
+            process = fleet.routers["router-a1"].process
+            requests = [
+                ("POST /v1/chat/completions HTTP/1.1", chat),
+                ("POST /v1/chat/completions HTTP/1.1", chat[:-1]),
+                ("POST /works HTTP/1.1", SECRET),
+                ("POST /works/%0aevent=forged%22 HTTP/1.1", SECRET),
+                ("POST /nowhere%0aevent=forged HTTP/1.1", SECRET),
+            ]
+            for line, body in requests:
+                length = f"Content-Length: {len(body)}"
+                odd = 'X-Affinity: "\x85event=forged'
+                send(process.callers_port, head(line, length, odd) + body.encode())
+            wrong = head(account="alice.wrong")
+            assert send(process.callers_port, wrong).status == 401
+            assert send(process.callers_port, head() + b"\x00" * 9).status == 200
+        lines = list(process.lines)
+
+        assert any("event=call_ended" in line for line in lines)
+        assert any("event=request_refused" in line for line in lines)
+        assert [line for line in lines if not LINE.fullmatch(line)] == []
+        for secret in (SECRET, SHARED_KEY, key_of("alice"), key_of("alice.wrong")):
+            assert [line for line in lines if secret in line] == []
