Tests of TLS for callers: long bodies, plain text, slow and broken handshakes

Cause: nothing tested that a handshake blocks nobody. Change: tests with a certificate authority of their own against the callers' server with two workers; a check for pending TLS bytes went, as one read takes more than a record and the test of 200 KB bodies passes without it.

--- a/packages/citrondock-router/src/citrondock_router/request_gatherer.py
+++ b/packages/citrondock-router/src/citrondock_router/request_gatherer.py
@@ -22,6 +22,7 @@
 """Given lower-case headers; returns who asks, or raises `RequestRefusedError`."""
 
 _STEP = "intake"
+# More than a TLS record: nothing decrypted is left behind, unknown to the selector.
 _RECEIVE_BYTES = 65_536
 _SWEEP_PERIOD_S = 0.25
 _RETRY_AFTER_S = 1.0
@@ -204,7 +205,7 @@
             self._feed(gathering, data)
         if gathering.refusal is not None or gathering.probe.complete:
             self._hand_over(gathering)
-        elif _has_pending(gathering.connection.socket) or not data:
+        elif not data:
             self._receive(gathering)
 
     def _feed(self, gathering: _Gathering, data: bytes) -> None:
@@ -287,11 +288,6 @@
         gathering.connection.destroy()
 
 
-def _has_pending(sock: socket.socket) -> bool:
-    """Whether a TLS socket holds decrypted bytes, of which no selector tells."""
-    return isinstance(sock, ssl.SSLSocket) and sock.pending() > 0
-
-
 def _send_continue(sock: socket.socket) -> None:
     try:
         sock.send(b"HTTP/1.1 100 Continue\r\n\r\n")
--- /dev/null
+++ b/tests/router/test_caller_tls.py
@@ -0,0 +1,116 @@
+import ssl
+
+import pytest
+import trustme
+
+from citrondock_core.configuration import ClientAccount
+from citrondock_core.request import RefusalReason, RequestRefusedError
+from citrondock_router.caller_response import render_refusal
+from citrondock_router.caller_server import CallerServer
+from citrondock_router.request_gatherer import GathererOptions
+from citrondock_standins.raw_caller import connect, head, read_answer
+
+AUTHORITY = trustme.CA()
+
+
+@pytest.fixture(scope="module")
+def port(tmp_path_factory):
+    """Port of a server that answers each request with a refusal."""
+    folder = tmp_path_factory.mktemp("tls")
+    certificate = AUTHORITY.issue_cert("localhost")
+    certificate.cert_chain_pems[0].write_to_path(folder / "certificate.pem")
+    certificate.private_key_pem.write_to_path(folder / "key.pem")
+
+    def refuse(request, connection, error):
+        data = render_refusal(request, error, "r1")
+        server.answers.send(connection, data, keeps=not request.close_connection)
+
+    def handle(request, connection):
+        connection.detach()
+        body = request.rfile.read()
+        reason = f"{len(body)} bytes"
+        cause = RefusalReason.NO_TARGET
+        refuse(request, connection, RequestRefusedError(reason, step="s", cause=cause))
+        request.close_connection = True
+        request.sent_headers = True
+
+    server = CallerServer(
+        host="127.0.0.1",
+        port=0,
+        handler=handle,
+        refuse=refuse,
+        check_head=lambda _: ClientAccount(name="alice"),
+        check_capacity=lambda *_: None,
+        options=GathererOptions(max_connections=60, head_timeout_s=2.0),
+        worker_count=2,
+        tls_certificate_path=str(folder / "certificate.pem"),
+        tls_key_path=str(folder / "key.pem"),
+    )
+    yield server.start_serving()
+    server.stop_serving()
+
+
+def secure(sock, *, authority=AUTHORITY, version=None):
+    context = ssl.create_default_context()
+    authority.configure_trust(context)
+    if version is not None:
+        context.maximum_version = version
+    return context.wrap_socket(sock, server_hostname="localhost")
+
+
+@pytest.fixture(autouse=True)
+def serves_on(port):
+    yield
+    with secure(connect(port)) as sock:
+        sock.sendall(head())
+        assert read_answer(sock).status == 503
+
+
+class TestCallerTls:
+    def test_a_connection_serves_long_and_short_requests(self, port):
+        with secure(connect(port)) as sock:
+            for size_bytes in (0, 200_000, 1):
+                length = f"Content-Length: {size_bytes}"
+                sock.sendall(head("POST /works HTTP/1.1", length) + b"x" * size_bytes)
+                answer = read_answer(sock)
+                assert answer.refusal[1] == "no_target"
+                assert f"{size_bytes} bytes".encode() in answer.body
+
+    def test_malformed_requests_get_the_typed_refusal(self, port):
+        with secure(connect(port)) as sock:
+            sock.sendall(b"rubbish\r\n\r\n")
+            assert read_answer(sock).refusal[1:3] == ("bad_request", "no")
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            head(),
+            b"\x16\x03\x01\x00\x05hello",
+            b"\x16\x03\x01",
+            b"\x80\x2e\x01\x00\x02",
+        ],
+    )
+    def test_plain_text_and_broken_handshakes_end_alone(self, port, data):
+        with connect(port) as sock:
+            sock.sendall(data)
+
+    def test_slow_handshakes_make_nobody_wait(self, port):
+        slow = [connect(port) for _ in range(30)]
+        try:
+            for sock in slow:
+                sock.sendall(b"\x16\x03\x01")
+            with secure(connect(port)) as sock:
+                sock.sendall(head())
+                assert read_answer(sock).status == 503
+        finally:
+            for sock in slow:
+                sock.close()
+
+    def test_a_caller_that_does_not_trust_the_authority_leaves(self, port):
+        with connect(port) as sock, pytest.raises(ssl.SSLCertVerificationError):
+            secure(sock, authority=trustme.CA())
+
+    @pytest.mark.filterwarnings("ignore::DeprecationWarning")
+    def test_old_versions_are_refused(self, port):
+        with connect(port) as sock, pytest.raises((ssl.SSLError, ConnectionError)):
+            secure(sock, version=ssl.TLSVersion.TLSv1_1)
