A flood of refusals writes at most 20 lines a second for each reason

Cause: each refused request wrote a line; at hundreds a second this took a good part of the processor from everybody's calls, and the log from its readers. Change: RefusalLog writes the first 20 of each reason in a second and tells the count of the rest by refusals_unlogged with the next refusal; metrics count all.

--- a/packages/citrondock-router/src/citrondock_router/caller_front.py
+++ b/packages/citrondock-router/src/citrondock_router/caller_front.py
@@ -13,6 +13,7 @@
 from citrondock_router.caller_response import render_refusal
 from citrondock_router.caller_server import CallerServer
 from citrondock_router.log import log_event
+from citrondock_router.refusal_log import RefusalLog
 from citrondock_router.request_gatherer import GathererOptions
 from citrondock_router.settings import CallerSettings
 
@@ -43,6 +44,7 @@
         self._admission = admission
         self._runner = runner
         self._on_refused = on_refused
+        self._refusal_log = RefusalLog()
         self._server = CallerServer(
             host=settings.host,
             port=settings.port,
@@ -121,14 +123,8 @@
         error: RequestRefusedError,
         request_id: str,
     ) -> None:
-        log_event(
-            "request_refused",
-            request_id=request_id,
-            cause=error.cause.value,
-            step=error.step,
-            ran=error.ran.value,
-            caller=connection.remote_addr,
-            detail=error.reason,
+        self._refusal_log.write(
+            error, request_id=request_id, caller=connection.remote_addr
         )
         self._on_refused(error.cause)
         if not request.close_connection:
--- a/tests/router/test_logs.py
+++ b/tests/router/test_logs.py
@@ -11,7 +11,9 @@
 from hypothesis import strategies as st
 from loguru import logger
 
+from citrondock_core.request import RefusalReason, RequestRefusedError
 from citrondock_router.log import configure_logging, log_event
+from citrondock_router.refusal_log import RefusalLog
 from citrondock_standins.fleet import SHARED_KEY, EnginePlan, Fleet, FleetPlan
 from citrondock_standins.raw_caller import head, send
 from citrondock_standins.small_deployment import key_of, publisher
@@ -91,6 +93,29 @@
         assert (fields["event"], fields["thread"]) == ("uncaught_exception", "worker")
 
 
+class TestRefusalLog:
+    def test_a_flood_of_one_reason_hides_no_other(self, stream):
+        now_s = [0.0]
+        log = RefusalLog(max_lines_per_s=2, clock=lambda: now_s[0])
+
+        def refuse(cause, count):
+            error = RequestRefusedError("full", step="queue", cause=cause)
+            for _ in range(count):
+                log.write(error, request_id="r1", caller="127.0.0.1")
+
+        refuse(RefusalReason.ACCOUNT_QUEUE_FULL, 100)
+        refuse(RefusalReason.UNKNOWN_KEY, 1)
+        now_s[0] = 1.5
+        refuse(RefusalReason.ACCOUNT_QUEUE_FULL, 1)
+
+        lines = stream.getvalue().splitlines()
+        causes = [fields_of(line)["cause"] for line in lines]
+        assert causes.count("unknown_key") == 1
+        assert causes.count("account_queue_full") == 4
+        assert fields_of(lines[3])["event"] == "refusals_unlogged"
+        assert fields_of(lines[3])["count"] == "98"
+
+
 class TestLogOfARun:
     def test_no_line_holds_a_key_or_a_body_or_breaks_the_form(self):
         plan = FleetPlan(
