--- a/packages/citrondock-router/src/citrondock_router/call.py
+++ b/packages/citrondock-router/src/citrondock_router/call.py
@@ -57,6 +57,8 @@
         How often it was sent to a target, and how often its stream was resumed.
     target : Target or None
         Where it runs.
+    may_have_run : bool
+        Whether an attempt ended so that the target may have run it.
     claim : Claim or None
         Right to send it, while it holds one.
     answer_head : TargetHead or None
@@ -79,6 +81,7 @@
     resume_count: int = 0
     target: Target | None = None
     started_at_s: float = 0.0
+    may_have_run: bool = False
     phase: CallPhase = CallPhase.WAITING
     caller_gone: bool = False
     claim: Claim | None = None
