--- a/packages/citrondock-router/src/citrondock_router/call.py
+++ b/packages/citrondock-router/src/citrondock_router/call.py
@@ -56,8 +56,12 @@
     attempt_count, resume_count, repeat_count : int
         How often a target was tried, how often its stream was resumed, and how often
         it was sent again though it may have run.
+    attempts_end_s : float or None
+        Monotonic time until which further targets are tried; None before a failure.
     target : Target or None
         Where it runs.
+    may_have_run : bool
+        Whether an attempt ended so that the target may have run it.
     claim : Claim or None
         Right to send it, while it holds one.
     answer_head : TargetHead or None
@@ -79,8 +83,10 @@
     attempt_count: int = 0
     resume_count: int = 0
     repeat_count: int = 0
+    attempts_end_s: float | None = None
     target: Target | None = None
     started_at_s: float = 0.0
+    may_have_run: bool = False
     phase: CallPhase = CallPhase.WAITING
     caller_gone: bool = False
     claim: Claim | None = None
--- a/packages/citrondock-router/src/citrondock_router/call_runner.py
+++ b/packages/citrondock-router/src/citrondock_router/call_runner.py
@@ -36,6 +36,7 @@
 from citrondock_wire.target_connections import TargetConnections
 
 _MAX_REPEATS = 2
+_NOT_RUN_ATTEMPTS_S = 5.0
 _MAX_RESUMES = 2
 _SEND_TIMEOUT_S = 5.0
 _HEAD_TIMEOUT_S = 5.0
@@ -93,12 +94,17 @@
         self._metrics = metrics
         self._workers = ThreadPoolExecutor(worker_count, thread_name_prefix="call")
         self._dispatch: pykka.ActorRef | None = None
+        self._leaving = False
         self.relay = Relay(listener=self, slow_reader_timeout_s=slow_reader_timeout_s)
 
     def attach(self, dispatch: pykka.ActorRef) -> None:
         """Name the actor that decides where calls run."""
         self._dispatch = dispatch
 
+    def leave(self) -> None:
+        """Tell callers from now on to close their connections after an answer."""
+        self._leaving = True
+
     def close(self) -> None:
         """End the workers and the relay."""
         self._workers.shutdown(wait=False, cancel_futures=True)
@@ -221,6 +227,7 @@
             return False
         self._settle(call, Usage(), Outcome.CANCELLED)
         self._log_end(call, "replayed")
+        self._note_leaving(call)
         self.relay.answer(call, render_outcome(call, outcome))
         return False
 
@@ -235,8 +242,7 @@
             reason = f"refused with status {head.status}"
             self._retry_or_refuse(call, _head_error(call, reason), ran=Ran.NO)
             return
-        echoed = head.headers.get("x-request-id", call.request_id)
-        if echoed != call.request_id:
+        if not _answers(call, head):
             upstream.close()
             error_of_head = _head_error(call, "answer to another request")
             self._retry_or_refuse(call, error_of_head, ran=Ran.MAYBE)
@@ -249,6 +255,7 @@
         call.answer_head = head
         call.streaming = streams
         headers = _headers_for_caller(call, head)
+        self._note_leaving(call)
         rendered = render_head(call.http_request, status=head.status, headers=headers)
         upstream.keep_alive = head.keep_alive
         delay_s = time.monotonic() - call.waiting.arrived_at_s
@@ -279,7 +286,9 @@
             self._give_up(call, end)
             return
         target = _target_of(call)
-        path = f"/v1/requests/{call.request_id}/stream?after={end.event_count}"
+        # Events are numbered from 0; the engine goes on after the one that is named.
+        last_index = end.event_count - 1
+        path = f"/v1/requests/{call.request_id}/stream?after={last_index}"
         request = TargetRequest(
             method="GET", path=path, headers={"X-Request-Id": call.request_id}
         )
@@ -291,7 +300,8 @@
             self._give_up(call, end)
             return
         call.resume_count += 1
-        if head.status != 200 or call.resume_count > _MAX_RESUMES:
+        resumes = head.status == 200 and _answers(call, head)
+        if not resumes or call.resume_count > _MAX_RESUMES:
             upstream.close()
             self._give_up(call, end)
             return
@@ -347,6 +357,7 @@
             detail=error.reason,
         )
         self._end_claim(call, ran)
+        call.may_have_run |= ran is Ran.MAYBE
         if call.caller_gone:
             self._cancel(call)
         elif may_repeat and not late and self._has_attempt_left(call, ran):
@@ -370,12 +381,15 @@
     def _has_attempt_left(call: Call, ran: Ran) -> bool:
         """Whether another target may be tried.
 
-        An attempt that did not run costs a target nothing but a penalty, so that the
-        deadline alone bounds them; others load targets twice and are few.
+        An attempt that did not run costs a target nothing but a penalty, so that time
+        alone bounds them; others load targets twice and are few.
         """
         if ran is Ran.MAYBE:
             call.repeat_count += 1
-        return call.repeat_count <= _MAX_REPEATS
+        now_s = time.monotonic()
+        if call.attempts_end_s is None:
+            call.attempts_end_s = now_s + _NOT_RUN_ATTEMPTS_S
+        return call.repeat_count <= _MAX_REPEATS and now_s < call.attempts_end_s
 
     def _end_claim(self, call: Call, ran: Ran) -> None:
         if ran is Ran.NO:
@@ -395,14 +409,21 @@
             self._refuse(call, error)
 
     def _refuse(self, call: Call, error: RequestRefusedError) -> None:
+        if call.may_have_run:
+            # A later attempt that provably did not run proves nothing of an earlier.
+            error.ran = Ran.MAYBE
         first = call.end_once()
         if not first and call.caller_gone:
             return
         self._log_end(call, "refused", cause=error.cause.value, ran=error.ran.value)
         self._metrics.count_refusal(error.cause.value, error.ran.value)
+        self._note_leaving(call)
         data = render_refusal(call.http_request, error, call.request_id)
         self.relay.answer(call, data)
 
+    def _note_leaving(self, call: Call) -> None:
+        call.http_request.close_connection |= self._leaving
+
     def _failure(self, call: Call, reason: str, *, step: str) -> RequestRefusedError:
         peer = call.target.name if call.target else "local"
         return RequestRefusedError(
@@ -426,11 +447,13 @@
             reported = end.usage if call.streaming else usage_of(end.body)
         if reported is None:
             count = 0 if end is None else end.event_count
-            reported = Usage(generated_tokens=count)
+            was_sent = call.phase not in (CallPhase.WAITING, CallPhase.OPENING)
+            reported = Usage(generated_tokens=count, reported=not was_sent)
         return Usage(
             prompt_tokens=reported.prompt_tokens,
             generated_tokens=reported.generated_tokens,
             slot_time_s=slot_time_s,
+            reported=reported.reported,
         )
 
     def _log_end(self, call: Call, outcome: str, **fields: str) -> None:
@@ -474,6 +497,11 @@
     )
 
 
+def _answers(call: Call, head: TargetHead) -> bool:
+    """Whether the target echoed the call's own id, or none."""
+    return head.headers.get("x-request-id", call.request_id) == call.request_id
+
+
 def _is_not_run(head: TargetHead) -> bool:
     said_no = head.headers.get("x-ran", "").lower() == "no"
     return said_no and head.status in _NOT_RUN_STATUSES
