--- a/packages/citrondock-core/src/citrondock_core/dispatcher.py
+++ b/packages/citrondock-core/src/citrondock_core/dispatcher.py
@@ -41,6 +41,7 @@
 AFFINITY_DEPTH_COUNT = 8
 RESERVED_PERIODS_COUNT = 3
 GRANT_TRAVEL_S = 0.1
+REUSE_BAND_FACTOR = 2.0
 CLAMP_WINDOW_S = 5.0
 
 
@@ -274,7 +275,7 @@
         self._waiting.changed.clear()
         for pool, account in sorted(self._lending.unused):
             self._exchange.restate((pool, account))
-            self._notice.restate(pool)
+            self._notice.restate(pool, account)
         self._lending.unused.clear()
 
     def _fill_own(self, pool: str, now_s: float) -> None:
@@ -361,7 +362,9 @@
         floor = self._backlog(pool).floor(now_s=now_s)
         if floor is None:
             return True
-        return self._ledger.level(account) <= floor + self._band_tokens
+        return (
+            self._ledger.level(account) <= floor + REUSE_BAND_FACTOR * self._band_tokens
+        )
 
     def _choose_request(
         self, pool: str, account: str, target: str, now_s: float
