Pace summaries by what is sent, with sizes as measured

The pace counted received bytes as well, with 150 bytes a message and 14 an entry. What members sent used up a relay's budget, and its period stayed at 4 s however small its own summaries were. Only what is sent counts now: 120 bytes a message, 11 an entry, 1,300 bytes/s.

--- a/packages/citrondock-core/src/citrondock_core/dispatch_options.py
+++ b/packages/citrondock-core/src/citrondock_core/dispatch_options.py
@@ -22,7 +22,7 @@
     exchange_period_s, max_period_s : float
         Shortest and longest time between summaries.
     budget_bytes_per_s : float
-        Control traffic that summaries are spread out for.
+        Summaries sent, in bytes, beyond which they slow down.
     refresh_period_s : float
         Longest time after which everything is sent again, changed or not; with few
         accounts it is shorter.
@@ -50,7 +50,7 @@
     clamp_requests: float = attrs.field(default=2.0, validator=gt(0))
     exchange_period_s: float = attrs.field(default=0.5, validator=gt(0))
     max_period_s: float = attrs.field(default=4.0, validator=gt(0))
-    budget_bytes_per_s: float = attrs.field(default=2_000.0, validator=gt(0))
+    budget_bytes_per_s: float = attrs.field(default=1_300.0, validator=gt(0))
     refresh_period_s: float = attrs.field(default=60.0, validator=gt(0))
     grant_ttl_s: float = attrs.field(default=30.0, validator=gt(0))
     statement_period_s: float = attrs.field(default=2.0, validator=gt(0))
--- a/packages/citrondock-core/src/citrondock_core/summary_exchange.py
+++ b/packages/citrondock-core/src/citrondock_core/summary_exchange.py
@@ -14,8 +14,8 @@
 from citrondock_core.service_ledger import Counter, ServiceLedger
 from citrondock_core.summary_relay import SummaryRelay
 
-ENTRY_BYTES = 14
-HEADER_BYTES = 150
+ENTRY_BYTES = 11
+HEADER_BYTES = 120
 LOST_PERIODS_COUNT = 3
 NOTICE_VALID_S = 10.0
 MAX_QUANTUM_FACTOR = 4.0
@@ -79,7 +79,6 @@
         self._next_period_s = 0.0
         self._next_refresh_s = 0.0
         self._has_totals = False
-        self._received_bytes = 0
         self.relay = SummaryRelay(member, ledger, demand, options)
         self.relay.start()
 
@@ -143,7 +142,6 @@
 
     def receive(self, sender: Member, summary: Summary, *, now_s: float) -> list[Send]:
         """Merge a summary; return what it asks for."""
-        self._received_bytes += _estimated_bytes(summary)
         self._acknowledge(sender, summary)
         self._merge_demands(sender, summary, now_s)
         for total in summary.totals:
@@ -188,10 +186,9 @@
         return sends
 
     def _pace(self, sends: Sequence[Send], now_s: float) -> None:
-        """Wait longer the more was sent and received since the last period."""
+        """Wait longer the more was sent."""
         sent_bytes = sum(_estimated_bytes(send.message) for send in sends)
-        pause_s = (sent_bytes + self._received_bytes) / self._options.budget_bytes_per_s
-        self._received_bytes = 0
+        pause_s = sent_bytes / self._options.budget_bytes_per_s
         period_s = max(self._options.exchange_period_s, pause_s)
         self.period_s = min(period_s, self._options.max_period_s)
         self._next_period_s = now_s + self.period_s
