--- a/packages/citrondock-bench/src/citrondock_bench/capacity_document.py
+++ b/packages/citrondock-bench/src/citrondock_bench/capacity_document.py
@@ -8,8 +8,10 @@
 import cattrs
 import psutil
 
+from citrondock_bench.configuration_slopes import ConfigurationSlopes
 from citrondock_bench.slope import Slope
 from citrondock_bench.spread import Spread
+from citrondock_bench.state_slopes import StateSlopes
 
 BYTES_PER_GB = 1_000_000_000
 
@@ -57,6 +59,10 @@
         What was measured.
     data_path : DataPathFigures or None
         Figures of the data path, where they were measured too.
+    configuration : ConfigurationSlopes or None
+        What distributing the configuration costs.
+    state : StateSlopes or None
+        What claims and membership cost.
     """
 
     measured_on: str
@@ -65,6 +71,8 @@
     machine: Machine
     slopes: list[Slope]
     data_path: DataPathFigures | None = None
+    configuration: ConfigurationSlopes | None = None
+    state: StateSlopes | None = None
 
     def find(self, name: str) -> Slope | None:
         """Return the slope of that name, if it was measured."""
--- a/packages/citrondock-bench/src/citrondock_bench/capacity_roles.py
+++ b/packages/citrondock-bench/src/citrondock_bench/capacity_roles.py
@@ -7,6 +7,7 @@
 SLOPES_COMMAND = "make capacity"
 BENCH_COMMAND = "make bench"
 PERCENT = 100.0
+BYTES_PER_MB = 1_000_000
 TOKENS_PER_UNIT = 1000
 FIRST_TOKEN = "first-token overhead p95"
 PAUSE = "pause beyond the engine's step p95"
@@ -132,10 +133,105 @@
     ]
 
 
+def _configuration_lines(document: CapacityDocument) -> list[CapacityLine]:
+    costs = document.configuration
+    delta = costs and next(way for way in costs.ways if way.name == "delta")
+    reads = delta and WorkedOut(
+        value=delta.calls_per_s,
+        formula=f"{two_year.NODE_COUNT} nodes * (changes + renewed watches)",
+    )
+    node_bytes = delta and WorkedOut(
+        value=delta.bytes_per_node_s,
+        formula=f"{delta.bytes_per_change:,.0f} B * {two_year.CHANGES_PER_S:.4f}/s "
+        "+ renewed watches",
+    )
+    memory = costs and WorkedOut(
+        value=costs.memory_bytes / BYTES_PER_MB,
+        formula=f"{costs.memory_bytes:,} B of decoded configuration",
+    )
+    mechanism = "one waiting watch per node on the head, which holds the deltas"
+
+    def line(
+        quantity: str, unit: str, budget: float, value: WorkedOut | None
+    ) -> CapacityLine:
+        return CapacityLine(
+            role="configuration follower",
+            quantity=quantity,
+            unit=unit,
+            budget=budget,
+            worked_out=value,
+            command=SLOPES_COMMAND,
+            mechanism=mechanism,
+            remedy="followers behind a relay instead of one watch per node",
+        )
+
+    return [
+        line(
+            "store reads of the fleet, counted at 5,000 accounts",
+            "calls/s",
+            two_year.STORE_READS_PER_S,
+            reads or None,
+        ),
+        line(
+            "bytes read by a node",
+            "B/s",
+            two_year.CONTROL_BYTES_PER_S,
+            node_bytes or None,
+        ),
+        line("state of a node", "MB", two_year.CONTROL_MEMORY_MB, memory or None),
+    ]
+
+
+def _state_lines(document: CapacityDocument) -> list[CapacityLine]:
+    state = document.state
+    if state is None:
+        return []
+    largest = max(state.membership, key=lambda point: point.node_count)
+    grouped = min(state.claims, key=lambda point: point.writes_per_claim)
+    size = f"simulated clock, {largest.node_count} nodes"
+    return [
+        CapacityLine(
+            role="membership",
+            quantity="heartbeat bytes of the busiest node",
+            unit="B/s",
+            budget=two_year.CONTROL_BYTES_PER_S,
+            worked_out=WorkedOut(value=largest.busiest_bytes_per_s, formula=size),
+            command=SLOPES_COMMAND,
+            mechanism=f"{largest.contact_count} contacts at most, whatever the fleet",
+            remedy="longer heartbeat period in large fleets",
+        ),
+        CapacityLine(
+            role="membership",
+            quantity="processor time without sockets",
+            unit="% of a core",
+            budget=two_year.CONTROL_CPU_PERCENT,
+            worked_out=WorkedOut(value=largest.cpu_percent, formula=size),
+            command=SLOPES_COMMAND,
+            mechanism="batched heartbeats",
+            remedy="longer heartbeat period in large fleets",
+        ),
+        CapacityLine(
+            role="claim home",
+            quantity="keyed calls that the store's writes allow the fleet",
+            unit="calls/s",
+            budget=None,
+            worked_out=WorkedOut(
+                value=two_year.STORE_WRITES_PER_S / grouped.writes_per_claim,
+                formula=f"{two_year.STORE_WRITES_PER_S:g} writes/s / "
+                f"{grouped.writes_per_claim:.3g} writes per claim",
+            ),
+            command=SLOPES_COMMAND,
+            mechanism="writers of the same shard object meet at one home router",
+        ),
+    ]
+
+
 def capacity_lines(document: CapacityDocument) -> list[CapacityLine]:
     """Return all lines of the page."""
     return [
         *_data_path_lines(document),
         *_control_lines(document),
         *_store_lines(document),
+        *_configuration_lines(document),
+        *_state_lines(document),
     ]
