--- a/packages/citrondock-bench/src/citrondock_bench/capacity_lines.py
+++ b/packages/citrondock-bench/src/citrondock_bench/capacity_lines.py
@@ -104,7 +104,7 @@
 def _term_value(term: Term, slope: Slope) -> float:
     if term.reference is None:
         return max(0.0, slope.at(term.size))
-    return max(0.0, slope.per_size * (term.size - term.reference))
+    return max(0.0, slope.per_size) * (term.size - term.reference)
 
 
 def _term_formula(term: Term, slope: Slope) -> str:
@@ -127,7 +127,12 @@
     return WorkedOut(value=value, formula=" + ".join(formulas))
 
 
-def grown(document: CapacityDocument, figure: str) -> WorkedOut | None:
+def grown(
+    document: CapacityDocument,
+    figure: str,
+    *,
+    requests_per_node_s: float = two_year.REQUESTS_PER_NODE_S,
+) -> WorkedOut | None:
     """Return a figure at the two-year size from its slopes along all four axes.
 
     Parameters
@@ -136,6 +141,8 @@
         Measured slopes.
     figure : str
         First part of the slopes' names, for example ``"control_bytes"``.
+    requests_per_node_s : float
+        Rate of requests; 0 leaves the data path out.
     """
     accounts = Term(
         slope=f"{figure}_by_accounts",
@@ -144,7 +151,7 @@
     )
     requests = Term(
         slope=f"{figure}_by_requests",
-        size=two_year.REQUESTS_PER_NODE_S,
+        size=requests_per_node_s,
         reference=REFERENCES.requests_per_node_s,
     )
     changes = Term(
--- a/packages/citrondock-bench/src/citrondock_bench/capacity_run.py
+++ b/packages/citrondock-bench/src/citrondock_bench/capacity_run.py
@@ -19,6 +19,9 @@
 METER_MARGIN_S = 0.2
 PERCENT = 100.0
 WRITE_KINDS = ("create", "update", "delete", "write")
+SLOT_KINDS = ("SlotGrant", "SlotReturn", "InFlight")
+SUMMARY_KINDS = ("Summary",)
+ENVELOPE_KINDS = ("Envelope",)
 SIZE_UNITS: Mapping[Axis, str] = {
     Axis.NODES: "nodes",
     Axis.ACCOUNTS: "accounts, a tenth backlogged",
@@ -42,6 +45,10 @@
     )
 
 
+def _sent_rate(node: NodeUsage, kinds: Sequence[str]) -> float:
+    return sum(rate.per_s for rate in node.sent_by_kind if rate.kind in kinds)
+
+
 def _mean(
     figure: Callable[[NodeUsage], float],
 ) -> Callable[[Sequence[NodeUsage]], float]:
@@ -59,6 +66,21 @@
         unit="B/s at the busiest node",
         of=lambda nodes: max(node.control_bytes_per_s for node in nodes),
     ),
+    Figure(
+        name="slot_bytes",
+        unit="B/s of slot messages sent per node, mean",
+        of=_mean(lambda node: _sent_rate(node, SLOT_KINDS)),
+    ),
+    Figure(
+        name="summary_bytes",
+        unit="B/s of summaries sent per node, mean",
+        of=_mean(lambda node: _sent_rate(node, SUMMARY_KINDS)),
+    ),
+    Figure(
+        name="envelope_bytes",
+        unit="B/s of envelopes sent per node, mean",
+        of=_mean(lambda node: _sent_rate(node, ENVELOPE_KINDS)),
+    ),
     Figure(
         name="cpu",
         unit="% of a core per node, mean",
