Found: first tokens are reported up to 0.25 s late, so limits collapse and slots idle

Cause: the relay tells the dispatcher of progress every 0.25 s (_PROGRESS_PERIOD_S in relay.py) and Dispatcher.progress takes that moment as the first token, so that a first token of 13 ms is learned as anything up to 260 ms. ConcurrencyLimit calls more than 3 times the best plus 0.1 s late and cuts the limit by a fifth each second. To mend in the router: report the first token at once with its own time, or carry first_token_at_s in CallProgress. Change here: the experiment's table shows the learned slots.

--- a/packages/citrondock-bench/src/citrondock_bench/experiment_run.py
+++ b/packages/citrondock-bench/src/citrondock_bench/experiment_run.py
@@ -15,6 +15,7 @@
     fairness_gap,
     utilisation,
 )
+from citrondock_bench.metrics import read_metrics, total
 from citrondock_bench.node_usage import NodeUsage, UsageMeter
 from citrondock_bench.recorder import BUCKET_S
 from citrondock_bench.report import LoadReport
@@ -27,6 +28,7 @@
 from citrondock_bench.timeline import TimedAction, Timeline
 
 METER_MARGIN_S = 0.5
+TARGET_LIMIT = "citrondock_target_limit"
 DISTURBED_FROM = 0.25
 DISTURBED_UNTIL = 0.55
 SETTLED_FROM = 0.75
@@ -47,6 +49,8 @@
         whichever is larger.
     utilisation : float or None
         Busy slots over slots while work waited.
+    learned_slot_count : float
+        Sum of the limits that the routers had learned of the engines at the end.
     control_bytes_per_s : list of float
         Control bytes by node.
     first_token_p95_ms : float
@@ -57,6 +61,7 @@
 
     gap: FairnessGap
     utilisation: float | None
+    learned_slot_count: float
     control_bytes_per_s: list[float]
     first_token_p95_ms: float
     whole_count: int
@@ -98,6 +103,7 @@
         self._seed = seed
         self._duration_s = duration_s
         self._usage: list[NodeUsage] = []
+        self._learned_slot_count = 0.0
 
     def run(self) -> RunFigures:
         """Send the load, disturb the fleet, and work out the figures."""
@@ -121,11 +127,22 @@
             TimedAction(at_s=METER_MARGIN_S, action=meter.start),
             TimedAction(
                 at_s=self._duration_s - METER_MARGIN_S,
-                action=lambda: self._usage.extend(meter.stop()),
+                action=lambda: self._read_usage(meter),
             ),
         ]
         return actions + self._disturbances()
 
+    def _read_usage(self, meter: UsageMeter) -> None:
+        self._usage = meter.stop()
+        engines = {each.target.name for each in self._fleet.fleet.engines}
+        limits: dict[str, float] = {}
+        for node in self._fleet.nodes:
+            samples = read_metrics(node.host, node.operators_port)
+            limits |= total(samples, TARGET_LIMIT, "target")
+        self._learned_slot_count = sum(
+            limit for name, limit in limits.items() if name in engines
+        )
+
     def _disturbances(self) -> list[TimedAction]:
         fleet = self._fleet.fleet
         begin_s = DISTURBED_FROM * self._duration_s
@@ -170,6 +187,7 @@
         return RunFigures(
             gap=self._gap(report),
             utilisation=share,
+            learned_slot_count=self._learned_slot_count,
             control_bytes_per_s=[node.control_bytes_per_s for node in self._usage],
             first_token_p95_ms=report.first_token.p95_ms,
             whole_count=report.count(Outcome.WHOLE),
