--- a/packages/citrondock-bench/src/citrondock_bench/experiment.py
+++ b/packages/citrondock-bench/src/citrondock_bench/experiment.py
@@ -12,6 +12,7 @@
 
 from citrondock_bench.bench_fleet import BenchFleet, started_ahead
 from citrondock_bench.experiment_run import RunFigures, ScenarioRun, fleet_options
+from citrondock_bench.recorder import BUCKET_S
 from citrondock_bench.scenario import SCENARIOS, Scenario, scenario_named
 from citrondock_bench.spread import Spread
 from citrondock_bench.table import format_table
@@ -105,6 +106,19 @@
     return format_table(HEADER, [_row(each) for each in figures])
 
 
+def widest_gaps(figures: Sequence[SchemeFigures]) -> str:
+    """Return a line for each scheme: between whom its widest gap arose, and when."""
+    lines = []
+    for each in figures:
+        gap = max((run.gap for run in each.runs), key=lambda gap: gap.gap_requests)
+        lines.append(
+            f"{each.scheme}: {gap.ahead} ahead of {gap.behind} by "
+            f"{gap.gap_tokens:,.0f} tokens/weight from {gap.from_bucket * BUCKET_S:.1f} "
+            f"to {gap.to_bucket * BUCKET_S:.1f} s"
+        )
+    return "\n".join(lines)
+
+
 def write_report(results: Mapping[str, Sequence[SchemeFigures]], path: Path) -> None:
     """Write all runs as JSON."""
     path.parent.mkdir(parents=True, exist_ok=True)
@@ -130,7 +144,8 @@
             results.setdefault(scenario.name, []).append(figures)
             if scheme == _SCHEMES.value[-1]:
                 print(f"\n{scenario.name}: {_RUNS.value} runs, median (range)")
-                print(scenario_table(results[scenario.name]), flush=True)
+                print(scenario_table(results[scenario.name]))
+                print(widest_gaps(results[scenario.name]), flush=True)
     if _REPORT.value:
         write_report(results, Path(_REPORT.value))
 
