--- a/packages/citrondock-bench/src/citrondock_bench/bench_fleet.py
+++ b/packages/citrondock-bench/src/citrondock_bench/bench_fleet.py
@@ -83,7 +83,6 @@
                 | self.dispatch_settings,
             },
             engine_flags={
-                "models": ",".join(self.deployment.model_names),
                 "max_batch": self.batch_count,
                 "step_ms": self.step_ms,
                 "step_per_sequence_ms": 0.0,
--- a/packages/citrondock-bench/src/citrondock_bench/deployment.py
+++ b/packages/citrondock-bench/src/citrondock_bench/deployment.py
@@ -70,13 +70,6 @@
             {target.availability_zone for target in self.targets(PoolKind.ENGINE)}
         )
 
-    @property
-    def model_names(self) -> list[str]:
-        """Models of the pools, and those by which callers choose chat services."""
-        pools = [pool.model for pool in self.configuration.pools.values()]
-        services = [each.model for each in self.services(ServiceKind.CHAT)]
-        return sorted({name for name in (*pools, *services) if name})
-
     def services(self, kind: ServiceKind) -> list[Service]:
         """Return the services of a kind, by name."""
         services = self.configuration.services
--- a/packages/citrondock-bench/src/citrondock_bench/experiment.py
+++ b/packages/citrondock-bench/src/citrondock_bench/experiment.py
@@ -111,10 +111,10 @@
     lines = []
     for each in figures:
         gap = max((run.gap for run in each.runs), key=lambda gap: gap.gap_requests)
+        from_s, to_s = gap.from_bucket * BUCKET_S, gap.to_bucket * BUCKET_S
         lines.append(
             f"{each.scheme}: {gap.ahead} ahead of {gap.behind} by "
-            f"{gap.gap_tokens:,.0f} tokens/weight from {gap.from_bucket * BUCKET_S:.1f} "
-            f"to {gap.to_bucket * BUCKET_S:.1f} s"
+            f"{gap.gap_tokens:,.0f} tokens/weight from {from_s:.1f} to {to_s:.1f} s"
         )
     return "\n".join(lines)
 
