--- a/packages/citrondock-bench/src/citrondock_bench/experiment.py
+++ b/packages/citrondock-bench/src/citrondock_bench/experiment.py
@@ -26,7 +26,9 @@
 )
 _SCHEMES = flags.DEFINE_list("schemes", list(SCHEMES), "Schemes to compare.")
 _RUNS = flags.DEFINE_integer("runs", 3, "Runs of each scheme.", lower_bound=1)
-_SECONDS = flags.DEFINE_float("seconds", 4.0, "Seconds of load in a run.")
+_SECONDS = flags.DEFINE_float(
+    "seconds", 3.0, "Seconds of load in a run; a zone cut takes three times as long."
+)
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of the first run; others follow it.")
 _REPORT = flags.DEFINE_string(
     "report", "out/experiment.json", "File for the JSON report; empty is none."
--- a/packages/citrondock-bench/src/citrondock_bench/experiment_run.py
+++ b/packages/citrondock-bench/src/citrondock_bench/experiment_run.py
@@ -29,9 +29,11 @@
 
 METER_MARGIN_S = 0.5
 TARGET_LIMIT = "citrondock_target_limit"
-DISTURBED_FROM = 0.25
-DISTURBED_UNTIL = 0.55
-SETTLED_FROM = 0.75
+# A zone is cut off for longer than heartbeats take to lapse.
+DURATION_FACTORS = {Disturbance.ZONE_CUT: 3.0}
+DISTURBED_FROM = 0.2
+DISTURBED_UNTIL = 0.65
+SETTLED_FROM = 0.8
 DRAIN_S = 0.5
 STATED_SLOT_FACTOR = 2
 UNEVEN_STEP_MS = 20.0
@@ -101,7 +103,7 @@
         self._scenario = scenario
         self._fleet = fleet
         self._seed = seed
-        self._duration_s = duration_s
+        self._duration_s = duration_s * DURATION_FACTORS.get(scenario.disturbance, 1.0)
         self._usage: list[NodeUsage] = []
         self._learned_slot_count = 0.0
 
