Measures of a report in a module of their own

Cause: demo and experiment worked out the same things twice. Change: report_measures holds series, waiting work and sums by account; a test adds up the parts of a zone cut.

--- a/packages/citrondock-bench/src/citrondock_bench/demo.py
+++ b/packages/citrondock-bench/src/citrondock_bench/demo.py
@@ -11,15 +11,17 @@
 
 from citrondock_bench.bench_fleet import BenchFleet, FleetOptions
 from citrondock_bench.deployment import ARCHIVES, NAIROBI, Deployment, account_key
-from citrondock_bench.experiment_run import (
-    account_services,
-    largest_request_tokens,
-)
 from citrondock_bench.load_run import START_DELAY_S, run_load
 from citrondock_bench.measures import AccountService, fairness_gap, utilisation
 from citrondock_bench.node_usage import NodeUsage, UsageMeter
 from citrondock_bench.plan import AccountLoad, LoadPlan, RequestShape
+from citrondock_bench.recorder import BUCKET_S
 from citrondock_bench.report import AccountReport, LoadReport
+from citrondock_bench.report_measures import (
+    account_services,
+    largest_request_tokens,
+    work_waited,
+)
 from citrondock_bench.scenario import chat_shapes
 from citrondock_bench.table import format_table
 from citrondock_bench.timeline import TimedAction, Timeline
@@ -143,16 +145,12 @@
 
 
 def _utilisation_text(fleet: BenchFleet, report: LoadReport) -> str:
-    series = [account.series for account in report.accounts]
-    waited = [
-        any(bucket) for bucket in zip(*(s.least_waiting for s in series), strict=True)
-    ]
     share = utilisation(
         fleet.busy_slots(),
-        waited,
+        work_waited(report),
         slot_count=fleet.slot_count,
         started_at_s=report.started_at_s,
-        bucket_s=series[0].bucket_s,
+        bucket_s=BUCKET_S,
     )
     return "no work waited" if share is None else f"{PERCENT * share:.1f} %"
 
--- a/packages/citrondock-bench/src/citrondock_bench/experiment_run.py
+++ b/packages/citrondock-bench/src/citrondock_bench/experiment_run.py
@@ -1,7 +1,6 @@
 """One run of a scenario under one scheme, and its figures."""
 
 import time
-from collections.abc import Sequence
 
 import attrs
 
@@ -19,6 +18,13 @@
 from citrondock_bench.node_usage import NodeUsage, UsageMeter
 from citrondock_bench.recorder import BUCKET_S
 from citrondock_bench.report import LoadReport
+from citrondock_bench.report_measures import (
+    account_services,
+    during,
+    largest_request_tokens,
+    sum_by_account,
+    work_waited,
+)
 from citrondock_bench.scenario import (
     ZONE_SEPARATOR,
     Disturbance,
@@ -178,10 +184,9 @@
         return self._fleet.options.deployment.zones[-1]
 
     def _figures(self, report: LoadReport) -> RunFigures:
-        waited = [any(bucket) for bucket in _columns(report)]
         share = utilisation(
             self._fleet.busy_slots(),
-            waited,
+            work_waited(report),
             slot_count=self._fleet.slot_count,
             started_at_s=report.started_at_s,
             bucket_s=BUCKET_S,
@@ -232,59 +237,3 @@
 
 def _discard(_: object) -> None:
     """Drop a result."""
-
-
-def _columns(report: LoadReport) -> Sequence[Sequence[int]]:
-    series = [account.series.least_waiting for account in report.accounts]
-    return list(zip(*series, strict=True))
-
-
-def largest_request_tokens(report: LoadReport) -> float:
-    """Return the service of the largest request over its account's weight."""
-    return max(
-        account.largest_request_tokens / account.weight for account in report.accounts
-    )
-
-
-def account_services(report: LoadReport) -> list[AccountService]:
-    """Return what each account received, as the fairness gap needs it."""
-    return [
-        AccountService(
-            account=account.account,
-            weight=account.weight,
-            service_tokens=account.series.service_tokens,
-            backlogged=[count > 0 for count in account.series.least_waiting],
-        )
-        for account in report.accounts
-    ]
-
-
-def during(service: AccountService, buckets: slice) -> AccountService:
-    """Return a part of a series."""
-    return attrs.evolve(
-        service,
-        service_tokens=service.service_tokens[buckets],
-        backlogged=service.backlogged[buckets],
-    )
-
-
-def sum_by_account(parts: Sequence[AccountService]) -> list[AccountService]:
-    """Add up the parts of each account; one part's backlog is the account's."""
-    whole: dict[str, AccountService] = {}
-    for part in parts:
-        name = part.account.partition(ZONE_SEPARATOR)[0]
-        former = whole.get(name)
-        if former is None:
-            whole[name] = attrs.evolve(part, account=name)
-            continue
-        whole[name] = attrs.evolve(
-            former,
-            service_tokens=[
-                a + b
-                for a, b in zip(former.service_tokens, part.service_tokens, strict=True)
-            ],
-            backlogged=[
-                a or b for a, b in zip(former.backlogged, part.backlogged, strict=True)
-            ],
-        )
-    return list(whole.values())
--- /dev/null
+++ b/packages/citrondock-bench/src/citrondock_bench/report_measures.py
@@ -0,0 +1,66 @@
+"""What the measures need, taken from a load report."""
+
+from collections.abc import Sequence
+
+import attrs
+
+from citrondock_bench.measures import AccountService
+from citrondock_bench.report import LoadReport
+from citrondock_bench.scenario import ZONE_SEPARATOR
+
+
+def work_waited(report: LoadReport) -> list[bool]:
+    """Return in which buckets of time some request waited throughout."""
+    series = [account.series.least_waiting for account in report.accounts]
+    return [any(bucket) for bucket in zip(*series, strict=True)]
+
+
+def largest_request_tokens(report: LoadReport) -> float:
+    """Return the service of the largest request over its account's weight."""
+    return max(
+        account.largest_request_tokens / account.weight for account in report.accounts
+    )
+
+
+def account_services(report: LoadReport) -> list[AccountService]:
+    """Return what each account received, as the fairness gap needs it."""
+    return [
+        AccountService(
+            account=account.account,
+            weight=account.weight,
+            service_tokens=account.series.service_tokens,
+            backlogged=[count > 0 for count in account.series.least_waiting],
+        )
+        for account in report.accounts
+    ]
+
+
+def during(service: AccountService, buckets: slice) -> AccountService:
+    """Return a part of a series."""
+    return attrs.evolve(
+        service,
+        service_tokens=service.service_tokens[buckets],
+        backlogged=service.backlogged[buckets],
+    )
+
+
+def sum_by_account(parts: Sequence[AccountService]) -> list[AccountService]:
+    """Add up the parts of each account; one part's backlog is the account's."""
+    whole: dict[str, AccountService] = {}
+    for part in parts:
+        name = part.account.partition(ZONE_SEPARATOR)[0]
+        former = whole.get(name)
+        if former is None:
+            whole[name] = attrs.evolve(part, account=name)
+            continue
+        whole[name] = attrs.evolve(
+            former,
+            service_tokens=[
+                a + b
+                for a, b in zip(former.service_tokens, part.service_tokens, strict=True)
+            ],
+            backlogged=[
+                a or b for a, b in zip(former.backlogged, part.backlogged, strict=True)
+            ],
+        )
+    return list(whole.values())
--- a/tests/bench/test_measures.py
+++ b/tests/bench/test_measures.py
@@ -9,6 +9,7 @@
     fairness_gap,
     utilisation,
 )
+from citrondock_bench.report_measures import sum_by_account
 
 BUCKETS = st.integers(min_value=1, max_value=12)
 
@@ -86,3 +87,20 @@
         assert (
             utilisation(busy, [False], slot_count=1, started_at_s=0, bucket_s=1) is None
         )
+
+
+class TestSumByAccount:
+    def test_parts_of_a_zone_cut_are_added_up(self):
+        parts = [
+            AccountService(
+                account=f"a@{zone}",
+                weight=2.0,
+                service_tokens=[1.0, 2.0],
+                backlogged=backlogged,
+            )
+            for zone, backlogged in (("x", [True, False]), ("y", [False, False]))
+        ]
+        (whole,) = sum_by_account(parts)
+        assert whole.account == "a"
+        assert whole.service_tokens == [2.0, 4.0]
+        assert whole.backlogged == [True, False]
