--- a/packages/citrondock-bench/src/citrondock_bench/capacity_lines.py
+++ b/packages/citrondock-bench/src/citrondock_bench/capacity_lines.py
@@ -101,13 +101,20 @@
 REFERENCES = References()
 
 
+def _last_median(slope: Slope) -> float:
+    return slope.points[-1].figure.median
+
+
 def _term_value(term: Term, slope: Slope) -> float:
     if term.reference is None:
-        return max(0.0, slope.at(term.size))
+        # A falling line is no promise beyond the sizes that were measured.
+        return slope.at(term.size) if slope.per_size > 0 else _last_median(slope)
     return max(0.0, slope.per_size) * (term.size - term.reference)
 
 
 def _term_formula(term: Term, slope: Slope) -> str:
+    if term.reference is None and slope.per_size <= 0:
+        return f"{_last_median(slope):.4g} (falls with size)"
     if term.reference is None:
         return f"{slope.intercept:.4g} + {slope.per_size:.4g} * {term.size:.4g}"
     growth = max(0.0, slope.per_size)
--- a/tests/bench/test_capacity_page.py
+++ b/tests/bench/test_capacity_page.py
@@ -56,5 +56,10 @@
         value = grown(document(CONTROL_BYTES), "control_bytes").value
         assert value == pytest.approx(38_000 + 0.1 * 4840 + 10 * (12000 / 380 - 4))
 
+    def test_a_falling_line_is_not_carried_on(self):
+        falling = line("control_bytes_by_nodes", {7: [700], 14: [600]})
+        value = grown(document([falling, *CONTROL_BYTES[1:]]), "control_bytes").value
+        assert value == pytest.approx(600 + 0.1 * 4840 + 10 * (12000 / 380 - 4))
+
     def test_a_lacking_slope_gives_no_value(self):
         assert grown(document(CONTROL_BYTES[:3]), "control_bytes") is None
