--- a/packages/citrondock-bench/src/citrondock_bench/capacity_lines.py
+++ b/packages/citrondock-bench/src/citrondock_bench/capacity_lines.py
@@ -101,13 +101,20 @@
 REFERENCES = References()
 
 
+def _last_median(slope: Slope) -> float:
+    return slope.points[-1].figure.median
+
+
 def _term_value(term: Term, slope: Slope) -> float:
     if term.reference is None:
-        return max(0.0, slope.at(term.size))
-    return max(0.0, slope.per_size * (term.size - term.reference))
+        # A falling line is no promise beyond the sizes that were measured.
+        return slope.at(term.size) if slope.per_size > 0 else _last_median(slope)
+    return max(0.0, slope.per_size) * (term.size - term.reference)
 
 
 def _term_formula(term: Term, slope: Slope) -> str:
+    if term.reference is None and slope.per_size <= 0:
+        return f"{_last_median(slope):.4g} (falls with size)"
     if term.reference is None:
         return f"{slope.intercept:.4g} + {slope.per_size:.4g} * {term.size:.4g}"
     growth = max(0.0, slope.per_size)
@@ -127,7 +134,12 @@
     return WorkedOut(value=value, formula=" + ".join(formulas))
 
 
-def grown(document: CapacityDocument, figure: str) -> WorkedOut | None:
+def grown(
+    document: CapacityDocument,
+    figure: str,
+    *,
+    requests_per_node_s: float = two_year.REQUESTS_PER_NODE_S,
+) -> WorkedOut | None:
     """Return a figure at the two-year size from its slopes along all four axes.
 
     Parameters
@@ -136,6 +148,8 @@
         Measured slopes.
     figure : str
         First part of the slopes' names, for example ``"control_bytes"``.
+    requests_per_node_s : float
+        Rate of requests; 0 leaves the data path out.
     """
     accounts = Term(
         slope=f"{figure}_by_accounts",
@@ -144,7 +158,7 @@
     )
     requests = Term(
         slope=f"{figure}_by_requests",
-        size=two_year.REQUESTS_PER_NODE_S,
+        size=requests_per_node_s,
         reference=REFERENCES.requests_per_node_s,
     )
     changes = Term(
--- a/packages/citrondock-bench/src/citrondock_bench/experiment.py
+++ b/packages/citrondock-bench/src/citrondock_bench/experiment.py
@@ -12,6 +12,7 @@
 
 from citrondock_bench.bench_fleet import BenchFleet, started_ahead
 from citrondock_bench.experiment_run import RunFigures, ScenarioRun, fleet_options
+from citrondock_bench.recorder import BUCKET_S
 from citrondock_bench.scenario import SCENARIOS, Scenario, scenario_named
 from citrondock_bench.spread import Spread
 from citrondock_bench.table import format_table
@@ -25,7 +26,9 @@
 )
 _SCHEMES = flags.DEFINE_list("schemes", list(SCHEMES), "Schemes to compare.")
 _RUNS = flags.DEFINE_integer("runs", 3, "Runs of each scheme.", lower_bound=1)
-_SECONDS = flags.DEFINE_float("seconds", 4.0, "Seconds of load in a run.")
+_SECONDS = flags.DEFINE_float(
+    "seconds", 3.0, "Seconds of load in a run; a zone cut takes three times as long."
+)
 _SEED = flags.DEFINE_integer("seed", 1, "Seed of the first run; others follow it.")
 _REPORT = flags.DEFINE_string(
     "report", "out/experiment.json", "File for the JSON report; empty is none."
@@ -73,6 +76,7 @@
         _spread_text(runs, lambda run: run.gap.gap_requests, 2),
         _spread_text(runs, lambda run: run.gap.gap_tokens, 0),
         _spread_text(runs, lambda run: PERCENT * (run.utilisation or 0.0)),
+        _spread_text(runs, lambda run: run.learned_slot_count, 0),
         _spread_text(runs, lambda run: run.mean_control_bytes_per_s, 0),
         _spread_text(runs, lambda run: max(run.control_bytes_per_s, default=0.0), 0),
         _spread_text(runs, lambda run: run.first_token_p95_ms, 0),
@@ -88,6 +92,7 @@
     "gap (largest request)",
     "gap (tokens/weight)",
     "utilisation %",
+    "learned slots",
     "control B/node/s",
     "busiest node B/s",
     "first token p95 ms",
@@ -103,6 +108,19 @@
     return format_table(HEADER, [_row(each) for each in figures])
 
 
+def widest_gaps(figures: Sequence[SchemeFigures]) -> str:
+    """Return a line for each scheme: between whom its widest gap arose, and when."""
+    lines = []
+    for each in figures:
+        gap = max((run.gap for run in each.runs), key=lambda gap: gap.gap_requests)
+        from_s, to_s = gap.from_bucket * BUCKET_S, gap.to_bucket * BUCKET_S
+        lines.append(
+            f"{each.scheme}: {gap.ahead} ahead of {gap.behind} by "
+            f"{gap.gap_tokens:,.0f} tokens/weight from {from_s:.1f} to {to_s:.1f} s"
+        )
+    return "\n".join(lines)
+
+
 def write_report(results: Mapping[str, Sequence[SchemeFigures]], path: Path) -> None:
     """Write all runs as JSON."""
     path.parent.mkdir(parents=True, exist_ok=True)
@@ -128,7 +146,8 @@
             results.setdefault(scenario.name, []).append(figures)
             if scheme == _SCHEMES.value[-1]:
                 print(f"\n{scenario.name}: {_RUNS.value} runs, median (range)")
-                print(scenario_table(results[scenario.name]), flush=True)
+                print(scenario_table(results[scenario.name]))
+                print(widest_gaps(results[scenario.name]), flush=True)
     if _REPORT.value:
         write_report(results, Path(_REPORT.value))
 
--- a/packages/citrondock-bench/src/citrondock_bench/experiment_run.py
+++ b/packages/citrondock-bench/src/citrondock_bench/experiment_run.py
@@ -1,7 +1,6 @@
 """One run of a scenario under one scheme, and its figures."""
 
 import time
-from collections.abc import Sequence
 
 import attrs
 
@@ -15,9 +14,17 @@
     fairness_gap,
     utilisation,
 )
+from citrondock_bench.metrics import read_metrics, total
 from citrondock_bench.node_usage import NodeUsage, UsageMeter
 from citrondock_bench.recorder import BUCKET_S
 from citrondock_bench.report import LoadReport
+from citrondock_bench.report_measures import (
+    account_services,
+    during,
+    largest_request_tokens,
+    sum_by_account,
+    work_waited,
+)
 from citrondock_bench.scenario import (
     ZONE_SEPARATOR,
     Disturbance,
@@ -27,9 +34,12 @@
 from citrondock_bench.timeline import TimedAction, Timeline
 
 METER_MARGIN_S = 0.5
-DISTURBED_FROM = 0.25
-DISTURBED_UNTIL = 0.55
-SETTLED_FROM = 0.75
+TARGET_LIMIT = "citrondock_target_limit"
+# A zone is cut off for longer than heartbeats take to lapse.
+DURATION_FACTORS = {Disturbance.ZONE_CUT: 3.0}
+DISTURBED_FROM = 0.2
+DISTURBED_UNTIL = 0.65
+SETTLED_FROM = 0.8
 DRAIN_S = 0.5
 STATED_SLOT_FACTOR = 2
 UNEVEN_STEP_MS = 20.0
@@ -47,6 +57,8 @@
         whichever is larger.
     utilisation : float or None
         Busy slots over slots while work waited.
+    learned_slot_count : float
+        Sum of the limits that the routers had learned of the engines at the end.
     control_bytes_per_s : list of float
         Control bytes by node.
     first_token_p95_ms : float
@@ -57,6 +69,7 @@
 
     gap: FairnessGap
     utilisation: float | None
+    learned_slot_count: float
     control_bytes_per_s: list[float]
     first_token_p95_ms: float
     whole_count: int
@@ -96,8 +109,9 @@
         self._scenario = scenario
         self._fleet = fleet
         self._seed = seed
-        self._duration_s = duration_s
+        self._duration_s = duration_s * DURATION_FACTORS.get(scenario.disturbance, 1.0)
         self._usage: list[NodeUsage] = []
+        self._learned_slot_count = 0.0
 
     def run(self) -> RunFigures:
         """Send the load, disturb the fleet, and work out the figures."""
@@ -121,11 +135,22 @@
             TimedAction(at_s=METER_MARGIN_S, action=meter.start),
             TimedAction(
                 at_s=self._duration_s - METER_MARGIN_S,
-                action=lambda: self._usage.extend(meter.stop()),
+                action=lambda: self._read_usage(meter),
             ),
         ]
         return actions + self._disturbances()
 
+    def _read_usage(self, meter: UsageMeter) -> None:
+        self._usage = meter.stop()
+        engines = {each.target.name for each in self._fleet.fleet.engines}
+        limits: dict[str, float] = {}
+        for node in self._fleet.nodes:
+            samples = read_metrics(node.host, node.operators_port)
+            limits |= total(samples, TARGET_LIMIT, "target")
+        self._learned_slot_count = sum(
+            limit for name, limit in limits.items() if name in engines
+        )
+
     def _disturbances(self) -> list[TimedAction]:
         fleet = self._fleet.fleet
         begin_s = DISTURBED_FROM * self._duration_s
@@ -159,10 +184,9 @@
         return self._fleet.options.deployment.zones[-1]
 
     def _figures(self, report: LoadReport) -> RunFigures:
-        waited = [any(bucket) for bucket in _columns(report)]
         share = utilisation(
             self._fleet.busy_slots(),
-            waited,
+            work_waited(report),
             slot_count=self._fleet.slot_count,
             started_at_s=report.started_at_s,
             bucket_s=BUCKET_S,
@@ -170,6 +194,7 @@
         return RunFigures(
             gap=self._gap(report),
             utilisation=share,
+            learned_slot_count=self._learned_slot_count,
             control_bytes_per_s=[node.control_bytes_per_s for node in self._usage],
             first_token_p95_ms=report.first_token.p95_ms,
             whole_count=report.count(Outcome.WHOLE),
@@ -212,59 +237,3 @@
 
 def _discard(_: object) -> None:
     """Drop a result."""
-
-
-def _columns(report: LoadReport) -> Sequence[Sequence[int]]:
-    series = [account.series.least_waiting for account in report.accounts]
-    return list(zip(*series, strict=True))
-
-
-def largest_request_tokens(report: LoadReport) -> float:
-    """Return the service of the largest request over its account's weight."""
-    return max(
-        account.largest_request_tokens / account.weight for account in report.accounts
-    )
-
-
-def account_services(report: LoadReport) -> list[AccountService]:
-    """Return what each account received, as the fairness gap needs it."""
-    return [
-        AccountService(
-            account=account.account,
-            weight=account.weight,
-            service_tokens=account.series.service_tokens,
-            backlogged=[count > 0 for count in account.series.least_waiting],
-        )
-        for account in report.accounts
-    ]
-
-
-def during(service: AccountService, buckets: slice) -> AccountService:
-    """Return a part of a series."""
-    return attrs.evolve(
-        service,
-        service_tokens=service.service_tokens[buckets],
-        backlogged=service.backlogged[buckets],
-    )
-
-
-def sum_by_account(parts: Sequence[AccountService]) -> list[AccountService]:
-    """Add up the parts of each account; one part's backlog is the account's."""
-    whole: dict[str, AccountService] = {}
-    for part in parts:
-        name = part.account.partition(ZONE_SEPARATOR)[0]
-        former = whole.get(name)
-        if former is None:
-            whole[name] = attrs.evolve(part, account=name)
-            continue
-        whole[name] = attrs.evolve(
-            former,
-            service_tokens=[
-                a + b
-                for a, b in zip(former.service_tokens, part.service_tokens, strict=True)
-            ],
-            backlogged=[
-                a or b for a, b in zip(former.backlogged, part.backlogged, strict=True)
-            ],
-        )
-    return list(whole.values())
