Benchmark waits until the engines serve what the routers ordered

Cause: the direct side runs first, and until the ordered model and adapters were loaded the engines refused it (95 answers not whole, 6,458 tokens/s). Change: wait for the engines' state.

--- a/packages/citrondock-bench/src/citrondock_bench/bench_fleet.py
+++ b/packages/citrondock-bench/src/citrondock_bench/bench_fleet.py
@@ -22,8 +22,10 @@
 )
 from citrondock_core.object_store import ObjectStore
 from citrondock_standins.fleet import HOST, EnginePlan, Fleet, FleetPlan, FleetTarget
+from citrondock_standins.processes import ChildError
 
 READY_TIMEOUT_S = 60.0
+POLL_PERIOD_S = 0.1
 DEFAULT_BATCH_COUNT = 8
 
 
@@ -178,6 +180,19 @@
         """Requests that all engines run at once."""
         return self.options.batch_count * len(self.fleet.engines)
 
+    def wait_for_models(self, *, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Wait until the engines serve what the routers ordered."""
+        pools = self.options.deployment.configuration.pools.values()
+        wanted = {
+            name for pool in pools for name in (pool.model, *pool.adapters) if name
+        }
+        deadline_s = time.monotonic() + timeout_s
+        for engine in self.fleet.engines:
+            while not wanted <= _loaded(engine):
+                if time.monotonic() > deadline_s:
+                    raise ChildError(f"{engine.target.name} lacks some of {wanted}")
+                time.sleep(POLL_PERIOD_S)
+
     def busy_slots(self) -> list[BusySlot]:
         """Return when the engines' slots were busy, from their journals."""
         now_s = time.monotonic()
@@ -255,5 +270,10 @@
     return BenchFleet(options).__enter__()
 
 
+def _loaded(engine: FleetTarget) -> set[str]:
+    state = engine.process.read("/v1/state", index=engine.index)
+    return {*state["models"], *state["adapters"]}
+
+
 def _stated(engine: FleetTarget, slot_count: int) -> Target:
     return attrs.evolve(engine.target, max_in_flight=slot_count)
--- a/packages/citrondock-bench/src/citrondock_bench/data_path_bench.py
+++ b/packages/citrondock-bench/src/citrondock_bench/data_path_bench.py
@@ -184,5 +184,6 @@
 def run_bench(*, run_count: int, rate_per_s: float, full_s: float) -> list[BenchRun]:
     """Start the processes and run the data path several times."""
     with BenchFleet(fleet_options()) as fleet:
+        fleet.wait_for_models()
         bench = DataPathBench(fleet, rate_per_s=rate_per_s, full_s=full_s)
         return [bench.run(seed=seed) for seed in range(1, run_count + 1)]
