Bytes behind an answer's end are never part of it

Cause: the body decoder handed bytes of a second answer in the same read to the caller as part of the first, and took noise behind a whole answer for a cut. Change: the decoder stops at the end and notes a surplus; the answer is whole, and its connection is closed instead of kept. Conclusion: a late answer reaches no caller through a kept connection.

--- a/packages/citrondock-router/src/citrondock_router/relay.py
+++ b/packages/citrondock-router/src/citrondock_router/relay.py
@@ -409,6 +409,8 @@
         if not relayed.is_whole:
             self._break(relayed, RelayOutcome.CUT)
             return
+        if relayed.upstream is not None and relayed.has_surplus:
+            relayed.upstream.keep_alive = False
         self._end_upstream(relayed, RelayOutcome.WHOLE)
         relayed.queue_end()
         relayed.phase = RelayPhase.DRAINING
--- a/packages/citrondock-router/src/citrondock_router/relayed_call.py
+++ b/packages/citrondock-router/src/citrondock_router/relayed_call.py
@@ -127,6 +127,11 @@
         """Whether the answer belongs to another request."""
         return self.scanner is not None and self.scanner.foreign
 
+    @property
+    def has_surplus(self) -> bool:
+        """Whether the target sent more than its answer."""
+        return self.decoder is not None and self.decoder.has_surplus
+
     @property
     def event_count(self) -> int:
         """Events passed on so far."""
--- a/packages/citrondock-wire/src/citrondock_wire/body_decoder.py
+++ b/packages/citrondock-wire/src/citrondock_wire/body_decoder.py
@@ -17,6 +17,14 @@
     content_length_bytes : int or None
         Length where the head told one.
 
+    Attributes
+    ----------
+    complete : bool
+        Whether the target marked the end of the body.
+    has_surplus : bool
+        Whether bytes came behind the end; they belong to no answer, and the connection
+        must not be used again.
+
     Notes
     -----
     The head was read by urllib3 already; the parser gets a short head of its own that
@@ -25,6 +33,7 @@
 
     def __init__(self, *, chunked: bool, content_length_bytes: int | None) -> None:
         self.complete = False
+        self.has_surplus = False
         self.delimited = chunked or content_length_bytes is not None
         self._pieces: list[bytes] = []
         self._parser = httptools.HttpResponseParser(self)
@@ -43,21 +52,29 @@
         Raises
         ------
         BodyFramingError
-            When the framing is broken or bytes follow the end.
+            When the framing is broken before the end.
         """
         if self.complete:
-            raise BodyFramingError("bytes after the end of the body")
+            self.has_surplus |= bool(data)
+            return b""
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            raise BodyFramingError(str(error)) from error
+            if not self.complete:
+                raise BodyFramingError(str(error)) from error
+            self.has_surplus = True
         body = b"".join(self._pieces)
         self._pieces.clear()
         return body
 
+    def on_message_begin(self) -> None:
+        """Note an answer behind the end of this one."""
+        self.has_surplus |= self.complete
+
     def on_body(self, body: bytes) -> None:
         """Take body bytes from the parser."""
-        self._pieces.append(body)
+        if not self.complete:
+            self._pieces.append(body)
 
     def on_message_complete(self) -> None:
         """Note the end that the target marked."""
