A resumed stream goes on at the token after the last one passed on

Cause: the router named the number of events, not the last index, so the engine left one token out; the answer to a resume was not checked for the request's id. Change: the index is the count less one; an answer that echoes another id is not taken.

--- a/packages/citrondock-router/src/citrondock_router/call_runner.py
+++ b/packages/citrondock-router/src/citrondock_router/call_runner.py
@@ -235,8 +235,7 @@
             reason = f"refused with status {head.status}"
             self._retry_or_refuse(call, _head_error(call, reason), ran=Ran.NO)
             return
-        echoed = head.headers.get("x-request-id", call.request_id)
-        if echoed != call.request_id:
+        if not _answers(call, head):
             upstream.close()
             error_of_head = _head_error(call, "answer to another request")
             self._retry_or_refuse(call, error_of_head, ran=Ran.MAYBE)
@@ -279,7 +278,9 @@
             self._give_up(call, end)
             return
         target = _target_of(call)
-        path = f"/v1/requests/{call.request_id}/stream?after={end.event_count}"
+        # Events are numbered from 0; the engine goes on after the one that is named.
+        last_index = end.event_count - 1
+        path = f"/v1/requests/{call.request_id}/stream?after={last_index}"
         request = TargetRequest(
             method="GET", path=path, headers={"X-Request-Id": call.request_id}
         )
@@ -291,7 +292,8 @@
             self._give_up(call, end)
             return
         call.resume_count += 1
-        if head.status != 200 or call.resume_count > _MAX_RESUMES:
+        resumes = head.status == 200 and _answers(call, head)
+        if not resumes or call.resume_count > _MAX_RESUMES:
             upstream.close()
             self._give_up(call, end)
             return
