A cancelled call is charged though its target reported nothing

Cause: a caller that went away from an answer in one piece was charged nothing, since no token had been seen; an account could get service for free that way. Change: usage says whether the target reported it; where it did not and the caller went away, the charge made at dispatch stands if it is the higher one. Calls that were never sent stay free. The change in the dispatcher is two lines in settle. Conclusion: going away early saves an account nothing.

--- a/packages/citrondock-core/src/citrondock_core/dispatcher.py
+++ b/packages/citrondock-core/src/citrondock_core/dispatcher.py
@@ -170,6 +170,8 @@
             return
         request = running.request
         cost = max(self._cost(request, usage), float(running.generated_tokens))
+        if outcome is Outcome.CANCELLED and not usage.reported:
+            cost = max(cost, running.charged_tokens)
         self._ledger.charge(request.account, cost - running.charged_tokens)
         if outcome is Outcome.DONE:
             self._estimator.observe(request.account, request.service, cost)
--- a/packages/citrondock-core/src/citrondock_core/request.py
+++ b/packages/citrondock-core/src/citrondock_core/request.py
@@ -104,8 +104,11 @@
         Token counts of a model engine.
     slot_time_s : float
         Time for which it held a slot; the cost of a plain service.
+    reported : bool
+        Whether this is all of it; False where the target never told.
     """
 
     prompt_tokens: int = 0
     generated_tokens: int = 0
     slot_time_s: float = 0.0
+    reported: bool = True
--- a/packages/citrondock-router/src/citrondock_router/call_runner.py
+++ b/packages/citrondock-router/src/citrondock_router/call_runner.py
@@ -428,11 +428,13 @@
             reported = end.usage if call.streaming else usage_of(end.body)
         if reported is None:
             count = 0 if end is None else end.event_count
-            reported = Usage(generated_tokens=count)
+            was_sent = call.phase not in (CallPhase.WAITING, CallPhase.OPENING)
+            reported = Usage(generated_tokens=count, reported=not was_sent)
         return Usage(
             prompt_tokens=reported.prompt_tokens,
             generated_tokens=reported.generated_tokens,
             slot_time_s=slot_time_s,
+            reported=reported.reported,
         )
 
     def _log_end(self, call: Call, outcome: str, **fields: str) -> None:
@@ -476,6 +478,11 @@
     )
 
 
+def _answers(call: Call, head: TargetHead) -> bool:
+    """Whether the target echoed the call's own id, or none."""
+    return head.headers.get("x-request-id", call.request_id) == call.request_id
+
+
 def _is_not_run(head: TargetHead) -> bool:
     said_no = head.headers.get("x-ran", "").lower() == "no"
     return said_no and head.status in _NOT_RUN_STATUSES
