A refusal says "maybe" when an earlier attempt may have run

Cause: an idempotent call whose first target ran it and lost the answer was refused as "no" when further targets proved that they had not run it, or its deadline passed. Change: the call remembers an attempt that may have run. Conclusion: "not run" speaks of all attempts, not of the last.

--- a/packages/citrondock-router/src/citrondock_router/call.py
+++ b/packages/citrondock-router/src/citrondock_router/call.py
@@ -58,6 +58,8 @@
         it was sent again though it may have run.
     target : Target or None
         Where it runs.
+    may_have_run : bool
+        Whether an attempt ended so that the target may have run it.
     claim : Claim or None
         Right to send it, while it holds one.
     answer_head : TargetHead or None
@@ -81,6 +83,7 @@
     repeat_count: int = 0
     target: Target | None = None
     started_at_s: float = 0.0
+    may_have_run: bool = False
     phase: CallPhase = CallPhase.WAITING
     caller_gone: bool = False
     claim: Claim | None = None
--- a/packages/citrondock-router/src/citrondock_router/call_runner.py
+++ b/packages/citrondock-router/src/citrondock_router/call_runner.py
@@ -349,6 +349,7 @@
             detail=error.reason,
         )
         self._end_claim(call, ran)
+        call.may_have_run |= ran is Ran.MAYBE
         if call.caller_gone:
             self._cancel(call)
         elif may_repeat and not late and self._has_attempt_left(call, ran):
@@ -397,6 +398,9 @@
             self._refuse(call, error)
 
     def _refuse(self, call: Call, error: RequestRefusedError) -> None:
+        if call.may_have_run:
+            # A later attempt that provably did not run proves nothing of an earlier.
+            error.ran = Ran.MAYBE
         first = call.end_once()
         if not first and call.caller_gone:
             return
