--- a/packages/citrondock-standins/src/citrondock_standins/plain_service.py
+++ b/packages/citrondock-standins/src/citrondock_standins/plain_service.py
@@ -38,6 +38,8 @@
         Calls whose connection is closed after they ran.
     slow_body_ms : float
         Time over which an answer's body is spread.
+    body_bytes : int
+        Length of an answer's body, in place of the run's record.
     delay_ms : float or None
         Time that a call takes, in place of the flag.
     """
@@ -46,6 +48,7 @@
     close_before_count: int = 0
     close_after_count: int = 0
     slow_body_ms: float = 0.0
+    body_bytes: int = 0
     delay_ms: float | None = None
 
 
@@ -113,6 +116,10 @@
         headers = {"X-Request-Id": request_id} if request_id else {}
         if closes:
             reply.close()
+        elif faults.body_bytes:
+            reply.start(200, headers)
+            reply.write(bytes(faults.body_bytes))
+            reply.end()
         elif faults.slow_body_ms:
             reply.start(200, headers)
             for part in range(SLOW_BODY_PARTS):
