Peers' addresses follow the VM list also when no member changes

Cause: addresses were taken from the list only when the members changed. A router that came back was heard of before the list had its new address; the others then sent to the old one for ever, and it saw nobody. Change: a changed list makes the addresses be chosen anew. The fleet of the stand-ins names who knows whom when routers do not join. Measured: a restarted router of four knew only itself after 10 s (and after 30 s in a rolling replacement) before; it joined within that wait after the change. Conclusion: a replaced router joins though the list lags behind its heartbeats.

--- a/packages/citrondock-router/src/citrondock_router/membership_actor.py
+++ b/packages/citrondock-router/src/citrondock_router/membership_actor.py
@@ -61,7 +61,7 @@
     view : MembershipView
         Owned by this actor alone.
     on_members : callable
-        Given the live members whenever they change, and the contacts.
+        Given the live members and the contacts whenever they or the list change.
     on_heartbeat : callable
         Given a VM name and a heartbeat to send to it.
     on_event : callable
@@ -83,6 +83,7 @@
         self._on_members = on_members
         self._on_heartbeat = on_heartbeat
         self._on_event = on_event
+        self._listed: Sequence[Vm] = ()
         self._told: tuple[Sequence[LiveMember], Sequence[Contact]] = ((), ())
 
     def on_receive(self, message: MembershipMessage) -> list[LiveMember] | None:
@@ -102,6 +103,7 @@
                     view.heard(heartbeat, now_s=now_s, sender=sender)
             case Listed(vms):
                 view.set_listed(vms, now_s=now_s)
+                self._note_listed(vms)
             case UpdateSelf(leaving, revision):
                 view.update_self(leaving=leaving, configuration_revision=revision)
                 self._beat(now_s)
@@ -120,6 +122,12 @@
             for heartbeat in self._view.beat(contact.vm_name, now_s=now_s):
                 self._on_heartbeat(contact.vm_name, heartbeat)
 
+    def _note_listed(self, vms: Sequence[Vm]) -> None:
+        # Addresses are the list's, and it may learn of a new one after the heartbeats.
+        if vms != self._listed:
+            self._listed = vms
+            self._told = ((), ())
+
     def _tell_changes(self, now_s: float) -> None:
         members = [_steady(live) for live in self._view.members(now_s=now_s)]
         contacts = self._view.contacts(now_s=now_s)
--- a/packages/citrondock-standins/src/citrondock_standins/fleet.py
+++ b/packages/citrondock-standins/src/citrondock_standins/fleet.py
@@ -192,7 +192,8 @@
         running = {n for n, each in self.routers.items() if each.process.is_running}
         while any(self.member_names(name) != running for name in running):
             if time.monotonic() > deadline_s:
-                raise ChildError("the routers do not know each other")
+                known = {name: self.member_names(name) for name in running}
+                raise ChildError(f"the routers do not know each other: {known}")
             time.sleep(READY_PERIOD_S)
 
     def member_names(self, name: str) -> set[str]:
