A leaving router has no duties, and its requests are served as before

Cause: the others dropped a leaving router from their dispatchers, and with it what it said of its waiting requests, while it went on counting itself as home of its targets: each of them had two homes for as long as it drained, and it stayed a candidate for orders to engines. Change: dispatchers get all live routers and the names of those that leave. Homes and relays are chosen from those that stay; demand and lent slots of leaving ones are kept. The router polls targets and gives orders by the same list. The change in the dispatcher, the target table, the summary exchange and relay is an added argument each. Conclusion: duties move at the begin of a stop, requests at its end.

--- a/packages/citrondock-core/src/citrondock_core/dispatcher.py
+++ b/packages/citrondock-core/src/citrondock_core/dispatcher.py
@@ -1,6 +1,6 @@
 """Decides which waiting request is sent to which target, with other routers."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from citrondock_core.actions import Action, Outcome, Refuse, Start
 from citrondock_core.affinity import AffinityTable
@@ -69,6 +69,7 @@
     ) -> None:
         self._member = member
         self._members: dict[str, Member] = {member.vm_name: member}
+        self._leaving: frozenset[str] = frozenset()
         self._policy = policy or Fair()
         self._options = options or DispatchOptions()
         self._configuration = Configuration()
@@ -100,19 +101,34 @@
         for request_id in self._waiting.remove_unknown_pools(configuration):
             self._refuse(request_id, RefusalReason.NO_TARGET, "its pool was removed")
 
-    def set_members(self, members: Sequence[Member], *, now_s: float) -> None:
-        """Take the live routers, this one among them."""
+    def set_members(
+        self,
+        members: Sequence[Member],
+        *,
+        leaving: Collection[str] = (),
+        now_s: float,
+    ) -> None:
+        """Take the live routers, this one among them.
+
+        Those that are leaving have no duties, but their requests are served as before.
+        """
         others = [m for m in members if m.vm_name != self._member.vm_name]
         all_members = sorted([self._member, *others], key=lambda m: m.vm_name)
-        before = self._members
+        former = self._members
+        before = (former, self._leaving)
         self._members = {member.vm_name: member for member in all_members}
-        if self._members == before:
+        self._leaving = frozenset(leaving)
+        if (self._members, self._leaving) == before:
             return
-        zones = {member.availability_zone for member in before.values()}
+        zones = {member.availability_zone for member in former.values()}
         if any(member.availability_zone not in zones for member in all_members):
             self._clamp_until_s = now_s + CLAMP_WINDOW_S
-        self._lending.state_at_once(self._targets.set_members(all_members))
-        self._exchange.set_members(all_members)
+        staying = [m for m in all_members if m.vm_name not in self._leaving]
+        staying = staying or [self._member]
+        same = {name for name, m in self._members.items() if former.get(name) == m}
+        moved = self._targets.set_members(staying, holders=same)
+        self._lending.state_at_once(moved)
+        self._exchange.set_members(all_members, staying=staying)
 
     def submit(self, request: WaitingRequest, *, now_s: float) -> None:
         """Let a request wait.
--- a/packages/citrondock-core/src/citrondock_core/summary_exchange.py
+++ b/packages/citrondock-core/src/citrondock_core/summary_exchange.py
@@ -93,12 +93,14 @@
         """What waits here, as last noted."""
         return self._own_demand
 
-    def set_members(self, members: Sequence[Member]) -> None:
-        """Take the live routers, and find the relays among them."""
+    def set_members(
+        self, members: Sequence[Member], *, staying: Sequence[Member]
+    ) -> None:
+        """Take the live routers, and find the relays among those that stay."""
         known = self._members
         self._members = {member.vm_name: member for member in members}
         zone = self._member.availability_zone
-        name = choose_member(f"relay/{zone}", zone, members)
+        name = choose_member(f"relay/{zone}", zone, staying)
         relay = self._members.get(name or "", self._member)
         was_relay = self.is_relay
         changed = relay != self._relay_member
@@ -108,7 +110,7 @@
         if self.is_relay and not was_relay:
             self.relay.start()
         fresh = [m for m in members if known.get(m.vm_name) != m]
-        self.relay.set_members(members, fresh=bool(fresh))
+        self.relay.set_members(members, staying=staying, fresh=bool(fresh))
         same = {m.vm_name for m in members if known.get(m.vm_name) == m}
         self._changed_demand.update(self._demand.keep_members(same))
 
--- a/packages/citrondock-core/src/citrondock_core/summary_relay.py
+++ b/packages/citrondock-core/src/citrondock_core/summary_relay.py
@@ -42,6 +42,7 @@
         self._demand = demand
         self._options = options
         self._members: dict[str, Member] = {}
+        self._staying: Sequence[Member] = ()
         self._peers: dict[str, Member] = {}
         self._sequence = 0
         self._number = member.incarnation % 1_000_000
@@ -65,9 +66,12 @@
         self._side_demand.forget()
         self._start_streams()
 
-    def set_members(self, members: Sequence[Member], *, fresh: bool) -> None:
+    def set_members(
+        self, members: Sequence[Member], *, staying: Sequence[Member], fresh: bool
+    ) -> None:
         """Take the live routers; when some are fresh, they get everything."""
         self._members = {member.vm_name: member for member in members}
+        self._staying = tuple(staying)
         if fresh:
             self.refresh()
         self._start_streams()
@@ -81,10 +85,10 @@
 
     def _start_streams(self) -> None:
         """Point one stream at the relay of each other zone."""
-        zones = {member.availability_zone for member in self._members.values()}
+        zones = {member.availability_zone for member in self._staying}
         zones.discard(self._member.availability_zone)
         for zone in sorted(zones):
-            name = choose_member(f"relay/{zone}", zone, list(self._members.values()))
+            name = choose_member(f"relay/{zone}", zone, self._staying)
             peer = self._members[name or ""]
             if self._peers.get(zone) == peer:
                 continue
--- a/packages/citrondock-core/src/citrondock_core/target_table.py
+++ b/packages/citrondock-core/src/citrondock_core/target_table.py
@@ -1,6 +1,6 @@
 """All targets of the configuration, and which of them this router is home of."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from citrondock_core.configuration import Configuration
 from citrondock_core.messages import Member
@@ -72,16 +72,23 @@
         self._targets = targets
         self._place()
 
-    def set_members(self, members: Sequence[Member]) -> set[str]:
-        """Take the live routers; return targets whose home changed or restarted."""
+    def set_members(
+        self, members: Sequence[Member], *, holders: Collection[str]
+    ) -> set[str]:
+        """Take the routers that can be homes, and those that keep slots.
+
+        Returns
+        -------
+        set of str
+            Targets whose home changed or restarted.
+        """
         before = {m.vm_name: m for m in self._members}
         fresh = {m.vm_name for m in members if before.get(m.vm_name) != m}
         self._members = tuple(members)
-        same = {m.vm_name for m in members if before.get(m.vm_name) == m}
         old_homes = self._homes
         self._place()
         for slots in self._targets.values():
-            slots.keep_holders(same)
+            slots.keep_holders(set(holders))
         return {
             name
             for name, home in self._homes.items()
--- a/packages/citrondock-router/src/citrondock_router/dispatch_actor.py
+++ b/packages/citrondock-router/src/citrondock_router/dispatch_actor.py
@@ -67,6 +67,7 @@
     """The live routers changed."""
 
     members: Sequence[Member]
+    leaving: frozenset[str]
 
 
 @attrs.frozen
@@ -202,8 +203,8 @@
             case Receive(sender, messages):
                 for received in messages:
                     dispatcher.receive(sender, received, now_s=now_s)
-            case SetMembers(members):
-                dispatcher.set_members(members, now_s=now_s)
+            case SetMembers(members, leaving):
+                dispatcher.set_members(members, leaving=leaving, now_s=now_s)
             case SetConfiguration(configuration):
                 dispatcher.set_configuration(configuration, now_s=now_s)
             case SetTargetAvailable(target, available):
--- a/packages/citrondock-router/src/citrondock_router/router.py
+++ b/packages/citrondock-router/src/citrondock_router/router.py
@@ -98,6 +98,7 @@
         self._targets: Mapping[str, Target] = {}
         self._target_kinds: Mapping[str, PoolKind] = {}
         self._members: dict[str, Member] = {}
+        self._staying: list[Member] = []
         self._listed: Mapping[str, Vm] = {}
         self._rng = random.Random()
         self._metrics = RouterMetrics()
@@ -337,7 +338,7 @@
         self._target_watch.set_listed([vm for vm in vms if vm.name in self._targets])
 
     def _poll_targets(self) -> None:
-        members = list(self._members.values())
+        members = self._staying
         own = [
             target
             for target in self._targets.values()
@@ -347,7 +348,7 @@
         self._target_watch.poll(own, self._target_kinds)
 
     def _give_orders(self) -> None:
-        names = list(self._members)
+        names = [member.vm_name for member in self._staying]
         self._orders.step(
             self._follower.configuration,
             is_candidate=lambda pool: choose(pool, names) == self._member.vm_name,
@@ -385,8 +386,9 @@
         addresses.pop(self._member.vm_name, None)
         self._network.set_addresses(list(addresses.values()))
         self._members = {live.member.vm_name: live.member for live in members}
-        staying = [live.member for live in members if not live.leaving]
-        self._dispatch.tell(SetMembers(staying))
+        leaving = frozenset(live.member.vm_name for live in members if live.leaving)
+        self._staying = [m for m in self._members.values() if m.vm_name not in leaving]
+        self._dispatch.tell(SetMembers(list(self._members.values()), leaving))
 
     def _on_member_event(self, event: MemberEvent) -> None:
         what = f"router {event.vm_name} {event.kind.value}"
