A leaving router tells its callers to close their connections

Cause: a caller that keeps its connection went on to send requests to a router that leaves, until the port was gone. Change: from the begin of a stop every answer carries Connection: close. Conclusion: kept connections drain with the requests on them.

--- a/packages/citrondock-router/src/citrondock_router/call_runner.py
+++ b/packages/citrondock-router/src/citrondock_router/call_runner.py
@@ -93,12 +93,17 @@
         self._metrics = metrics
         self._workers = ThreadPoolExecutor(worker_count, thread_name_prefix="call")
         self._dispatch: pykka.ActorRef | None = None
+        self._leaving = False
         self.relay = Relay(listener=self, slow_reader_timeout_s=slow_reader_timeout_s)
 
     def attach(self, dispatch: pykka.ActorRef) -> None:
         """Name the actor that decides where calls run."""
         self._dispatch = dispatch
 
+    def leave(self) -> None:
+        """Tell callers from now on to close their connections after an answer."""
+        self._leaving = True
+
     def close(self) -> None:
         """End the workers and the relay."""
         self._workers.shutdown(wait=False, cancel_futures=True)
@@ -221,6 +226,7 @@
             return False
         self._settle(call, Usage(), Outcome.CANCELLED)
         self._log_end(call, "replayed")
+        self._note_leaving(call)
         self.relay.answer(call, render_outcome(call, outcome))
         return False
 
@@ -248,6 +254,7 @@
         call.answer_head = head
         call.streaming = streams
         headers = _headers_for_caller(call, head)
+        self._note_leaving(call)
         rendered = render_head(call.http_request, status=head.status, headers=headers)
         upstream.keep_alive = head.keep_alive
         delay_s = time.monotonic() - call.waiting.arrived_at_s
@@ -406,9 +413,13 @@
             return
         self._log_end(call, "refused", cause=error.cause.value, ran=error.ran.value)
         self._metrics.count_refusal(error.cause.value, error.ran.value)
+        self._note_leaving(call)
         data = render_refusal(call.http_request, error, call.request_id)
         self.relay.answer(call, data)
 
+    def _note_leaving(self, call: Call) -> None:
+        call.http_request.close_connection |= self._leaving
+
     def _failure(self, call: Call, reason: str, *, step: str) -> RequestRefusedError:
         peer = call.target.name if call.target else "local"
         return RequestRefusedError(
--- a/packages/citrondock-router/src/citrondock_router/router.py
+++ b/packages/citrondock-router/src/citrondock_router/router.py
@@ -291,6 +291,7 @@
         shutdown = self._settings.shutdown
         log_event("leaving", live_calls=len(self._table))
         self._membership.tell(UpdateSelf(leaving=True))
+        self._runner.leave()
         # The balancer learns from the readiness page; until then callers still come.
         time.sleep(shutdown.drain_grace_s)
         self._front.stop()
