The fault proxy looks for a connection's sender only when a fault asks

Cause: each new connection was searched for in all routers' open sockets, in the event loop of all proxies; with four routers the loop fell behind, store and peers timed out, and routers opened yet more connections. A fleet that was starting could also change the routers during the search, and the connection hung. Change: the search waits for a fault of a single sender, and runs in a thread.

--- a/packages/citrondock-standins/src/citrondock_standins/fault.py
+++ b/packages/citrondock-standins/src/citrondock_standins/fault.py
@@ -80,6 +80,11 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    @property
+    def tells_senders_apart(self) -> bool:
+        """Whether some faults concern a single sender."""
+        return any(s != EVERY_SENDER and f for s, f in self._by_sender.items())
+
     def find(
         self, kind: FaultKind, sender: str, direction: Direction = Direction.BOTH
     ) -> Fault | None:
--- a/packages/citrondock-standins/src/citrondock_standins/proxy.py
+++ b/packages/citrondock-standins/src/citrondock_standins/proxy.py
@@ -36,14 +36,13 @@
     def __init__(
         self,
         faults: FaultsInForce,
-        sender: str,
         direction: Direction,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         self.byte_count = 0
         self._faults = faults
-        self._sender = sender
+        self.sender = EVERY_SENDER
         self._direction = direction
         self._reader = reader
         self._writer = writer
@@ -93,7 +92,7 @@
             await asyncio.sleep(len(data) / slow.bandwidth_bytes_per_s)
 
     def _find(self, kind: FaultKind) -> Fault | None:
-        return self._faults.find(kind, self._sender, self._direction)
+        return self._faults.find(kind, self.sender, self._direction)
 
 
 class _Connection:
@@ -102,16 +101,15 @@
     def __init__(
         self,
         faults: FaultsInForce,
-        sender: str,
         client: tuple[asyncio.StreamReader, asyncio.StreamWriter],
         target: tuple[asyncio.StreamReader, asyncio.StreamWriter],
     ) -> None:
-        self.sender = sender
+        self.sender: str | None = None
         self._writers = (client[1], target[1])
         to_target, to_client = Direction.TO_TARGET, Direction.TO_CLIENT
         self.pumps = {
-            to_target: _Pump(faults, sender, to_target, client[0], target[1]),
-            to_client: _Pump(faults, sender, to_client, target[0], client[1]),
+            to_target: _Pump(faults, to_target, client[0], target[1]),
+            to_client: _Pump(faults, to_client, target[0], client[1]),
         }
 
     async def run(self) -> None:
@@ -125,6 +123,18 @@
         except* OSError:
             self.reset()
 
+    @property
+    def client_address(self) -> tuple[str, int]:
+        """Address from which the client connected."""
+        address: tuple[str, int] = self._writers[0].get_extra_info("peername")
+        return address
+
+    def set_sender(self, sender: str) -> None:
+        """Note who opened it."""
+        self.sender = sender
+        for pump in self.pumps.values():
+            pump.sender = sender
+
     def suffer(self, faults: Sequence[Fault]) -> None:
         """Take in that faults were put in force."""
         for direction, pump in self.pumps.items():
@@ -180,7 +190,8 @@
     ) -> None:
         """Put faults in force in place of the former ones."""
         self._faults.replace(faults, sender)
-        for connection in self._connections:
+        for connection in list(self._connections):
+            await self._identify(connection)
             if sender in (EVERY_SENDER, connection.sender):
                 connection.suffer(faults)
         if self._faults.find(FaultKind.CUT, EVERY_SENDER):
@@ -188,6 +199,18 @@
         else:
             await self.open()
 
+    async def _identify(self, connection: _Connection) -> None:
+        if connection.sender is None:
+            sender = await self._sender(connection.client_address)
+            if sender is not None:
+                connection.set_sender(sender)
+
+    async def _sender(self, address: tuple[str, int]) -> str | None:
+        # Finding out is slow; it waits until some fault asks for it.
+        if self._sender_of is None or not self._faults.tells_senders_apart:
+            return None
+        return await asyncio.to_thread(self._sender_of, address)
+
     def _refuse_new(self) -> None:
         if self._server is None:
             return
@@ -212,17 +235,20 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         address: tuple[str, int] = writer.get_extra_info("peername")
-        sender = self._sender_of(address) if self._sender_of else EVERY_SENDER
-        while self._faults.find(FaultKind.BLACKHOLE, sender):
+        sender = await self._sender(address)
+        named = sender or EVERY_SENDER
+        while self._faults.find(FaultKind.BLACKHOLE, named):
             await self._faults.changed.wait()
         try:
-            if self._faults.find(FaultKind.CUT, sender):
+            if self._faults.find(FaultKind.CUT, named):
                 raise ConnectionResetError("cut")
             target = await asyncio.open_connection(*self.target)
         except OSError:
             _reset(writer)
             return
-        connection = _Connection(self._faults, sender, (reader, writer), target)
+        connection = _Connection(self._faults, (reader, writer), target)
+        if sender is not None:
+            connection.set_sender(sender)
         self._connections.add(connection)
         try:
             # A cut may have come while the target was being connected to.
