A target's own word that it leaves reaches routers with lent slots

Cause: only the home of a target polled it. A router that used slots lent by the home went on using them again and again. Change: a router also polls targets that its live calls run on, and those it holds unavailable. The stand-in engine can say that it leaves.

--- a/packages/citrondock-router/src/citrondock_router/call_table.py
+++ b/packages/citrondock-router/src/citrondock_router/call_table.py
@@ -25,6 +25,12 @@
         """Return a live call."""
         return self._calls.get(request_id)
 
+    def target_names(self) -> set[str]:
+        """Return the targets that live calls were sent to."""
+        with self._lock:
+            targets = [call.target for call in self._calls.values()]
+        return {target.name for target in targets if target is not None}
+
     def remove(self, request_id: str) -> None:
         """Remove a call that ended."""
         with self._lock:
--- a/packages/citrondock-router/src/citrondock_router/router.py
+++ b/packages/citrondock-router/src/citrondock_router/router.py
@@ -339,14 +339,18 @@
         self._target_watch.set_listed([vm for vm in vms if vm.name in self._targets])
 
     def _poll_targets(self) -> None:
-        members = self._staying
-        own = [
+        # A target's own word must also reach those who use slots that its home lent.
+        concerned = self._table.target_names() | self._target_watch.reasons().keys()
+        polled = [
             target
             for target in self._targets.values()
-            if home_of(target.name, target.availability_zone, members)
-            == self._member.vm_name
+            if target.name in concerned or self._is_home_of(target)
         ]
-        self._target_watch.poll(own, self._target_kinds)
+        self._target_watch.poll(polled, self._target_kinds)
+
+    def _is_home_of(self, target: Target) -> bool:
+        home = home_of(target.name, target.availability_zone, self._staying)
+        return home == self._member.vm_name
 
     def _give_orders(self) -> None:
         names = [member.vm_name for member in self._staying]
--- a/packages/citrondock-standins/src/citrondock_standins/engine.py
+++ b/packages/citrondock-standins/src/citrondock_standins/engine.py
@@ -69,6 +69,8 @@
         Requests answered under another request's id.
     close_delimited : bool
         Answers are ended by the connection's close.
+    says_leaving : bool
+        The load report says that the engine is leaving.
     """
 
     die_after_tokens: int = 0
@@ -77,6 +79,7 @@
     refuse_count: int = 0
     wrong_id_count: int = 0
     close_delimited: bool = False
+    says_leaving: bool = False
 
 
 class EngineStandIn(StandIn):
@@ -251,6 +254,7 @@
             "waiting": load.waiting,
             "token_rate_per_s": load.token_rate_per_s,
             "age_s": now_s - load.taken_at_s,
+            "leaving": self._faults.says_leaving,
         }
         reply.send_json(200, document)
 
--- a/tests/features/callers.py
+++ b/tests/features/callers.py
@@ -1,6 +1,8 @@
 """Callers of a fleet, and the checker of what they got."""
 
+import itertools
 import json
+import threading
 import time
 
 import attrs
@@ -54,7 +56,6 @@
         choices = [json.loads(line[6:])["choices"][0] for line in lines]
         return "".join(each["delta"].get("content", "") for each in choices)
 
-
     @property
     def ids(self):
         """Ids that the answer and its parts carry; all are the request's own."""
@@ -93,7 +94,7 @@
         length = got.headers.get("Content-Length")
         got.ended = length is None or int(length) == len(got.data)
         answer.release_conn()
-    except urllib3.exceptions.TimeoutError:
+    except urllib3.exceptions.ReadTimeoutError:
         raise
     except urllib3.exceptions.HTTPError as error:
         got.fault = str(error)
@@ -118,3 +119,73 @@
     if got.status == 200 and "event-stream" in got.headers["Content-Type"]:
         assert expected_text(body).startswith(got.text)
         assert "data: [DONE]" not in got.events
+
+
+class Balancer:
+    """Sends callers to routers that say they are ready, as the platform's does."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._ready = ()
+        self._turn = itertools.count()
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run)
+        self._look()
+        self._thread.start()
+
+    def url(self):
+        ready = self._ready
+        return ready[next(self._turn) % len(ready)]
+
+    def stop(self):
+        self._stopped.set()
+        self._thread.join()
+
+    def _run(self):
+        while not self._stopped.wait(0.05):
+            self._look()
+
+    def _look(self):
+        urls = []
+        for name, router in list(self._fleet.routers.items()):
+            url = router.callers_url
+            if router.process.is_running and self._fleet.is_ready(name):
+                urls.append(url)
+        self._ready = urls
+
+
+class Load:
+    """Callers that each ask again as soon as they have an answer."""
+
+    def __init__(self, find_url, *, caller_count, requests):
+        self.answers = []
+        self.errors = []
+        self._find_url = find_url
+        self._requests = requests
+        self._stopped = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(n,)) for n in range(caller_count)
+        ]
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self):
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join()
+        assert self.errors == []
+
+    def _run(self, number):
+        try:
+            self._ask_again_and_again(number)
+        except Exception as error:
+            self.errors.append(error)
+
+    def _ask_again_and_again(self, number):
+        turn = 0
+        with urllib3.PoolManager(retries=False, timeout=40.0) as http:
+            while not self._stopped.is_set():
+                turn += 1
+                self.answers.append(
+                    self._requests(self._find_url(), number, turn, http)
+                )
