--- a/packages/citrondock-core/src/citrondock_core/dispatcher.py
+++ b/packages/citrondock-core/src/citrondock_core/dispatcher.py
@@ -115,18 +115,18 @@
         """
         others = [m for m in members if m.vm_name != self._member.vm_name]
         all_members = sorted([self._member, *others], key=lambda m: m.vm_name)
-        before = (self._members, self._leaving)
+        former = self._members
+        before = (former, self._leaving)
         self._members = {member.vm_name: member for member in all_members}
         self._leaving = frozenset(leaving)
         if (self._members, self._leaving) == before:
             return
-        known = before[0]
-        zones = {member.availability_zone for member in known.values()}
+        zones = {member.availability_zone for member in former.values()}
         if any(member.availability_zone not in zones for member in all_members):
             self._clamp_until_s = now_s + CLAMP_WINDOW_S
         staying = [m for m in all_members if m.vm_name not in self._leaving]
         staying = staying or [self._member]
-        same = [m.vm_name for m in all_members if known.get(m.vm_name) == m]
+        same = {name for name, m in self._members.items() if former.get(name) == m}
         moved = self._targets.set_members(staying, holders=same)
         self._lending.state_at_once(moved)
         self._exchange.set_members(all_members, staying=staying)
--- a/packages/citrondock-core/src/citrondock_core/target_table.py
+++ b/packages/citrondock-core/src/citrondock_core/target_table.py
@@ -75,7 +75,7 @@
     def set_members(
         self, members: Sequence[Member], *, holders: Collection[str]
     ) -> set[str]:
-        """Take the routers that can be homes, and those that may hold slots.
+        """Take the routers that can be homes, and those that keep slots.
 
         Returns
         -------
@@ -85,11 +85,10 @@
         before = {m.vm_name: m for m in self._members}
         fresh = {m.vm_name for m in members if before.get(m.vm_name) != m}
         self._members = tuple(members)
-        vm_names = set(holders)
         old_homes = self._homes
         self._place()
         for slots in self._targets.values():
-            slots.keep_holders(vm_names)
+            slots.keep_holders(set(holders))
         return {
             name
             for name, home in self._homes.items()
