--- a/packages/citrondock-router/src/citrondock_router/membership_actor.py
+++ b/packages/citrondock-router/src/citrondock_router/membership_actor.py
@@ -37,7 +37,7 @@
 
 @attrs.frozen
 class Beat:
-    """Time for heartbeats."""
+    """Time passed; heartbeats may be due."""
 
 
 @attrs.frozen
@@ -84,6 +84,7 @@
         self._on_heartbeat = on_heartbeat
         self._on_event = on_event
         self._listed: Sequence[Vm] = ()
+        self._next_beat_s = 0.0
         self._told: tuple[Sequence[LiveMember], Sequence[Contact]] = ((), ())
 
     def on_receive(self, message: MembershipMessage) -> list[LiveMember] | None:
@@ -108,7 +109,8 @@
                 view.update_self(leaving=leaving, configuration_revision=revision)
                 self._beat(now_s)
             case Beat():
-                self._beat(now_s)
+                if now_s >= self._next_beat_s:
+                    self._beat(now_s)
             case SayFarewell():
                 farewell = view.farewell()
                 for contact in view.contacts(now_s=now_s):
@@ -118,6 +120,7 @@
         return None
 
     def _beat(self, now_s: float) -> None:
+        self._next_beat_s = now_s + self._view.heartbeat_period_s
         for contact in self._view.contacts(now_s=now_s):
             for heartbeat in self._view.beat(contact.vm_name, now_s=now_s):
                 self._on_heartbeat(contact.vm_name, heartbeat)
--- a/packages/citrondock-router/src/citrondock_router/peer_network.py
+++ b/packages/citrondock-router/src/citrondock_router/peer_network.py
@@ -24,7 +24,8 @@
 
 _MAX_QUEUED = 2_000
 _MAX_BATCH = 200
-_GATHER_S = 0.02
+_GATHER_S = 0.03
+_SAME_DECISION_S = 0.002
 _IDLE_S = 30.0
 _MIN_PAUSE_S = 0.2
 _MAX_PAUSE_S = 2.0
@@ -48,6 +49,7 @@
         self._stopping = threading.Event()
         self._paused_until_s = 0.0
         self._pause_s = _MIN_PAUSE_S
+        self._last_delivery_s = 0.0
         name = f"peer-{client.address.vm_name}"
         self._thread = threading.Thread(target=self._run, name=name, daemon=True)
         self._thread.start()
@@ -69,8 +71,12 @@
             except queue.Empty:
                 self._on_idle()
                 break
-            time.sleep(_GATHER_S)
+            # Messages of one decision share an envelope; after a pause they leave at
+            # once, and otherwise wait for more.
+            waited_s = time.monotonic() - self._last_delivery_s
+            time.sleep(max(_SAME_DECISION_S, _GATHER_S - waited_s))
             self._deliver([first, *self._drain()])
+            self._last_delivery_s = time.monotonic()
         self.client.close()
 
     def _drain(self) -> list[OutgoingMessage]:
--- a/packages/citrondock-router/src/citrondock_router/relay.py
+++ b/packages/citrondock-router/src/citrondock_router/relay.py
@@ -5,7 +5,7 @@
 import ssl
 import time
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import attrs
 
@@ -168,7 +168,7 @@
         now_s = time.monotonic()
         if now_s >= self._next_progress_s:
             self._next_progress_s = now_s + _PROGRESS_PERIOD_S
-            self._report_progress()
+            self._report_progress(self._calls.values())
         if now_s >= self._next_sweep_s:
             self._next_sweep_s = now_s + _SWEEP_PERIOD_S
             for relayed in list(self._calls.values()):
@@ -401,6 +401,9 @@
         if relayed.decoder is not None and relayed.decoder.complete:
             self._after_body(relayed)
             return
+        if relayed.reported_event_count == 0:
+            # Limits are learned from first tokens, so these are told at once.
+            self._report_progress([relayed])
         self._flush(relayed)
         if relayed.phase is RelayPhase.MOVING and len(relayed.out) > _HIGH_WATER_BYTES:
             self._pause(relayed)
@@ -455,9 +458,9 @@
 
     # Time
 
-    def _report_progress(self) -> None:
+    def _report_progress(self, calls: Iterable[RelayedCall]) -> None:
         progress = []
-        for relayed in self._calls.values():
+        for relayed in calls:
             if relayed.event_count > relayed.reported_event_count:
                 relayed.reported_event_count = relayed.event_count
                 progress.append(
--- a/packages/citrondock-router/src/citrondock_router/router.py
+++ b/packages/citrondock-router/src/citrondock_router/router.py
@@ -23,6 +23,7 @@
 from citrondock_core.load_report import LoadReport
 from citrondock_core.member_event import MemberEvent
 from citrondock_core.membership import Contact, MembershipView
+from citrondock_core.membership_options import MembershipOptions
 from citrondock_core.messages import Member
 from citrondock_core.rendezvous import choose, home_of
 from citrondock_core.request import RefusalReason
@@ -79,6 +80,7 @@
 _AUDIT_PERIOD_S = 2.0
 _TARGET_POLL_PERIOD_S = 0.5
 _MS_PER_S = 1000
+_BEATS_PER_PERIOD = 6
 
 
 class Router:
@@ -221,8 +223,9 @@
         heartbeat = Heartbeat(
             **attrs.asdict(self._member), host=peers.host, port=self._peers_port
         )
+        options = MembershipOptions(heartbeat_period_s=peers.heartbeat_period_s)
         self._membership = MembershipActor.start(
-            view=MembershipView(heartbeat),
+            view=MembershipView(heartbeat, options),
             on_members=self._on_members,
             on_heartbeat=self._network.send,
             on_event=self._on_member_event,
@@ -255,7 +258,11 @@
         settings = self._settings
         duties = (
             ("dispatch-tick", self._tick, settings.dispatch.step_period_s),
-            ("heartbeat", self._beat, settings.peers.heartbeat_period_s),
+            (
+                "heartbeat",
+                self._beat,
+                settings.peers.heartbeat_period_s / _BEATS_PER_PERIOD,
+            ),
             ("vm-list", self._read_vms, settings.platform.vm_poll_period_s),
             ("target-poll", self._poll_targets, _TARGET_POLL_PERIOD_S),
             ("engine-orders", self._give_orders, _ORDER_PERIOD_S),
--- a/packages/citrondock-router/src/citrondock_router/settings.py
+++ b/packages/citrondock-router/src/citrondock_router/settings.py
@@ -136,7 +136,7 @@
     tls_certificate_path: str = _optional_file("Certificate chain; empty is no TLS.")
     tls_key_path: str = _optional_file("Private key of the certificate.")
     tls_ca_path: str = _optional_file("Authorities that sign the peers' certificates.")
-    heartbeat_period_s: float = _seconds("Time between two heartbeats.", 1.0)
+    heartbeat_period_s: float = _seconds("Time between two heartbeats.", 1.5)
     call_timeout_s: float = _seconds("Longest time for one call to a peer.", 1.0)
 
     def __attrs_post_init__(self) -> None:
@@ -225,7 +225,7 @@
     window_s: float = _seconds("Time for which an outcome is kept.", 3_600.0)
     lease_s: float = _seconds("Time in which a claimed call must be sent.", 10.0)
     margin_s: float = _seconds("Time before its end at which no send starts.", 1.0)
-    shard_count: int = _at_least_one("Store objects that hold the claims.", 64)
+    shard_count: int = _at_least_one("Store objects that hold the claims.", 4_096)
 
     def __attrs_post_init__(self) -> None:
         if self.margin_s >= self.lease_s:
--- a/packages/citrondock-standins/src/citrondock_standins/proxy.py
+++ b/packages/citrondock-standins/src/citrondock_standins/proxy.py
@@ -252,7 +252,7 @@
         self._connections.add(connection)
         try:
             # A cut may have come while the target was being connected to.
-            if not self._faults.find(FaultKind.CUT, sender):
+            if not self._faults.find(FaultKind.CUT, named):
                 await connection.run()
         finally:
             self._connections.discard(connection)
--- a/packages/citrondock-wire/src/citrondock_wire/envelope.py
+++ b/packages/citrondock-wire/src/citrondock_wire/envelope.py
@@ -12,6 +12,9 @@
 from citrondock_core.errors import CitrondockError
 from citrondock_wire.gen.citrondock_peer.ttypes import Envelope
 
+TAG_BYTES = 16
+"""Kept length of the tag; half of SHA-256's, as RFC 2104 allows."""
+
 _SEPARATOR = b"\x00"
 
 
@@ -126,7 +129,7 @@
         envelope.receiver.encode(),
     )
     signed = _SEPARATOR.join(parts) + _SEPARATOR + envelope.payload
-    return hmac.new(shared_key, signed, hashlib.sha256).digest()
+    return hmac.new(shared_key, signed, hashlib.sha256).digest()[:TAG_BYTES]
 
 
 def _refused(reason: str, peer: str) -> EnvelopeError:
--- a/tests/router/test_settings.py
+++ b/tests/router/test_settings.py
@@ -38,7 +38,7 @@
 
         assert settings.vm.availability_zone == "qc-est-a"
         assert settings.callers.port == 8080
-        assert settings.claims.shard_count == 64
+        assert settings.claims.shard_count == 4_096
         assert settings.peers.key_bytes() == b"replace-this-key-everywhere"
         assert "replace-this" not in repr(settings)
 
