One wait for the scenarios, and two unread properties removed

Cause: a read of the whole change found that the at-most-once scenarios defined the wait that tests/features/callers.py has to the letter, and that nothing read RequestGatherer.connection_count and AuditTrail.buffered_count. Change: the scenarios call the shared wait with the same limit of 20 s; the two properties are gone. No assertion, bound or behaviour changed.

--- a/packages/citrondock-core/src/citrondock_core/audit_trail.py
+++ b/packages/citrondock-core/src/citrondock_core/audit_trail.py
@@ -99,11 +99,6 @@
         self._segment_count = 0
         self._open: _Open | None = None
 
-    @property
-    def buffered_count(self) -> int:
-        """Records that aren't written yet."""
-        return len(self._buffer)
-
     @property
     def dropped_count(self) -> int:
         """Records dropped since the start because the buffer was full."""
--- a/packages/citrondock-router/src/citrondock_router/request_gatherer.py
+++ b/packages/citrondock-router/src/citrondock_router/request_gatherer.py
@@ -124,11 +124,6 @@
         """Gather the next request of a connection."""
         self.call_soon(lambda: self._start(connection))
 
-    @property
-    def connection_count(self) -> int:
-        """Connections that are idle or have an unfinished request."""
-        return len(self._gatherings)
-
     def _start(self, connection: CallerConnection) -> None:
         descriptor = connection.socket.fileno()
         if descriptor < 0:
--- a/tests/features/test_at_most_once.py
+++ b/tests/features/test_at_most_once.py
@@ -13,6 +13,7 @@
 from citrondock_standins.fault import Direction, Fault, FaultKind
 from citrondock_standins.fleet import STORE, Fleet, FleetPlan
 from citrondock_standins.small_deployment import key_of, publisher
+from tests.features.callers import WAIT_S, wait_until
 
 scenarios("at_most_once.feature")
 
@@ -20,7 +21,6 @@
 CLAIM_MARGIN_S = 1.0
 PAST_DEADLINE_S = 1.75
 CALL_DEADLINE_MS = 6000
-WAIT_S = 20.0
 PLAN = FleetPlan(
     router_zones=("a", "b"),
     application_zones=("a", "b"),
@@ -33,13 +33,6 @@
 HTTP = urllib3.PoolManager(retries=False, timeout=30.0, maxsize=50)
 
 
-def wait_until(condition):
-    deadline_s = time.monotonic() + WAIT_S
-    while not condition():
-        assert time.monotonic() < deadline_s, "it did not happen in time"
-        time.sleep(0.02)
-
-
 class Town:
     """A fleet with one booking service, and the calls of one scenario."""
 
