Thin path on the users' platform: gateway, routing core and platform adapter

Cause: the routers spoke only the product's own interface; on the platform nothing ran. Change: one event loop carries requests (gateway), decisions stand in core/routing, and platform/ decodes settings, store objects and headers.

--- a/packages/citrondock-core/src/citrondock_core/rendezvous.py
+++ b/packages/citrondock-core/src/citrondock_core/rendezvous.py
@@ -7,7 +7,8 @@
 from citrondock_core.messages import Member
 
 
-def _score(key: str, name: str) -> int:
+def score(key: str, name: str) -> int:
+    """Return the weight of ``name`` for ``key``; the largest is chosen."""
     return xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
 
 
@@ -26,7 +27,7 @@
     str or None
         A name; removing another name never changes the choice.
     """
-    return max(names, key=lambda name: (_score(key, name), name), default=None)
+    return max(names, key=lambda name: (score(key, name), name), default=None)
 
 
 def home_of(
--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing of plain and streamed HTTP requests: routes, targets, placement, retries."""
--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/routing/account_shares.py
@@ -0,0 +1,30 @@
+"""Service that accounts received lately, for max-min fairness over seconds."""
+
+import math
+
+
+class AccountShares:
+    """Decaying sums of tokens started, by account.
+
+    Parameters
+    ----------
+    half_life_s : float
+        Time after which half of what was received no longer counts.
+    """
+
+    def __init__(self, *, half_life_s: float) -> None:
+        self._decay_per_s = math.log(2) / half_life_s
+        self._tokens: dict[str, float] = {}
+        self._at_s: dict[str, float] = {}
+
+    def received(self, account: str, *, now_s: float) -> float:
+        """Return the decayed tokens of an account."""
+        tokens = self._tokens.get(account)
+        if tokens is None:
+            return 0.0
+        return tokens * math.exp((self._at_s[account] - now_s) * self._decay_per_s)
+
+    def add(self, account: str, tokens: float, *, now_s: float) -> None:
+        """Charge an account when its request starts."""
+        self._tokens[account] = self.received(account, now_s=now_s) + tokens
+        self._at_s[account] = now_s
--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/routing/admission_queue.py
@@ -0,0 +1,70 @@
+"""Requests of one service that wait for room at a target."""
+
+from collections.abc import Iterator
+from typing import Protocol
+
+from citrondock_core.routing.account_shares import AccountShares
+
+
+class Waiting(Protocol):
+    """What the queue needs to know of a request."""
+
+    account: str
+    arrived_at_s: float
+    on_time_until_s: float
+    cost_tokens: int
+
+
+class AdmissionQueue:
+    """Waiting requests by account; the account that received least goes first.
+
+    Requests that can still be on time go before those that cannot.
+
+    Parameters
+    ----------
+    shares : AccountShares
+        What accounts received lately.
+    """
+
+    def __init__(self, shares: AccountShares) -> None:
+        self._shares = shares
+        self._by_account: dict[str, dict[int, Waiting]] = {}
+        self._count = 0
+        self.waiting_tokens = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def __iter__(self) -> Iterator[Waiting]:
+        for waiting in self._by_account.values():
+            yield from waiting.values()
+
+    def push(self, request: Waiting) -> None:
+        """Add a request."""
+        self._by_account.setdefault(request.account, {})[id(request)] = request
+        self._count += 1
+        self.waiting_tokens += request.cost_tokens
+
+    def remove(self, request: Waiting) -> bool:
+        """Take a request out; return whether it was waiting."""
+        waiting = self._by_account.get(request.account)
+        if waiting is None or waiting.pop(id(request), None) is None:
+            return False
+        if not waiting:
+            del self._by_account[request.account]
+        self._count -= 1
+        self.waiting_tokens -= request.cost_tokens
+        return True
+
+    def in_order(self, *, now_s: float) -> list[Waiting]:
+        """Return all requests in the order in which they should be sent."""
+        ordered: list[tuple[bool, float, float, int, Waiting]] = []
+        for account, waiting in self._by_account.items():
+            received = self._shares.received(account, now_s=now_s)
+            for request in waiting.values():
+                is_late = request.on_time_until_s < now_s
+                rank = (is_late, received, request.arrived_at_s, id(request), request)
+                ordered.append(rank)
+                received += request.cost_tokens
+        ordered.sort(key=lambda rank: rank[:4])
+        return [rank[4] for rank in ordered]
--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/routing/prefix_cache_view.py
@@ -0,0 +1,41 @@
+"""What a router believes that a target's prefix cache holds."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+from citrondock_core.routing.request_facts import PromptPart
+
+
+class PrefixCacheView:
+    """Parts of prompts that were sent to one target, least recently used first.
+
+    Parameters
+    ----------
+    capacity_tokens : int
+        Tokens that the target's cache holds.
+    """
+
+    def __init__(self, capacity_tokens: int) -> None:
+        self._capacity_tokens = capacity_tokens
+        self._tokens_by_part: OrderedDict[str, int] = OrderedDict()
+        self._held_tokens = 0
+
+    def cached_tokens(self, parts: Iterable[PromptPart]) -> int:
+        """Return how many leading tokens of a prompt need no prefill."""
+        cached = 0
+        for part in parts:
+            if part.part_id not in self._tokens_by_part:
+                break
+            cached += part.token_count
+        return cached
+
+    def add(self, parts: Iterable[PromptPart]) -> None:
+        """Note that a prompt was sent; the oldest parts make room."""
+        for part in parts:
+            held = self._tokens_by_part.pop(part.part_id, None)
+            if held is None:
+                self._held_tokens += part.token_count
+            self._tokens_by_part[part.part_id] = part.token_count
+        while self._held_tokens > self._capacity_tokens and self._tokens_by_part:
+            _, tokens = self._tokens_by_part.popitem(last=False)
+            self._held_tokens -= tokens
--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/routing/route_table.py
@@ -0,0 +1,64 @@
+"""Finds the route of a request."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from citrondock_core.routing.route import Route, RoutingConfiguration
+
+
+class RouteTable:
+    """Routes by host and path prefix; the longest prefix wins.
+
+    Examples
+    --------
+    >>> RouteTable([]).match("a.example", "/x/y") is None
+    True
+    """
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        self._by_host: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            self._by_host.setdefault(route.host, {})[route.path_prefix] = route
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route for a host in lower case and a path without its query."""
+        by_prefix = self._by_host.get(host)
+        if by_prefix is None:
+            return None
+        end = len(path)
+        while (slash := path.rfind("/", 0, end)) >= 0:
+            route = by_prefix.get(path[: slash + 1])
+            if route is not None:
+                return route
+            end = slash
+        return None
+
+
+@attrs.frozen
+class ConfigurationInForce:
+    """A configuration with its table of routes and when it was taken up."""
+
+    configuration: RoutingConfiguration
+    table: RouteTable
+    since_s: float
+
+
+class ConfigurationHolder:
+    """Keeps the newest configuration; an older one never replaces it."""
+
+    def __init__(self) -> None:
+        self.in_force: ConfigurationInForce | None = None
+
+    @property
+    def version(self) -> int:
+        """Version in force, or 0 before the first."""
+        return self.in_force.configuration.version if self.in_force else 0
+
+    def offer(self, configuration: RoutingConfiguration, *, now_s: float) -> bool:
+        """Take a configuration up if it is newer; return whether it was."""
+        if configuration.version <= self.version:
+            return False
+        table = RouteTable(configuration.routes)
+        self.in_force = ConfigurationInForce(configuration, table, now_s)
+        return True
--- /dev/null
+++ b/packages/citrondock-router/src/citrondock_router/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Event loop that carries requests between clients and targets."""
--- /dev/null
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -0,0 +1,220 @@
+"""Takes clients' requests in and sends them on their way."""
+
+import asyncio
+from http import HTTPStatus
+
+from citrondock_core.routing.route import ClientLimits, RoutingConfiguration
+from citrondock_core.routing.route_table import ConfigurationHolder
+from citrondock_core.routing.target_directory import DirectoryChange, TargetDirectory
+from citrondock_router.gateway.client_connection import (
+    ClientConnection,
+    ClientRequest,
+    RequestHandler,
+    RequestInProgress,
+)
+from citrondock_router.gateway.dialect import Dialect, MalformedRequestError
+from citrondock_router.gateway.exchange import Exchange, Step
+from citrondock_router.gateway.gateway_metrics import GatewayMetrics
+from citrondock_router.gateway.scheduler import FleetScheduler
+from citrondock_router.gateway.target_connections import TargetConnections
+from citrondock_router.log import log_event
+
+LIMITS_BEFORE_CONFIGURATION = ClientLimits(
+    max_header_bytes=16_384,
+    max_body_bytes=1_048_576,
+    header_timeout_s=3.0,
+    idle_timeout_s=15.0,
+)
+"""In force until the first configuration is known; requests are refused until then."""
+
+RETRY_WITHOUT_CONFIGURATION_S = 0.3
+"""A starting router has its configuration within about this time."""
+
+RETRY_WHILE_LEAVING_S = 0.02
+"""Another router takes the request at once."""
+
+IDLE_EXTRA_S = 1.0
+"""Idle connections are kept for longer than their clients use them."""
+
+
+class Gateway(RequestHandler):
+    """Routes requests by the configuration in force at their arrival."""
+
+    def __init__(
+        self,
+        *,
+        dialect: Dialect,
+        directory: TargetDirectory,
+        scheduler: FleetScheduler,
+        connections: TargetConnections,
+        metrics: GatewayMetrics,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        self.configuration = ConfigurationHolder()
+        self.directory = directory
+        self.scheduler = scheduler
+        self.is_refusing = False
+        self._dialect = dialect
+        self._connections = connections
+        self._metrics = metrics
+        self._loop = loop
+        self._clients: set[ClientConnection] = set()
+        self._is_leaving = False
+        self._has_targets = False
+
+    @property
+    def limits(self) -> ClientLimits:
+        in_force = self.configuration.in_force
+        if in_force is None:
+            return LIMITS_BEFORE_CONFIGURATION
+        return in_force.configuration.limits
+
+    @property
+    def is_leaving(self) -> bool:
+        return self._is_leaving
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether requests can be served."""
+        has_configuration = self.configuration.in_force is not None
+        return has_configuration and self._has_targets and not self._is_leaving
+
+    @property
+    def live_count(self) -> int:
+        """Requests that have not ended."""
+        return self.scheduler.live_count
+
+    def leave(self) -> None:
+        """Ask clients to go elsewhere, and go on serving."""
+        self._is_leaving = True
+
+    def accept(self) -> ClientConnection:
+        """Return the protocol of a new connection."""
+        return ClientConnection(self, self._loop)
+
+    def configure(self, configuration: RoutingConfiguration) -> None:
+        """Take up a configuration if it is newer."""
+        before = self.configuration.version
+        if not self.configuration.offer(configuration, now_s=self._loop.time()):
+            return
+        self.scheduler.configure(dict(configuration.services))
+        log_event(
+            "configuration_in_force",
+            version=configuration.version,
+            before=before,
+            routes=len(configuration.routes),
+        )
+
+    def targets_changed(self, change: DirectoryChange) -> None:
+        """Take up what changed in the directory."""
+        self._has_targets = True
+        for word, entries in (
+            ("target_added", change.added),
+            ("target_changed", change.changed),
+            ("target_removed", change.removed),
+        ):
+            for entry in entries:
+                log_event(
+                    word,
+                    target=entry.target_id,
+                    service=entry.service,
+                    address=f"{entry.host}:{entry.port}",
+                    leaving=entry.is_leaving,
+                    revision=self.directory.revision,
+                )
+        self.scheduler.directory_changed(change)
+
+    def handle(
+        self, request: ClientRequest, client: ClientConnection
+    ) -> RequestInProgress | None:
+        in_force = self.configuration.in_force
+        try:
+            facts = self._dialect.request_facts(request.head)
+        except MalformedRequestError as error:
+            self._answer(client, HTTPStatus.BAD_REQUEST, "", error.reason)
+            return None
+        request_id = facts.request_id
+        if in_force is None:
+            self._refuse(client, request_id, RETRY_WITHOUT_CONFIGURATION_S)
+            return None
+        route = in_force.table.match(facts.host, facts.path)
+        if route is None:
+            self._answer(client, HTTPStatus.NOT_FOUND, request_id, "no_route")
+            return None
+        accounts = in_force.configuration.account_by_key
+        account = None
+        if accounts is not None and facts.key is not None:
+            account = accounts.get(facts.key)
+        if accounts is not None and account is None and not route.is_public:
+            self._answer(client, HTTPStatus.UNAUTHORIZED, request_id, "unknown_key")
+            return None
+        if self.is_refusing:
+            self._refuse(client, request_id, RETRY_WHILE_LEAVING_S)
+            return None
+        exchange = Exchange(
+            request,
+            facts,
+            route,
+            account,
+            configuration_version=in_force.configuration.version,
+            client=client,
+            dialect=self._dialect,
+            connections=self._connections,
+            scheduler=self.scheduler,
+            loop=self._loop,
+        )
+        self.scheduler.admit(exchange)
+        return None if exchange.step is Step.DONE else exchange
+
+    def connected(self, client: ClientConnection) -> None:
+        self._clients.add(client)
+
+    def disconnected(self, client: ClientConnection) -> None:
+        self._clients.discard(client)
+
+    def rejected(self, status: int, reason: str) -> None:
+        self._metrics.count_rejected(reason)
+        log_event("request_rejected", status=status, reason=reason)
+
+    def close_idle_clients(self) -> None:
+        """Close connections whose clients are too slow or no longer use them."""
+        now_s = self._loop.time()
+        limits = self.limits
+        for client in list(self._clients):
+            if client.is_reading_head:
+                if now_s > client.head_began_at_s + limits.header_timeout_s:
+                    client.refuse_slow_head()
+            elif client.is_idle:
+                unused_s = now_s - client.idle_since_s
+                if unused_s > limits.idle_timeout_s + IDLE_EXTRA_S:
+                    client.close_when_written()
+
+    def close_clients(self) -> None:
+        """Close all connections; called when the process is about to end."""
+        for client in list(self._clients):
+            client.close_when_written()
+
+    def _refuse(
+        self, client: ClientConnection, request_id: str, retry_after_s: float
+    ) -> None:
+        status = HTTPStatus.SERVICE_UNAVAILABLE
+        reason = "leaving" if self._is_leaving else "no_configuration"
+        self._answer(client, status, request_id, reason, retry_after_s)
+
+    def _answer(
+        self,
+        client: ClientConnection,
+        status: HTTPStatus,
+        request_id: str,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        log_event(
+            "request_refused",
+            request_id=request_id,
+            status=status.value,
+            reason=reason,
+            configuration=self.configuration.version,
+        )
+        headers = self._dialect.refusal_headers(request_id, retry_after_s)
+        client.answer(status, status.phrase.encode(), headers, b"")
--- /dev/null
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -0,0 +1,180 @@
+"""Puts a gateway together and runs it until it is told to stop."""
+
+import asyncio
+import gc
+import signal
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from http import HTTPStatus
+
+from citrondock_core.routing.placement import Placement
+from citrondock_core.routing.target_directory import TargetDirectory
+from citrondock_router.gateway.client_connection import ClientConnection
+from citrondock_router.gateway.dialect import Dialect
+from citrondock_router.gateway.gateway import Gateway
+from citrondock_router.gateway.gateway_metrics import GatewayMetrics
+from citrondock_router.gateway.gateway_settings import Address, GatewaySettings
+from citrondock_router.gateway.log_writer import LogWriter
+from citrondock_router.gateway.operations_handler import OperationsHandler, Page
+from citrondock_router.gateway.scheduler import TICK_S, FleetScheduler
+from citrondock_router.gateway.shutdown import shut_down
+from citrondock_router.gateway.target_connections import TargetConnections
+from citrondock_router.log import log_event
+
+HOUSEKEEPING_S = 0.5
+"""Period in which idle connections and lapsed targets are looked at."""
+
+LOG_DRAIN_S = 0.1
+"""Period in which log lines are written."""
+
+LISTEN_BACKLOG = 1024
+"""Connections that may wait to be accepted; a whole zone's clients may come at once."""
+
+
+
+class GatewayProcess:
+    """One gateway with its listeners, timers and signals.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Checked settings.
+    dialect : Dialect
+        Headers of clients and targets.
+    log_writer : LogWriter
+        Emptied by the event loop.
+    readiness_path : bytes
+        Path of the balancer's question.
+    metrics_path : bytes
+        Path of the metrics.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        dialect: Dialect,
+        log_writer: LogWriter,
+        *,
+        readiness_path: bytes,
+        metrics_path: bytes,
+    ) -> None:
+        self.settings = settings
+        self.loop = asyncio.get_running_loop()
+        self.directory = TargetDirectory(grace_s=settings.registry_grace_s)
+        self.metrics = GatewayMetrics()
+        self._log_writer = log_writer
+        self._connections = TargetConnections(self.loop)
+        scheduler = FleetScheduler(
+            directory=self.directory,
+            connections=self._connections,
+            placement=Placement(settings.availability_zone),
+            budget_options=settings.budget,
+            metrics=self.metrics,
+            loop=self.loop,
+        )
+        self.gateway = Gateway(
+            dialect=dialect,
+            directory=self.directory,
+            scheduler=scheduler,
+            connections=self._connections,
+            metrics=self.metrics,
+            loop=self.loop,
+        )
+        self._stop = asyncio.Event()
+        self._reload: Callable[[], None] | None = None
+        self._pages: Mapping[bytes, Page] = {
+            readiness_path: self._readiness,
+            metrics_path: self._metrics_page,
+        }
+
+    def on_reload(self, reload: Callable[[], None]) -> None:
+        """Have ``reload`` called when the process is asked to read its settings."""
+        self._reload = reload
+
+    async def run(self, background: Sequence[Awaitable[None]]) -> None:
+        """Serve until told to stop."""
+        self._install_signals()
+        operations = OperationsHandler(self._pages)
+        tasks = [asyncio.ensure_future(part) for part in background]
+        tasks.append(asyncio.ensure_future(self._tick()))
+        tasks.append(asyncio.ensure_future(self._keep_house()))
+        tasks.append(asyncio.ensure_future(self._drain_log()))
+        for task in tasks:
+            task.add_done_callback(self._task_ended)
+        await self._listen(self.settings.client_address, self.gateway.accept)
+        for address in (self.settings.readiness_address, self.settings.metrics_address):
+            await self._listen(
+                address, lambda: ClientConnection(operations, self.loop)
+            )
+        log_event(
+            "started",
+            vm=self.settings.vm_name,
+            zone=self.settings.availability_zone,
+            clients=str(self.settings.client_address),
+            store=str(self.settings.store_address),
+        )
+        gc.collect()
+        gc.freeze()
+        await self._stop.wait()
+        await shut_down(self.gateway, grace_s=self.settings.grace_s)
+        for task in tasks:
+            task.remove_done_callback(self._task_ended)
+            task.cancel()
+        self._log_writer.drain()
+
+    def _task_ended(self, task: "asyncio.Future[None]") -> None:
+        if task.cancelled():
+            return
+        error = task.exception()
+        log_event("background_task_ended", level="ERROR", detail=repr(error))
+        self._stop.set()
+
+    async def _listen(
+        self, address: Address, protocol: Callable[[], asyncio.Protocol]
+    ) -> None:
+        await self.loop.create_server(
+            protocol,
+            address.host,
+            address.port,
+            reuse_address=True,
+            backlog=LISTEN_BACKLOG,
+        )
+
+    def _install_signals(self) -> None:
+        self.loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        self.loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self._reload_now)
+
+    def _reload_now(self) -> None:
+        if self._reload is not None:
+            self._reload()
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.gateway.scheduler.tick()
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            self.gateway.close_idle_clients()
+            self._connections.close_expired()
+            change = self.directory.expire(now_s=self.loop.time())
+            if change.removed:
+                self.gateway.targets_changed(change)
+
+    async def _drain_log(self) -> None:
+        while True:
+            await asyncio.sleep(LOG_DRAIN_S)
+            self._log_writer.drain()
+
+    def _readiness(self) -> tuple[HTTPStatus, bytes]:
+        if self.gateway.is_ready:
+            return HTTPStatus.OK, b"ready\n"
+        return HTTPStatus.SERVICE_UNAVAILABLE, b"not ready\n"
+
+    def _metrics_page(self) -> tuple[HTTPStatus, bytes]:
+        self.metrics.set_state(
+            configuration_version=self.gateway.configuration.version,
+            target_count=len(self.directory),
+        )
+        return HTTPStatus.OK, self.metrics.render()
--- /dev/null
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_settings.py
@@ -0,0 +1,54 @@
+"""Settings of one gateway process."""
+
+import attrs
+from attrs.validators import ge, gt
+
+from citrondock_core.routing.attempt_budget import AttemptBudgetOptions
+
+
+@attrs.frozen
+class Address:
+    """An IP number and a port."""
+
+    host: str
+    port: int = attrs.field(validator=[gt(0)])
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@attrs.frozen(kw_only=True)
+class GatewaySettings:
+    """What a gateway is told at its start.
+
+    Parameters
+    ----------
+    vm_name : str
+        Name of its VM.
+    availability_zone : str
+        Zone it stands in.
+    client_address : Address
+        Where clients connect.
+    readiness_address : Address
+        Where the balancer asks.
+    metrics_address : Address
+        Where metrics are served.
+    store_address : Address
+        The platform's object store.
+    grace_s : float
+        Time from the request to stop until the process is killed.
+    registry_grace_s : float
+        Time after an outage of the store within which living targets are back.
+    budget : AttemptBudgetOptions
+        Limits of repeated sends.
+    """
+
+    vm_name: str
+    availability_zone: str
+    client_address: Address
+    readiness_address: Address
+    metrics_address: Address
+    store_address: Address
+    grace_s: float = attrs.field(validator=gt(0))
+    registry_grace_s: float = attrs.field(validator=ge(0))
+    budget: AttemptBudgetOptions
--- /dev/null
+++ b/packages/citrondock-router/src/citrondock_router/gateway/operations_handler.py
@@ -0,0 +1,63 @@
+"""Answers the balancer's question for readiness, and serves metrics."""
+
+from collections.abc import Callable, Mapping
+from http import HTTPStatus
+
+from citrondock_core.routing.route import ClientLimits
+from citrondock_router.gateway.client_connection import (
+    ClientConnection,
+    ClientRequest,
+    RequestHandler,
+    RequestInProgress,
+)
+
+_LIMITS = ClientLimits(
+    max_header_bytes=8_192,
+    max_body_bytes=1_024,
+    header_timeout_s=3.0,
+    idle_timeout_s=60.0,
+)
+
+Page = Callable[[], tuple[HTTPStatus, bytes]]
+"""Returns the status and the body of a page."""
+
+
+class OperationsHandler(RequestHandler):
+    """Serves pages that are made anew at each call.
+
+    Parameters
+    ----------
+    pages : mapping of bytes to Page
+        Pages by path.
+    """
+
+    def __init__(self, pages: Mapping[bytes, Page]) -> None:
+        self._pages = pages
+
+    @property
+    def limits(self) -> ClientLimits:
+        return _LIMITS
+
+    @property
+    def is_leaving(self) -> bool:
+        return False
+
+    def handle(
+        self, request: ClientRequest, client: ClientConnection
+    ) -> RequestInProgress | None:
+        page = self._pages.get(request.head.target.partition(b"?")[0])
+        status, body = HTTPStatus.NOT_FOUND, b""
+        if page is not None:
+            status, body = page()
+        headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
+        client.answer(status, status.phrase.encode(), headers, body)
+        return None
+
+    def connected(self, client: ClientConnection) -> None:
+        return None
+
+    def disconnected(self, client: ClientConnection) -> None:
+        return None
+
+    def rejected(self, status: int, reason: str) -> None:
+        return None
--- /dev/null
+++ b/packages/citrondock-router/src/citrondock_router/gateway/target_connections.py
@@ -0,0 +1,89 @@
+"""Connections to targets, kept while they can be used again."""
+
+import asyncio
+
+from citrondock_core.routing.target_entry import TargetEntry
+from citrondock_router.gateway.target_connection import TargetConnection
+
+CONNECT_TIMEOUT_S = 0.4
+"""A target in another zone answers within a few milliseconds; one that is lost never."""
+
+IDLE_MARGIN_S = 0.6
+"""A kept connection is not used in the last part of its announced idle time."""
+
+UNANNOUNCED_IDLE_S = 1.5
+"""Idle time that is trusted where a target announces none."""
+
+
+class TargetConnections:
+    """Idle connections by target.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+        Loop that everything runs on.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        self._idle: dict[str, list[TargetConnection]] = {}
+        self.opened_count = 0
+
+    def take_idle(self, entry: TargetEntry) -> TargetConnection | None:
+        """Return a kept connection, the most recently used first, or None."""
+        idle = self._idle.get(entry.target_id)
+        while idle:
+            connection = idle.pop()
+            if connection.is_open and self._loop.time() < _usable_until_s(connection):
+                return connection
+            connection.abandon()
+        return None
+
+    async def open(self, entry: TargetEntry) -> TargetConnection:
+        """Open a connection.
+
+        Raises
+        ------
+        OSError, TimeoutError
+            If there is none; no byte was sent then.
+        """
+        self.opened_count += 1
+
+        def keep(connection: TargetConnection) -> None:
+            self._idle.setdefault(entry.target_id, []).append(connection)
+
+        def forget(connection: TargetConnection) -> None:
+            idle = self._idle.get(entry.target_id)
+            if idle and connection in idle:
+                idle.remove(connection)
+
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, connection = await self._loop.create_connection(
+                lambda: TargetConnection(keep, forget, self._loop.time),
+                entry.host,
+                entry.port,
+            )
+        return connection
+
+    def drop(self, target_id: str) -> None:
+        """Close the idle connections of a target that is gone."""
+        for connection in self._idle.pop(target_id, []):
+            connection.abandon()
+
+    def close_expired(self) -> None:
+        """Close connections that were idle for too long to be used."""
+        now_s = self._loop.time()
+        for target_id, idle in list(self._idle.items()):
+            for connection in list(idle):
+                if now_s >= _usable_until_s(connection):
+                    idle.remove(connection)
+                    connection.abandon()
+            if not idle:
+                del self._idle[target_id]
+
+
+def _usable_until_s(connection: TargetConnection) -> float:
+    announced_s = connection.idle_timeout_s
+    if announced_s is None:
+        return connection.idle_since_s + UNANNOUNCED_IDLE_S
+    return connection.idle_since_s + max(announced_s - IDLE_MARGIN_S, 0.0)
