A request whose connection still opens is not taken for a silent one

Ruled out: pipelined requests, surplus answers of targets. Change: only sent requests can be silent, and dropping a target cancels its connect.

--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -183,6 +183,8 @@
 
     def try_elsewhere(self, reason: str) -> bool:
         """Take the request back from a silent target; return whether it was."""
+        if self.step not in (Step.SENT, Step.ANSWERING):
+            return False
         if not self.route.kind.may_run_again or not self._can_repeat():
             return False
         self._drop_target()
@@ -438,6 +440,9 @@
             self._scheduler.attempt_ended(self, failed=proof is not None)
 
     def _drop_target(self) -> None:
+        if self._opening is not None:
+            self._opening.cancel()
+            self._opening = None
         target, self._target = self._target, None
         if target is not None:
             target.abandon()
@@ -445,9 +450,6 @@
     def _withdraw(self, reason: str) -> None:
         if self.step is Step.WAITING:
             self._scheduler.withdraw(self)
-        if self._opening is not None:
-            self._opening.cancel()
-            self._opening = None
         if self.step in (Step.SENT, Step.ANSWERING):
             self.history.ended(Proof.MAY_HAVE_RUN)
         self._drop_target()
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -229,7 +229,8 @@
 
     def _silent_at_s(self, exchange: Exchange) -> float:
         patience = self._patience
-        if not exchange.route.kind.may_run_again:
+        is_sent = exchange.step in (Step.SENT, Step.ANSWERING)
+        if not is_sent or not exchange.route.kind.may_run_again:
             return float("inf")
         if exchange.step is Step.ANSWERING:
             pause_s = patience.silence_in_pauses * exchange.route.max_pause_s
