--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_home.py
@@ -0,0 +1,247 @@
+"""Grants the prompts of all routers to one engine."""
+
+import attrs
+
+from citrondock_core.routing.account_shares import AccountShares
+from citrondock_core.routing.admission_queue import AdmissionQueue
+from citrondock_core.routing.engine_speed import FIRST_TOKEN_BASE_S, EngineSpeed
+from citrondock_core.routing.grant import (
+    Ask,
+    AskAnswer,
+    AskKey,
+    EngineBacklog,
+    Stage,
+    Verdict,
+)
+from citrondock_core.routing.prefix_cache_view import PrefixCacheView
+from citrondock_core.routing.route import ModelEngineOptions
+
+OUTPUT_TOKEN_WEIGHT = 2
+"""A generated token counts as so many tokens of a prompt in what accounts receive."""
+
+
+@attrs.frozen(kw_only=True)
+class HomeOptions:
+    """How a home fills its engine.
+
+    Parameters
+    ----------
+    max_backlog_s : float
+        Prefill that the engine is given ahead; the rest waits where its order can
+        still change.
+    prefill_share : float
+        Part of the engine's time that prompts may take; the rest lets running answers
+        keep their pace.
+    max_unstarted_s : float
+        Granted prefill beyond which an engine that starts nothing is given no more.
+    max_grant_s : float
+        Time after which a grant is forgotten whose end was not told.
+    """
+
+    max_backlog_s: float = 0.12
+    prefill_share: float = 0.85
+    max_unstarted_s: float = 0.6
+    max_grant_s: float = 20.0
+
+
+@attrs.define
+class _Grant:
+    ask: Ask
+    prefill_tokens: int
+    ahead_tokens: float
+    granted_at_s: float
+    started: bool = False
+
+
+@attrs.define(eq=False)
+class _WaitingAsk:
+    ask: Ask
+    account: str
+    arrived_at_s: float
+    on_time_until_s: float
+    cost_tokens: int
+
+
+class EngineHome:
+    """Knows all that was sent to one engine, and decides what is sent next.
+
+    The account that received least goes first; prompts that can still be on time go
+    before those that cannot.
+
+    Parameters
+    ----------
+    target_id : str
+        Engine.
+    engine : ModelEngineOptions
+        Its size.
+    shares : AccountShares
+        What accounts received at all engines homed here.
+    options : HomeOptions
+        How full the engine is kept.
+    """
+
+    def __init__(
+        self,
+        target_id: str,
+        engine: ModelEngineOptions,
+        shares: AccountShares,
+        *,
+        options: HomeOptions | None = None,
+    ) -> None:
+        self.target_id = target_id
+        self.engine = engine
+        self.options = options or HomeOptions()
+        self.speed = EngineSpeed()
+        self.cache = PrefixCacheView(engine.memory_tokens)
+        self._shares = shares
+        self._queue = AdmissionQueue(shares)
+        self._waiting: dict[AskKey, _WaitingAsk] = {}
+        self._grants: dict[AskKey, _Grant] = {}
+        self._busy_until_s = 0.0
+        self._unstarted_tokens = 0
+        self._memory_tokens = 0
+
+    @property
+    def waiting_count(self) -> int:
+        """Asks that wait."""
+        return len(self._queue)
+
+    @property
+    def running_count(self) -> int:
+        """Requests that were granted and have not ended."""
+        return len(self._grants)
+
+    def backlog(self, *, now_s: float) -> EngineBacklog:
+        """Return the engine's load."""
+        waiting_s = self._prefill_s(self._queue.waiting_tokens)
+        backlog_s = max(self._busy_until_s - now_s, 0.0) + waiting_s
+        return EngineBacklog(
+            target_id=self.target_id,
+            backlog_s=backlog_s,
+            speed_percent=self.speed.percent,
+        )
+
+    def ask(self, ask: Ask, *, now_s: float) -> AskAnswer:
+        """Grant an ask, let it wait, or refuse it.
+
+        An ask that is repeated gets the same answer again.
+        """
+        if ask.key in self._grants:
+            return self._answer(ask.key, Verdict.GRANTED, now_s)
+        if ask.key in self._waiting:
+            return self._answer(ask.key, Verdict.QUEUED, now_s)
+        if not self._queue and self._has_room(ask, now_s):
+            return self._grant(ask, now_s)
+        prefill_tokens = self._prefill_tokens(ask)
+        expected_s = self.backlog(now_s=now_s).backlog_s
+        if now_s + expected_s > ask.wait_until_s:
+            return self._answer(ask.key, Verdict.REFUSED, now_s)
+        waiting = _WaitingAsk(
+            ask=ask,
+            account=ask.account,
+            arrived_at_s=now_s,
+            on_time_until_s=ask.on_time_until_s - FIRST_TOKEN_BASE_S,
+            cost_tokens=prefill_tokens,
+        )
+        self._waiting[ask.key] = waiting
+        self._queue.push(waiting)
+        return self._answer(ask.key, Verdict.QUEUED, now_s)
+
+    def pump(self, *, now_s: float) -> list[AskAnswer]:
+        """Return grants and refusals that are due."""
+        answers: list[AskAnswer] = []
+        for waiting in list(self._waiting.values()):
+            if now_s >= waiting.ask.wait_until_s:
+                self._forget_waiting(waiting)
+                answers.append(self._answer(waiting.ask.key, Verdict.REFUSED, now_s))
+        if not self._queue or self._busy_until_s - now_s > self.options.max_backlog_s:
+            return answers
+        for waiting in self._queue.in_order(now_s=now_s):
+            assert isinstance(waiting, _WaitingAsk)
+            if not self._has_room(waiting.ask, now_s):
+                break
+            self._forget_waiting(waiting)
+            answers.append(self._grant(waiting.ask, now_s))
+        return answers
+
+    def progress(self, key: AskKey, stage: Stage, *, now_s: float) -> None:
+        """Take news of a request."""
+        waiting = self._waiting.get(key)
+        if waiting is not None:
+            self._forget_waiting(waiting)
+            return
+        grant = self._grants.get(key)
+        if grant is None:
+            return
+        if stage is Stage.STARTED:
+            if not grant.started:
+                self._start(grant, now_s)
+            return
+        del self._grants[key]
+        self._memory_tokens -= grant.ask.memory_tokens
+        if not grant.started:
+            self._unstarted_tokens -= grant.prefill_tokens
+
+    def expire(self, *, now_s: float) -> None:
+        """Forget grants whose end was not told."""
+        oldest_s = now_s - self.options.max_grant_s
+        for key, grant in list(self._grants.items()):
+            if grant.granted_at_s < oldest_s:
+                self.progress(key, Stage.ENDED, now_s=now_s)
+
+    def drop_waiting(self, *, now_s: float) -> list[AskAnswer]:
+        """Refuse all that waits; the engine takes no more."""
+        answers = []
+        for waiting in list(self._waiting.values()):
+            self._forget_waiting(waiting)
+            answers.append(self._answer(waiting.ask.key, Verdict.REFUSED, now_s))
+        return answers
+
+    def _has_room(self, ask: Ask, now_s: float) -> bool:
+        if self._busy_until_s - now_s > self.options.max_backlog_s:
+            return False
+        if len(self._grants) >= self.engine.max_batch_size:
+            return False
+        unstarted_s = self._unstarted_tokens / self.speed.tokens_per_s
+        if unstarted_s > self.options.max_unstarted_s:
+            return False
+        used = self._memory_tokens
+        return used == 0 or used + ask.memory_tokens <= self.engine.memory_tokens
+
+    def _grant(self, ask: Ask, now_s: float) -> AskAnswer:
+        tokens = self._prefill_tokens(ask)
+        self.cache.add(ask.shared_parts)
+        ahead_s = max(self._busy_until_s - now_s, 0.0)
+        ahead_tokens = ahead_s * self._paced_rate
+        self._busy_until_s = now_s + ahead_s + self._prefill_s(tokens)
+        self._grants[ask.key] = _Grant(ask, tokens, ahead_tokens, now_s)
+        self._unstarted_tokens += tokens
+        self._memory_tokens += ask.memory_tokens
+        received = ask.prompt_tokens + OUTPUT_TOKEN_WEIGHT * ask.output_tokens
+        self._shares.add(ask.account, received, now_s=now_s)
+        return self._answer(ask.key, Verdict.GRANTED, now_s)
+
+    def _start(self, grant: _Grant, now_s: float) -> None:
+        grant.started = True
+        self._unstarted_tokens -= grant.prefill_tokens
+        read_tokens = grant.prefill_tokens + grant.ahead_tokens
+        self.speed.learn(read_tokens, now_s - grant.granted_at_s)
+
+    def _answer(self, key: AskKey, verdict: Verdict, now_s: float) -> AskAnswer:
+        first_s = FIRST_TOKEN_BASE_S + max(self._busy_until_s - now_s, 0.0)
+        return AskAnswer(key=key, verdict=verdict, first_answer_s=first_s)
+
+    def _prefill_tokens(self, ask: Ask) -> int:
+        cached = self.cache.cached_tokens(ask.shared_parts)
+        return max(ask.prompt_tokens - cached, 0)
+
+    @property
+    def _paced_rate(self) -> float:
+        return self.speed.tokens_per_s * self.options.prefill_share
+
+    def _prefill_s(self, tokens: float) -> float:
+        return tokens / self._paced_rate
+
+    def _forget_waiting(self, waiting: _WaitingAsk) -> None:
+        del self._waiting[waiting.ask.key]
+        self._queue.remove(waiting)
--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_speed.py
@@ -0,0 +1,49 @@
+"""Prefill rate of one engine, learned from the time of first tokens."""
+
+USUAL_PREFILL_TOKENS_PER_S = 60_000.0
+"""Assumed until answers tell; what a large accelerator does beside decoding."""
+
+FIRST_TOKEN_BASE_S = 0.12
+"""Time to the first token of an empty prompt at an idle engine."""
+
+MIN_FACTOR = 0.25
+MAX_FACTOR = 2.5
+"""Rates beyond these, against the usual one, are taken for errors of measurement."""
+
+LEARNING_GAIN = 0.08
+"""Weight of one answer in the learned rate; some twelve answers replace it."""
+
+MIN_SAMPLE_TOKENS = 1500
+"""Smaller amounts say little about the rate beside the base."""
+
+MIN_SAMPLE_S = 0.01
+
+SPEED_STEP = 0.25
+"""Step of the coarse speed, as a share of the usual one. It moves only when the rate is
+a whole step away, so that placements stay."""
+
+
+class EngineSpeed:
+    """Learned prefill rate."""
+
+    def __init__(self) -> None:
+        self.tokens_per_s = USUAL_PREFILL_TOKENS_PER_S
+        self._coarse = 1.0
+
+    @property
+    def percent(self) -> int:
+        """Coarse speed; the usual one is 100."""
+        return round(self._coarse * 100)
+
+    def learn(self, tokens: float, delay_s: float) -> None:
+        """Take the delay of a first token that ``tokens`` had to be read for."""
+        if tokens < MIN_SAMPLE_TOKENS:
+            return
+        prefill_s = max(delay_s - FIRST_TOKEN_BASE_S, MIN_SAMPLE_S)
+        low = USUAL_PREFILL_TOKENS_PER_S * MIN_FACTOR
+        high = USUAL_PREFILL_TOKENS_PER_S * MAX_FACTOR
+        rate = min(max(tokens / prefill_s, low), high)
+        self.tokens_per_s += (rate - self.tokens_per_s) * LEARNING_GAIN
+        factor = self.tokens_per_s / USUAL_PREFILL_TOKENS_PER_S
+        if abs(factor - self._coarse) >= SPEED_STEP:
+            self._coarse = max(round(factor / SPEED_STEP) * SPEED_STEP, SPEED_STEP)
--- a/packages/citrondock-core/src/citrondock_core/routing/placement.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/placement.py
@@ -1,12 +1,18 @@
 """Chooses the target of a request."""
 
+import math
 from collections.abc import Collection, Sequence
 
 import attrs
 
 from citrondock_core.rendezvous import score
+from citrondock_core.routing.engine_hints import EngineHints
+from citrondock_core.routing.engine_speed import FIRST_TOKEN_BASE_S
+from citrondock_core.routing.prefix_cache_view import PrefixCacheView
 from citrondock_core.routing.request_facts import PromptFacts
-from citrondock_core.routing.target_load import FIRST_ANSWER_BASE_S, TargetLoad
+from citrondock_core.routing.target_load import TargetLoad
+
+_SCORE_RANGE = float(1 << 64)
 
 
 @attrs.frozen(kw_only=True)
@@ -15,18 +21,14 @@
 
     Parameters
     ----------
-    max_backlog_s : float
-        Prefill that an engine is given ahead; the rest waits in the router, where its
-        order can still change.
     other_zone_cost_s : float
         Delay that a target of the own zone may have beyond one of another zone.
     affinity_slack_s : float
         Delay that the engine which keeps a prompt's parts may have beyond another.
     """
 
-    max_backlog_s: float = 0.35
-    other_zone_cost_s: float = 0.02
-    affinity_slack_s: float = 0.05
+    other_zone_cost_s: float = 0.01
+    affinity_slack_s: float = 0.1
 
 
 @attrs.frozen
@@ -35,91 +37,117 @@
 
     load: TargetLoad
     prefill_tokens: int
-    memory_tokens: int
     first_answer_s: float
 
 
 class Placement:
     """Sends prompts where their parts are kept, and others to the least loaded.
 
+    All routers prefer the same engine for prompts that share parts, so that it keeps
+    them; faster engines are preferred for more.
+
     Parameters
     ----------
     availability_zone : str
         Zone of this router.
+    hints : EngineHints
+        Load of engines.
     options : PlacementOptions
         Weights.
     """
 
     def __init__(
-        self, availability_zone: str, options: PlacementOptions | None = None
+        self,
+        availability_zone: str,
+        hints: EngineHints,
+        options: PlacementOptions | None = None,
     ) -> None:
         self._zone = availability_zone
+        self._hints = hints
         self.options = options or PlacementOptions()
+        self._caches: dict[str, PrefixCacheView] = {}
 
-    def choose(
+    def choose_plain(
         self,
-        prompt: PromptFacts | None,
         loads: Sequence[TargetLoad],
         *,
         excluded: Collection[str] = (),
         now_s: float,
     ) -> PlacementChoice | None:
-        """Return the best target with room now, or None.
-
-        Targets that failed lately are used when no other is there.
-        """
-        candidates = [
-            load for load in loads if load.entry.target_id not in excluded
-        ] or list(loads)
-        sound = [load for load in candidates if not load.is_suspended(now_s=now_s)]
-        pool = sound or candidates
-        if prompt is None:
-            return self._least_loaded(pool)
-        return self._best_for_prompt(prompt, pool)
-
-    def _least_loaded(self, pool: Sequence[TargetLoad]) -> PlacementChoice | None:
-        free = [load for load in pool if load.has_room(0)]
-        if not free:
+        """Return the least loaded target with room, or None."""
+        free = [load for load in loads if load.has_room]
+        pool = _preferred(free, excluded, now_s)
+        if not pool:
             return None
-        best = min(free, key=self._plain_cost)
-        return PlacementChoice(best, 0, 0, 0.0)
+        best = min(pool, key=self._plain_cost)
+        return PlacementChoice(best, 0, 0.0)
 
-    def _plain_cost(self, load: TargetLoad) -> tuple[float, bool]:
-        busy_share = load.running_count / load.entry.max_concurrency
-        return busy_share, load.entry.availability_zone != self._zone
-
-    def _best_for_prompt(
-        self, prompt: PromptFacts, pool: Sequence[TargetLoad]
+    def choose_engine(
+        self,
+        prompt: PromptFacts,
+        loads: Sequence[TargetLoad],
+        *,
+        excluded: Collection[str] = (),
+        now_s: float,
     ) -> PlacementChoice | None:
+        """Return the engine with the earliest first token, or None without engines."""
+        pool = _preferred(loads, excluded, now_s)
         key = prompt.affinity_key
-        favourite = max(pool, key=lambda load: score(key, load.entry.target_id), default=None)
+        favourite = max(pool, key=lambda load: self._affinity(key, load), default=None)
         best: PlacementChoice | None = None
-        best_cost_s = 0.0
+        best_cost_s = math.inf
         for load in pool:
-            choice = self._choice(prompt, load, is_favourite=load is favourite)
-            if choice is None:
-                continue
+            choice = self._choice(prompt, load, load is favourite, now_s)
             cost_s = choice.first_answer_s
             if load.entry.availability_zone != self._zone:
                 cost_s += self.options.other_zone_cost_s
             if load is favourite:
                 cost_s -= self.options.affinity_slack_s
-            if best is None or cost_s < best_cost_s:
+            if cost_s < best_cost_s:
                 best, best_cost_s = choice, cost_s
         return best
 
+    def sent(self, prompt: PromptFacts, target_id: str, memory_tokens: int) -> None:
+        """Note where a prompt went."""
+        cache = self._caches.get(target_id)
+        if cache is None:
+            cache = self._caches[target_id] = PrefixCacheView(memory_tokens)
+        cache.add(prompt.parts[:-1])
+
+    def keep(self, target_ids: set[str]) -> None:
+        """Forget engines that are gone or started anew."""
+        for target_id in set(self._caches) - target_ids:
+            del self._caches[target_id]
+
+    def _plain_cost(self, load: TargetLoad) -> tuple[float, bool]:
+        busy_share = load.running_count / load.entry.max_concurrency
+        return busy_share, load.entry.availability_zone != self._zone
+
+    def _affinity(self, key: str, load: TargetLoad) -> float:
+        target_id = load.entry.target_id
+        point = (score(key, target_id) + 1) / (_SCORE_RANGE + 2)
+        return -self._hints.speed(target_id) / math.log(point)
+
     def _choice(
-        self, prompt: PromptFacts, load: TargetLoad, *, is_favourite: bool
-    ) -> PlacementChoice | None:
-        output = prompt.expected_output_token_count or prompt.max_output_token_count
-        memory = prompt.prompt_token_count + output
-        if load.backlog_s > self.options.max_backlog_s or not load.has_room(memory):
-            return None
+        self, prompt: PromptFacts, load: TargetLoad, is_favourite: bool, now_s: float
+    ) -> PlacementChoice:
+        target_id = load.entry.target_id
         shared = prompt.parts[:-1]
         if is_favourite:
             cached = sum(part.token_count for part in shared)
         else:
-            cached = load.cache.cached_tokens(shared)
+            cache = self._caches.get(target_id)
+            cached = cache.cached_tokens(shared) if cache else 0
         prefill = max(prompt.prompt_token_count - cached, 0)
-        first_s = FIRST_ANSWER_BASE_S + load.backlog_s + load.prefill_s(prefill)
-        return PlacementChoice(load, prefill, memory, first_s)
+        backlog_s = self._hints.backlog_s(target_id, now_s=now_s)
+        prefill_s = prefill / self._hints.prefill_tokens_per_s(target_id)
+        first_s = FIRST_TOKEN_BASE_S + backlog_s + prefill_s
+        return PlacementChoice(load, prefill, first_s)
+
+
+def _preferred(
+    loads: Sequence[TargetLoad], excluded: Collection[str], now_s: float
+) -> Sequence[TargetLoad]:
+    """Leave out targets that failed lately, unless none would be left."""
+    fresh = [load for load in loads if load.entry.target_id not in excluded] or loads
+    return [load for load in fresh if not load.is_suspended(now_s=now_s)] or fresh
--- a/packages/citrondock-core/src/citrondock_core/routing/request_facts.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/request_facts.py
@@ -1,6 +1,9 @@
 """What is known of a request beside its bytes."""
 
 import attrs
+import xxhash
+
+_SIGN_BIT = 1 << 63
 
 
 @attrs.frozen
@@ -42,6 +45,16 @@
             return ""
         return self.parts[-2 if len(self.parts) > 1 else -1].part_id
 
+    @property
+    def hashed_shared_parts(self) -> tuple[PromptPart, ...]:
+        """All parts but the last, under ids of 64 bits with a sign."""
+        return tuple(
+            PromptPart(
+                str(xxhash.xxh64_intdigest(part.part_id.encode()) - _SIGN_BIT), part.token_count
+            )
+            for part in self.parts[:-1]
+        )
+
 
 @attrs.frozen(kw_only=True)
 class RequestFacts:
--- a/packages/citrondock-core/src/citrondock_core/routing/route.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/route.py
@@ -80,7 +80,7 @@
         if len(self.shares) == 1:
             return self.shares[0].service
         total = sum(share.weight for share in self.shares)
-        point = xxhash.xxh64_intdigest(request_id) / _HASH_RANGE * total
+        point = xxhash.xxh64_intdigest(request_id.encode()) / _HASH_RANGE * total
         for share in self.shares:
             point -= share.weight
             if point < 0:
--- a/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
@@ -89,7 +89,9 @@
 
     def expire(self, *, now_s: float) -> DirectoryChange:
         """Remove entries whose time of grace has passed."""
-        due = [key for key, until_s in self._missing_until_s.items() if until_s <= now_s]
+        due = [
+            key for key, until_s in self._missing_until_s.items() if until_s <= now_s
+        ]
         removed = []
         for key in due:
             del self._missing_until_s[key]
--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -87,7 +87,9 @@
         Loop that everything runs on.
     """
 
-    def __init__(self, handler: RequestHandler, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, handler: RequestHandler, loop: asyncio.AbstractEventLoop
+    ) -> None:
         self._handler = handler
         self._loop = loop
         self._transport: asyncio.Transport | None = None
@@ -155,6 +157,7 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._reject(HTTPStatus.BAD_REQUEST, "malformed_request")
             return
+        self._next()
         if self._in_head:
             self._header_bytes += len(data)
         limits = self._handler.limits
@@ -201,7 +204,10 @@
 
     def on_message_complete(self) -> None:
         self._in_message = False
-        if self._is_discarding or self._body_bytes > self._handler.limits.max_body_bytes:
+        if (
+            self._is_discarding
+            or self._body_bytes > self._handler.limits.max_body_bytes
+        ):
             return
         head = RequestHead(
             method=self._parser.get_method(), target=self._url, headers=self._headers
@@ -209,7 +215,6 @@
         request = ClientRequest(head=head, body=b"".join(self._body))
         self._body = []
         self._waiting.append((request, self._keeps_alive, self._speaks_1_1))
-        self._next()
 
     # Answers.
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 
 from citrondock_core.routing.attempt_rules import AttemptHistory, Proof
+from citrondock_core.routing.grant import AskKey
 from citrondock_core.routing.placement import PlacementChoice
 from citrondock_core.routing.request_facts import RequestFacts
 from citrondock_core.routing.route import Route
@@ -128,6 +129,8 @@
         self.step = Step.WAITING
         self.choice: PlacementChoice | None = None
         self.excluded: set[str] = set()
+        self.ask_key: AskKey | None = None
+        self.ask_count = 0
         self.sent_at_s = 0.0
         self.last_data_at_s = 0.0
         self._client = client
@@ -223,6 +226,8 @@
             return
         now_s = self._loop.time()
         self.last_data_at_s = now_s
+        if self.choice is not None:
+            self.choice.load.last_data_at_s = now_s
         if self.step is Step.SENT:
             self.step = Step.ANSWERING
             self._scheduler.first_answer(self)
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -6,6 +6,8 @@
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from http import HTTPStatus
 
+from citrondock_core.routing.engine_hints import EngineHints
+from citrondock_core.routing.peer_table import PeerTable
 from citrondock_core.routing.placement import Placement
 from citrondock_core.routing.target_directory import TargetDirectory
 from citrondock_router.gateway.client_connection import ClientConnection
@@ -13,6 +15,7 @@
 from citrondock_router.gateway.gateway import Gateway
 from citrondock_router.gateway.gateway_metrics import GatewayMetrics
 from citrondock_router.gateway.gateway_settings import Address, GatewaySettings
+from citrondock_router.gateway.grant_broker import GrantBroker
 from citrondock_router.gateway.log_writer import LogWriter
 from citrondock_router.gateway.operations_handler import OperationsHandler, Page
 from citrondock_router.gateway.scheduler import TICK_S, FleetScheduler
@@ -30,7 +33,6 @@
 """Connections that may wait to be accepted; a whole zone's clients may come at once."""
 
 
-
 class GatewayProcess:
     """One gateway with its listeners, timers and signals.
 
@@ -63,10 +65,15 @@
         self.metrics = GatewayMetrics()
         self._log_writer = log_writer
         self._connections = TargetConnections(self.loop)
+        hints = EngineHints()
+        peers = PeerTable(settings.vm_name, settings.availability_zone)
+        self.broker = GrantBroker(peers, hints, self.loop)
         scheduler = FleetScheduler(
             directory=self.directory,
             connections=self._connections,
-            placement=Placement(settings.availability_zone),
+            placement=Placement(settings.availability_zone, hints),
+            hints=hints,
+            broker=self.broker,
             budget_options=settings.budget,
             metrics=self.metrics,
             loop=self.loop,
@@ -100,11 +107,13 @@
         tasks.append(asyncio.ensure_future(self._drain_log()))
         for task in tasks:
             task.add_done_callback(self._task_ended)
+        peer_address = self.settings.peer_address
+        await self.loop.create_datagram_endpoint(
+            lambda: self.broker, local_addr=(peer_address.host, peer_address.port)
+        )
         await self._listen(self.settings.client_address, self.gateway.accept)
         for address in (self.settings.readiness_address, self.settings.metrics_address):
-            await self._listen(
-                address, lambda: ClientConnection(operations, self.loop)
-            )
+            await self._listen(address, lambda: ClientConnection(operations, self.loop))
         log_event(
             "started",
             vm=self.settings.vm_name,
@@ -115,6 +124,7 @@
         gc.collect()
         gc.freeze()
         await self._stop.wait()
+        self.broker.leave()
         await shut_down(self.gateway, grace_s=self.settings.grace_s)
         for task in tasks:
             task.remove_done_callback(self._task_ended)
@@ -151,6 +161,7 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
+            self.broker.tick()
             self.gateway.scheduler.tick()
 
     async def _keep_house(self) -> None:
@@ -158,6 +169,7 @@
             await asyncio.sleep(HOUSEKEEPING_S)
             self.gateway.close_idle_clients()
             self._connections.close_expired()
+            self.broker.expire()
             change = self.directory.expire(now_s=self.loop.time())
             if change.removed:
                 self.gateway.targets_changed(change)
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_settings.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_settings.py
@@ -33,6 +33,8 @@
         Where the balancer asks.
     metrics_address : Address
         Where metrics are served.
+    peer_address : Address
+        Where other routers send datagrams.
     store_address : Address
         The platform's object store.
     grace_s : float
@@ -48,6 +50,7 @@
     client_address: Address
     readiness_address: Address
     metrics_address: Address
+    peer_address: Address
     store_address: Address
     grace_s: float = attrs.field(validator=gt(0))
     registry_grace_s: float = attrs.field(validator=ge(0))
--- a/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
@@ -97,9 +97,7 @@
 
     async def _pause(self, error: StoreOutError) -> None:
         if self._failure_count == 0:
-            log_event(
-                "store_lost", level="WARNING", kind=self._kind, detail=str(error)
-            )
+            log_event("store_lost", level="WARNING", kind=self._kind, detail=str(error))
             self._sink.store_lost()
         self._revision = None
         longest_s = self._options.min_backoff_s * 2.0 ** min(self._failure_count, 8)
--- /dev/null
+++ b/packages/citrondock-router/src/citrondock_router/gateway/peer_registry.py
@@ -0,0 +1,75 @@
+"""How routers find each other."""
+
+import asyncio
+import random
+from abc import ABC, abstractmethod
+from collections.abc import Callable, Sequence
+
+from citrondock_router.gateway.gateway_settings import Address
+from citrondock_router.gateway.watched_store import StoreOutError
+from citrondock_router.log import log_event
+
+RETRY_S = 0.3
+"""Longest pause after the first failure; it doubles."""
+
+MAX_RETRY_S = 5.0
+
+RELIST_S = 30.0
+"""Period in which routers are looked for that did not tell of themselves."""
+
+
+class PeerRegistry(ABC):
+    """Where routers enter themselves."""
+
+    @abstractmethod
+    async def enter(self) -> None:
+        """Enter this router, in place of a former life.
+
+        Raises
+        ------
+        StoreOutError
+            If it may not be entered.
+        """
+
+    @abstractmethod
+    async def addresses(self) -> Sequence[Address]:
+        """Return where all routers take datagrams; some may be gone.
+
+        Raises
+        ------
+        StoreOutError
+            If there is no usable answer.
+        """
+
+    @abstractmethod
+    async def leave(self) -> None:
+        """Remove this router's entry.
+
+        Raises
+        ------
+        StoreOutError
+            If it may still be there.
+        """
+
+
+async def find_peers(
+    registry: PeerRegistry, found: Callable[[Sequence[Address]], None]
+) -> None:
+    """Enter this router, then tell ``found`` of all others now and then."""
+    rng = random.Random()
+    is_entered = False
+    failure_count = 0
+    while True:
+        try:
+            if not is_entered:
+                await registry.enter()
+                is_entered = True
+            found(await registry.addresses())
+            failure_count = 0
+            await asyncio.sleep(rng.uniform(0.8, 1.2) * RELIST_S)
+        except StoreOutError as error:
+            if failure_count == 0:
+                log_event("peers_unknown", level="WARNING", detail=str(error))
+            longest_s = min(RETRY_S * 2.0 ** min(failure_count, 8), MAX_RETRY_S)
+            failure_count += 1
+            await asyncio.sleep(rng.uniform(longest_s / 2, longest_s))
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -2,30 +2,43 @@
 
 import asyncio
 from collections.abc import Iterable
+from functools import partial
 
 import attrs
 
 from citrondock_core.routing.account_shares import AccountShares
 from citrondock_core.routing.admission_queue import AdmissionQueue
 from citrondock_core.routing.attempt_budget import AttemptBudget, AttemptBudgetOptions
+from citrondock_core.routing.engine_hints import EngineHints
+from citrondock_core.routing.grant import Ask, AskAnswer, Stage, Verdict
 from citrondock_core.routing.placement import Placement, PlacementChoice
-from citrondock_core.routing.route import RouteKind, ServiceOptions
+from citrondock_core.routing.request_facts import PromptFacts
+from citrondock_core.routing.route import (
+    ModelEngineOptions,
+    RouteKind,
+    ServiceOptions,
+)
 from citrondock_core.routing.target_directory import DirectoryChange, TargetDirectory
 from citrondock_core.routing.target_load import TargetLoad
 from citrondock_router.gateway.exchange import Exchange, Scheduler, Step
 from citrondock_router.gateway.gateway_metrics import GatewayMetrics
+from citrondock_router.gateway.grant_broker import SHARES_HALF_LIFE_S, GrantBroker
 from citrondock_router.gateway.outcome import Outcome
 from citrondock_router.gateway.target_connections import TargetConnections
 from citrondock_router.log import log_event
 
-TICK_S = 0.025
+TICK_S = 0.01
 """Period in which waiting requests are looked at when nothing else happens."""
 
-SHARES_HALF_LIFE_S = 2.0
-"""Service older than a few seconds no longer counts; users judge fairness over six."""
+MAX_ASKS = 3
+"""Engines that are asked for one attempt before it is refused."""
 
-MAX_BLOCKED_HEADS = 8
-"""Waiting requests that are tried past one that finds no room."""
+MOVE_GAIN_S = 0.1
+"""A queued prompt asks another engine if that gains more time than this."""
+
+RETRY_FLOOR_S = 0.05
+MAX_RETRY_S = 2.0
+"""Refused clients are asked to come back after what the engines have to read."""
 
 
 @attrs.frozen(kw_only=True)
@@ -36,21 +49,25 @@
     ----------
     wait_in_targets : float
         Longest wait for a target, as a multiple of the time for the first answer.
-    wait_in_timeouts : float
-        The same, as a share of the time that the request has in all.
-    silence_s : float
-        Shortest silence after which a request that may run again goes elsewhere.
     silence_in_targets : float
-        The same, as a multiple of the time for the first answer.
-    silence_in_pauses : float
-        Silence within a stream, as a multiple of the longest pause that is on time.
+        Silence after which a request that may run again goes elsewhere if its target
+        says nothing to anybody, as a multiple of the time for the first answer.
+    min_silence_s : float
+        Shortest such silence.
+    pause_s : float
+        Silence within an answer after which the same holds.
+    quiet_target_s : float
+        Time for which a target has said nothing to anybody to be taken for silent.
+    hung_s : float
+        Silence after which a request goes elsewhere although its target answers others.
     """
 
-    wait_in_targets: float = 1.5
-    wait_in_timeouts: float = 0.4
-    silence_s: float = 0.4
+    wait_in_targets: float = 1.0
     silence_in_targets: float = 2.0
-    silence_in_pauses: float = 4.0
+    min_silence_s: float = 0.35
+    pause_s: float = 1.0
+    quiet_target_s: float = 0.6
+    hung_s: float = 2.0
 
 
 class FleetScheduler(Scheduler):
@@ -74,6 +91,8 @@
         directory: TargetDirectory,
         connections: TargetConnections,
         placement: Placement,
+        hints: EngineHints,
+        broker: GrantBroker,
         budget_options: AttemptBudgetOptions,
         metrics: GatewayMetrics,
         loop: asyncio.AbstractEventLoop,
@@ -83,6 +102,8 @@
         self._directory = directory
         self._connections = connections
         self._placement = placement
+        self._hints = hints
+        self._broker = broker
         self._metrics = metrics
         self._loop = loop
         self._patience = patience or PatienceOptions()
@@ -100,10 +121,6 @@
         """Loads of all usable targets."""
         return self._loads.values()
 
-    def load_of(self, target_id: str) -> TargetLoad | None:
-        """Return the load of a target."""
-        return self._loads.get(target_id)
-
     def configure(self, services: dict[str, ServiceOptions]) -> None:
         """Take the services of a new configuration."""
         self._services = services
@@ -125,16 +142,22 @@
     # From exchanges.
 
     def submit(self, exchange: Exchange) -> None:
-        queue = self._queue(exchange.service)
-        if not queue and self._place(exchange):
-            return
         if not self._loads_by_service.get(exchange.service):
             exchange.refuse("no_target_known")
             return
-        queue.push(exchange)
-        self._pump(exchange.service)
+        exchange.ask_count = 0
+        if exchange.facts.prompt is not None and self._engine(exchange.service):
+            self._ask(exchange, exchange.facts.prompt)
+            return
+        queue = self._queue(exchange.service)
+        if queue or not self._place(exchange):
+            queue.push(exchange)
+            self._pump(exchange.service)
 
     def withdraw(self, exchange: Exchange) -> None:
+        if exchange.ask_key is not None:
+            self._broker.progress(exchange.ask_key, Stage.WITHDRAWN)
+            exchange.ask_key = None
         self._queue(exchange.service).remove(exchange)
 
     def may_repeat(self, exchange: Exchange) -> bool:
@@ -150,19 +173,23 @@
 
     def first_answer(self, exchange: Exchange) -> None:
         now_s = self._loop.time()
-        choice = exchange.choice
-        if choice is not None:
-            choice.load.first_answer(exchange.key, now_s=now_s)
+        if exchange.ask_key is not None:
+            self._broker.progress(exchange.ask_key, Stage.STARTED)
+        if exchange.choice is not None:
+            predicted_s = exchange.choice.first_answer_s
             self._metrics.observe_prediction(
-                exchange.service, now_s - exchange.sent_at_s - choice.first_answer_s
+                exchange.service, now_s - exchange.sent_at_s - predicted_s
             )
         self._metrics.observe_first_answer(
             exchange.service, now_s - exchange.arrived_at_s
         )
-        self._pump(exchange.service)
 
     def attempt_ended(self, exchange: Exchange, *, failed: bool) -> None:
         self._sent.pop(id(exchange), None)
+        if exchange.ask_key is not None:
+            stage = Stage.FAILED if failed else Stage.ENDED
+            self._broker.progress(exchange.ask_key, stage)
+            exchange.ask_key = None
         choice = exchange.choice
         if choice is None:
             return
@@ -174,11 +201,13 @@
         self._pump(exchange.service)
 
     def retry_after_s(self, exchange: Exchange) -> float:
-        backlogs = [
-            load.backlog_s for load in self._loads_by_service.get(exchange.service, [])
+        now_s = self._loop.time()
+        loads = self._loads_by_service.get(exchange.service, [])
+        backlogs_s = [
+            self._hints.backlog_s(load.entry.target_id, now_s=now_s) for load in loads
         ]
-        queue_s = self._queued_s(exchange.service)
-        return round(0.05 + min(min(backlogs, default=0.2) + queue_s, 2.0), 3)
+        wait_s = min(backlogs_s, default=RETRY_FLOOR_S)
+        return round(RETRY_FLOOR_S + min(wait_s, MAX_RETRY_S), 3)
 
     def finished(self, exchange: Exchange, outcome: Outcome) -> None:
         self.live_count -= 1
@@ -214,77 +243,138 @@
                     exchange.refuse("no_room_in_time")
             self._pump(service)
         for exchange in list(self._sent.values()):
-            if now_s >= self._silent_at_s(exchange):
+            if self._is_silent(exchange, now_s):
                 self._metrics.count_silence(exchange.service)
                 exchange.try_elsewhere("silent")
 
     def _wait_until_s(self, exchange: Exchange) -> float:
-        patience = self._patience
         target_s = exchange.on_time_until_s - exchange.arrived_at_s
-        all_s = exchange.answer_by_s - exchange.arrived_at_s
-        longest_s = max(
-            patience.wait_in_targets * target_s, patience.wait_in_timeouts * all_s
-        )
-        return exchange.arrived_at_s + longest_s
+        return exchange.arrived_at_s + self._patience.wait_in_targets * target_s
 
-    def _silent_at_s(self, exchange: Exchange) -> float:
-        patience = self._patience
+    def _is_silent(self, exchange: Exchange, now_s: float) -> bool:
         is_sent = exchange.step in (Step.SENT, Step.ANSWERING)
         if not is_sent or not exchange.route.kind.may_run_again:
-            return float("inf")
+            return False
+        patience = self._patience
+        silence_s = now_s - exchange.last_data_at_s
         if exchange.step is Step.ANSWERING:
-            pause_s = patience.silence_in_pauses * exchange.route.max_pause_s
-            return exchange.last_data_at_s + max(pause_s, patience.silence_s)
-        first_s = patience.silence_in_targets * exchange.route.first_answer_target_s
-        predicted_s = exchange.choice.first_answer_s if exchange.choice else 0.0
-        silence_s = max(first_s, predicted_s * 2, patience.silence_s)
-        return exchange.sent_at_s + silence_s
-
-    def _queued_s(self, service: str) -> float:
-        queue = self._queues.get(service)
-        loads = self._loads_by_service.get(service, [])
-        rate = sum(load.prefill_tokens_per_s for load in loads)
-        if queue is None or not rate or not queue:
-            return 0.0
-        return queue.waiting_tokens / rate
+            longest_s = patience.pause_s
+        else:
+            target_s = exchange.route.first_answer_target_s
+            longest_s = max(
+                patience.silence_in_targets * target_s, patience.min_silence_s
+            )
+        if silence_s < longest_s:
+            return False
+        if exchange.facts.prompt is None or silence_s >= max(
+            longest_s, patience.hung_s
+        ):
+            return True
+        quiet_s = (
+            now_s - exchange.choice.load.last_data_at_s if exchange.choice else 0.0
+        )
+        return quiet_s >= patience.quiet_target_s
+
+    # Prompts: the home of an engine decides when they are sent.
+
+    def _ask(self, exchange: Exchange, prompt: PromptFacts) -> None:
+        now_s = self._loop.time()
+        loads = self._loads_by_service.get(exchange.service, [])
+        choice = self._placement.choose_engine(
+            prompt, loads, excluded=exchange.excluded, now_s=now_s
+        )
+        if choice is None:
+            exchange.refuse("no_target_known")
+            return
+        exchange.ask_count += 1
+        exchange.ask_key = self._broker.new_key()
+        entry = choice.load.entry
+        output = prompt.expected_output_token_count or prompt.max_output_token_count
+        ask = Ask(
+            key=exchange.ask_key,
+            target_id=entry.target_id,
+            account=exchange.account,
+            prompt_tokens=prompt.prompt_token_count,
+            output_tokens=output,
+            shared_parts=prompt.hashed_shared_parts,
+            on_time_until_s=exchange.on_time_until_s,
+            wait_until_s=max(self._wait_until_s(exchange), now_s),
+        )
+        rate = self._hints.prefill_tokens_per_s(entry.target_id)
+        self._hints.add(entry.target_id, choice.prefill_tokens / rate, now_s=now_s)
+        self._broker.ask(ask, entry, partial(self._answered, exchange, choice))
+
+    def _answered(
+        self, exchange: Exchange, choice: PlacementChoice, answer: AskAnswer
+    ) -> None:
+        if exchange.ask_key != answer.key or not exchange.is_waiting:
+            if answer.verdict is Verdict.GRANTED:
+                self._broker.progress(answer.key, Stage.WITHDRAWN)
+            return
+        prompt = exchange.facts.prompt
+        assert prompt is not None
+        target_id = choice.load.entry.target_id
+        if answer.verdict is Verdict.GRANTED:
+            engine = self._engine(exchange.service)
+            if engine is not None:
+                self._placement.sent(prompt, target_id, engine.memory_tokens)
+            predicted = attrs.evolve(choice, first_answer_s=answer.first_answer_s)
+            self._start(exchange, predicted)
+            return
+        may_move = exchange.ask_count < MAX_ASKS
+        if answer.verdict is Verdict.QUEUED:
+            if may_move and self._gains_elsewhere(exchange, prompt, answer):
+                self._broker.progress(answer.key, Stage.WITHDRAWN)
+                exchange.excluded.add(target_id)
+                self._ask(exchange, prompt)
+            return
+        exchange.ask_key = None
+        now_s = self._loop.time()
+        if may_move and now_s < self._wait_until_s(exchange):
+            exchange.excluded.add(target_id)
+            self._ask(exchange, prompt)
+        else:
+            exchange.refuse("no_room_in_time")
+
+    def _gains_elsewhere(
+        self, exchange: Exchange, prompt: PromptFacts, answer: AskAnswer
+    ) -> bool:
+        loads = self._loads_by_service.get(exchange.service, [])
+        now_s = self._loop.time()
+        best = self._placement.choose_engine(
+            prompt, loads, excluded=exchange.excluded, now_s=now_s
+        )
+        if best is None:
+            return False
+        return best.first_answer_s + MOVE_GAIN_S < answer.first_answer_s
+
+    # Plain requests: they are few beside the places, and sent at once.
 
     def _pump(self, service: str) -> None:
         queue = self._queues.get(service)
         if not queue:
             return
-        blocked = 0
         for exchange in queue.in_order(now_s=self._loop.time()):
             assert isinstance(exchange, Exchange)
-            if self._place(exchange, queue=queue):
-                continue
-            blocked += 1
-            if blocked >= MAX_BLOCKED_HEADS:
+            if not self._place(exchange, queue=queue):
                 return
 
     def _place(self, exchange: Exchange, queue: AdmissionQueue | None = None) -> bool:
         now_s = self._loop.time()
         loads = self._loads_by_service.get(exchange.service, [])
-        choice = self._placement.choose(
-            exchange.facts.prompt, loads, excluded=exchange.excluded, now_s=now_s
+        choice = self._placement.choose_plain(
+            loads, excluded=exchange.excluded, now_s=now_s
         )
         if choice is None:
             return False
         if queue is not None and not queue.remove(exchange):
             return True
-        self._start(exchange, choice, now_s)
+        self._shares.add(exchange.account, exchange.cost_tokens, now_s=now_s)
+        self._start(exchange, choice)
         return True
 
-    def _start(self, exchange: Exchange, choice: PlacementChoice, now_s: float) -> None:
-        load = choice.load
-        load.sent(
-            exchange.key,
-            prefill_tokens=choice.prefill_tokens,
-            memory_tokens=choice.memory_tokens,
-            now_s=now_s,
-        )
-        if exchange.facts.prompt is not None:
-            load.cache.add(exchange.facts.prompt.parts)
-        self._shares.add(exchange.account, exchange.cost_tokens, now_s=now_s)
+    def _start(self, exchange: Exchange, choice: PlacementChoice) -> None:
+        choice.load.sent(exchange.key)
         if exchange.route.kind is not RouteKind.AT_MOST_ONCE:
             self._sent[id(exchange)] = exchange
         exchange.send_to(choice)
@@ -301,20 +391,29 @@
             budget = self._budgets[service] = AttemptBudget(self.budget_options)
         return budget
 
+    def _engine(self, service: str) -> ModelEngineOptions | None:
+        options = self._services.get(service)
+        return options.engine if options else None
+
     def _rebuild(self) -> None:
         loads: dict[str, TargetLoad] = {}
         by_service: dict[str, list[TargetLoad]] = {}
+        engines: dict[str, ModelEngineOptions] = {}
         for entry in self._directory.entries():
             if entry.is_leaving:
                 continue
-            options = self._services.get(entry.service)
-            known = self._loads.get(entry.target_id)
-            if known is None or known.entry.is_other_life_of(entry):
-                known = TargetLoad(entry, options.engine if options else None)
-            known.entry = entry
-            known.engine = options.engine if options else None
-            loads[entry.target_id] = known
-            by_service.setdefault(entry.service, []).append(known)
+            load = self._loads.get(entry.target_id)
+            if load is None or load.entry.is_other_life_of(entry):
+                load = TargetLoad(entry)
+                self._broker.restarted(entry.target_id)
+            load.entry = entry
+            loads[entry.target_id] = load
+            by_service.setdefault(entry.service, []).append(load)
+            engine = self._engine(entry.service)
+            if engine is not None:
+                engines[entry.target_id] = engine
         self._loads, self._loads_by_service = loads, by_service
+        self._placement.keep(set(loads))
+        self._broker.set_engines(engines)
         for service in list(self._queues):
             self._pump(service)
--- /dev/null
+++ b/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
