--- a/packages/citrondock-core/src/citrondock_core/routing/engine_home.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_home.py
@@ -14,6 +14,7 @@
     Verdict,
 )
 from citrondock_core.routing.prefix_cache_view import PrefixCacheView
+from citrondock_core.routing.request_facts import PromptPart
 from citrondock_core.routing.route import ModelEngineOptions
 
 OUTPUT_TOKEN_WEIGHT = 2
@@ -210,7 +211,7 @@
 
     def _grant(self, ask: Ask, now_s: float) -> AskAnswer:
         tokens = self._prefill_tokens(ask)
-        self.cache.add(ask.shared_parts)
+        self.cache.add((*ask.shared_parts, self._own_part(ask)))
         ahead_s = max(self._busy_until_s - now_s, 0.0)
         ahead_tokens = ahead_s * self._paced_rate
         self._busy_until_s = now_s + ahead_s + self._prefill_s(tokens)
@@ -235,6 +236,13 @@
         cached = self.cache.cached_tokens(ask.shared_parts)
         return max(ask.prompt_tokens - cached, 0)
 
+    @staticmethod
+    def _own_part(ask: Ask) -> PromptPart:
+        """Return what no other prompt shares; it takes room in the cache too."""
+        shared = sum(part.token_count for part in ask.shared_parts)
+        own_tokens = max(ask.memory_tokens - shared, 0)
+        return PromptPart(f"{ask.key.incarnation}/{ask.key.number}", own_tokens)
+
     @property
     def _paced_rate(self) -> float:
         return self.speed.tokens_per_s * self.options.prefill_share
--- a/packages/citrondock-core/src/citrondock_core/routing/engine_speed.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_speed.py
@@ -1,6 +1,6 @@
 """Prefill rate of one engine, learned from the time of first tokens."""
 
-USUAL_PREFILL_TOKENS_PER_S = 60_000.0
+USUAL_PREFILL_TOKENS_PER_S = 48_000.0
 """Assumed until answers tell; what a large accelerator does beside decoding."""
 
 FIRST_TOKEN_BASE_S = 0.12
@@ -10,8 +10,8 @@
 MAX_FACTOR = 2.5
 """Rates beyond these, against the usual one, are taken for errors of measurement."""
 
-LEARNING_GAIN = 0.08
-"""Weight of one answer in the learned rate; some twelve answers replace it."""
+LEARNING_GAIN = 0.06
+"""Weight of one answer in the learned rate; the first ones count for more."""
 
 MIN_SAMPLE_TOKENS = 1500
 """Smaller amounts say little about the rate beside the base."""
@@ -29,6 +29,7 @@
     def __init__(self) -> None:
         self.tokens_per_s = USUAL_PREFILL_TOKENS_PER_S
         self._coarse = 1.0
+        self._sample_count = 0
 
     @property
     def percent(self) -> int:
@@ -43,7 +44,10 @@
         low = USUAL_PREFILL_TOKENS_PER_S * MIN_FACTOR
         high = USUAL_PREFILL_TOKENS_PER_S * MAX_FACTOR
         rate = min(max(tokens / prefill_s, low), high)
-        self.tokens_per_s += (rate - self.tokens_per_s) * LEARNING_GAIN
+        # The usual rate counts as two answers.
+        self._sample_count += 1
+        gain = max(1 / (self._sample_count + 2), LEARNING_GAIN)
+        self.tokens_per_s += (rate - self.tokens_per_s) * gain
         factor = self.tokens_per_s / USUAL_PREFILL_TOKENS_PER_S
         if abs(factor - self._coarse) >= SPEED_STEP:
             self._coarse = max(round(factor / SPEED_STEP) * SPEED_STEP, SPEED_STEP)
