--- a/packages/citrondock-core/src/citrondock_core/routing/admission_queue.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/admission_queue.py
@@ -18,7 +18,8 @@
 class AdmissionQueue:
     """Waiting requests by account; the account that received least goes first.
 
-    Requests that can still be on time go before those that cannot.
+    Requests that can still be on time go before those that cannot, and within an account
+    the most urgent goes first.
 
     Parameters
     ----------
@@ -61,9 +62,11 @@
         ordered: list[tuple[bool, float, float, int, Waiting]] = []
         for account, waiting in self._by_account.items():
             received = self._shares.received(account, now_s=now_s)
-            for request in waiting.values():
+            urgent_first = sorted(waiting.values(), key=lambda r: r.on_time_until_s)
+            for request in urgent_first:
                 is_late = request.on_time_until_s < now_s
-                rank = (is_late, received, request.arrived_at_s, id(request), request)
+                until_s = request.on_time_until_s
+                rank = (is_late, received, until_s, id(request), request)
                 ordered.append(rank)
                 received += request.cost_tokens
         ordered.sort(key=lambda rank: rank[:4])
--- a/packages/citrondock-core/src/citrondock_core/routing/engine_home.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_home.py
@@ -141,7 +141,7 @@
             ask=ask,
             account=ask.account,
             arrived_at_s=now_s,
-            on_time_until_s=ask.on_time_until_s - FIRST_TOKEN_BASE_S,
+            on_time_until_s=self._grant_by_s(ask, prefill_tokens),
             cost_tokens=prefill_tokens,
         )
         self._waiting[ask.key] = waiting
@@ -236,6 +236,12 @@
         cached = self.cache.cached_tokens(ask.shared_parts)
         return max(ask.prompt_tokens - cached, 0)
 
+    def _grant_by_s(self, ask: Ask, prefill_tokens: int) -> float:
+        """Return when an ask must be granted for its first token to be on time."""
+        ahead_s = FIRST_TOKEN_BASE_S + self.options.max_backlog_s
+        prefill_s = prefill_tokens / self.speed.tokens_per_s
+        return ask.on_time_until_s - ahead_s - prefill_s
+
     @staticmethod
     def _own_part(ask: Ask) -> PromptPart:
         """Return what no other prompt shares; it takes room in the cache too."""
