A home counts prompts that were granted and have not started as the engine's backlog

Cause: the modelled backlog ran behind engines that were slower than learned; a quarter of the granted prompts had their first token after the target.

--- a/packages/citrondock-core/src/citrondock_core/routing/engine_home.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_home.py
@@ -33,15 +33,12 @@
     prefill_share : float
         Part of the engine's time that prompts may take; the rest lets running answers
         keep their pace.
-    max_unstarted_s : float
-        Granted prefill beyond which an engine that starts nothing is given no more.
     max_grant_s : float
         Time after which a grant is forgotten whose end was not told.
     """
 
     max_backlog_s: float = 0.12
     prefill_share: float = 0.85
-    max_unstarted_s: float = 0.6
     max_grant_s: float = 20.0
 
 
@@ -115,7 +112,7 @@
     def backlog(self, *, now_s: float) -> EngineBacklog:
         """Return the engine's load."""
         waiting_s = self._prefill_s(self._queue.waiting_tokens)
-        backlog_s = max(self._busy_until_s - now_s, 0.0) + waiting_s
+        backlog_s = self._ahead_s(now_s) + waiting_s
         return EngineBacklog(
             target_id=self.target_id,
             backlog_s=backlog_s,
@@ -155,7 +152,7 @@
             if now_s >= waiting.ask.wait_until_s:
                 self._forget_waiting(waiting)
                 answers.append(self._answer(waiting.ask.key, Verdict.REFUSED, now_s))
-        if not self._queue or self._busy_until_s - now_s > self.options.max_backlog_s:
+        if not self._queue or self._ahead_s(now_s) > self.options.max_backlog_s:
             return answers
         for waiting in self._queue.in_order(now_s=now_s):
             assert isinstance(waiting, _WaitingAsk)
@@ -198,23 +195,30 @@
             answers.append(self._answer(waiting.ask.key, Verdict.REFUSED, now_s))
         return answers
 
+    def _ahead_s(self, now_s: float) -> float:
+        """Return the engine's prefill backlog.
+
+        It is the larger of what the model expects and of what was granted and has not
+        started, less what is on its way between prefill and first token.
+        """
+        unstarted_s = self._unstarted_tokens / self.speed.tokens_per_s
+        late_s = unstarted_s - FIRST_TOKEN_BASE_S
+        return max(self._busy_until_s - now_s, late_s, 0.0)
+
     def _has_room(self, ask: Ask, now_s: float) -> bool:
-        if self._busy_until_s - now_s > self.options.max_backlog_s:
+        if self._ahead_s(now_s) > self.options.max_backlog_s:
             return False
         if len(self._grants) >= self.engine.max_batch_size:
             return False
-        unstarted_s = self._unstarted_tokens / self.speed.tokens_per_s
-        if unstarted_s > self.options.max_unstarted_s:
-            return False
         used = self._memory_tokens
         return used == 0 or used + ask.memory_tokens <= self.engine.memory_tokens
 
     def _grant(self, ask: Ask, now_s: float) -> AskAnswer:
         tokens = self._prefill_tokens(ask)
         self.cache.add((*ask.shared_parts, self._own_part(ask)))
-        ahead_s = max(self._busy_until_s - now_s, 0.0)
-        ahead_tokens = ahead_s * self._paced_rate
-        self._busy_until_s = now_s + ahead_s + self._prefill_s(tokens)
+        ahead_tokens = max(self._busy_until_s - now_s, 0.0) * self._paced_rate
+        start_s = max(self._busy_until_s, now_s)
+        self._busy_until_s = start_s + self._prefill_s(tokens)
         self._grants[ask.key] = _Grant(ask, tokens, ahead_tokens, now_s)
         self._unstarted_tokens += tokens
         self._memory_tokens += ask.memory_tokens
@@ -229,7 +233,7 @@
         self.speed.learn(read_tokens, now_s - grant.granted_at_s)
 
     def _answer(self, key: AskKey, verdict: Verdict, now_s: float) -> AskAnswer:
-        first_s = FIRST_TOKEN_BASE_S + max(self._busy_until_s - now_s, 0.0)
+        first_s = FIRST_TOKEN_BASE_S + self._ahead_s(now_s)
         return AskAnswer(key=key, verdict=verdict, first_answer_s=first_s)
 
     def _prefill_tokens(self, ask: Ask) -> int:
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -133,6 +133,8 @@
         self.ask_count = 0
         self.sent_at_s = 0.0
         self.last_data_at_s = 0.0
+        self.first_answer_at_s: float | None = None
+        self.longest_pause_s = 0.0
         self._client = client
         self._dialect = dialect
         self._connections = connections
@@ -225,6 +227,11 @@
         if self.step is Step.DONE or self._is_rejected or self._head is None:
             return
         now_s = self._loop.time()
+        if self.first_answer_at_s is None:
+            self.first_answer_at_s = now_s
+        else:
+            pause_s = now_s - self.last_data_at_s
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
         self.last_data_at_s = now_s
         if self.choice is not None:
             self.choice.load.last_data_at_s = now_s
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -212,7 +212,8 @@
     def finished(self, exchange: Exchange, outcome: Outcome) -> None:
         self.live_count -= 1
         self._sent.pop(id(exchange), None)
-        duration_s = self._loop.time() - exchange.arrived_at_s
+        arrived_at_s = exchange.arrived_at_s
+        first_s = exchange.first_answer_at_s
         self._metrics.count_request(exchange.service, outcome)
         log_event(
             "request_ended",
@@ -225,7 +226,11 @@
             whole=outcome.is_whole,
             attempts=exchange.history.sent_count,
             targets=",".join(exchange.history.target_ids),
-            duration_s=duration_s,
+            asks=exchange.ask_count,
+            waited_s=exchange.sent_at_s - arrived_at_s if exchange.sent_at_s else None,
+            first_answer_s=first_s - arrived_at_s if first_s is not None else None,
+            longest_pause_s=exchange.longest_pause_s,
+            duration_s=self._loop.time() - arrived_at_s,
             configuration=exchange.configuration_version,
             directory_revision=self._directory.revision,
         )
