--- a/packages/citrondock-core/src/citrondock_core/routing/admission_queue.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/admission_queue.py
@@ -4,12 +4,14 @@
 from typing import Protocol
 
 from citrondock_core.routing.account_shares import AccountShares
+from citrondock_core.routing.served_ratios import ServedRatios
 
 
 class Waiting(Protocol):
     """What the queue needs to know of a request."""
 
     account: str
+    kind: str
     arrived_at_s: float
     on_time_until_s: float
     cost_tokens: int
@@ -18,17 +20,20 @@
 class AdmissionQueue:
     """Waiting requests by account; the account that received least goes first.
 
-    Requests that can still be on time go before those that cannot, and within an account
-    the most urgent goes first.
+    Requests that can still be on time go before those that cannot. Within an account the
+    kind of request goes first that was served least, and of a kind the most urgent.
 
     Parameters
     ----------
     shares : AccountShares
         What accounts received lately.
+    ratios : ServedRatios
+        How much of each kind was served lately.
     """
 
-    def __init__(self, shares: AccountShares) -> None:
+    def __init__(self, shares: AccountShares, ratios: ServedRatios) -> None:
         self._shares = shares
+        self._ratios = ratios
         self._by_account: dict[str, dict[int, Waiting]] = {}
         self._count = 0
         self.waiting_tokens = 0
@@ -62,8 +67,7 @@
         ordered: list[tuple[bool, float, float, int, Waiting]] = []
         for account, waiting in self._by_account.items():
             received = self._shares.received(account, now_s=now_s)
-            urgent_first = sorted(waiting.values(), key=lambda r: r.on_time_until_s)
-            for request in urgent_first:
+            for request in sorted(waiting.values(), key=self._order_in_account):
                 is_late = request.on_time_until_s < now_s
                 until_s = request.on_time_until_s
                 rank = (is_late, received, until_s, id(request), request)
@@ -71,3 +75,6 @@
                 received += request.cost_tokens
         ordered.sort(key=lambda rank: rank[:4])
         return [rank[4] for rank in ordered]
+
+    def _order_in_account(self, request: Waiting) -> tuple[float, float]:
+        return self._ratios.ratio(request.kind), request.on_time_until_s
--- a/packages/citrondock-core/src/citrondock_core/routing/engine_home.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_home.py
@@ -16,6 +16,10 @@
 from citrondock_core.routing.prefix_cache_view import PrefixCacheView
 from citrondock_core.routing.request_facts import PromptPart
 from citrondock_core.routing.route import ModelEngineOptions
+from citrondock_core.routing.served_ratios import ServedRatios
+
+RATIOS_HALF_LIFE_S = 3.0
+"""Some seconds, so that a burst of one kind of request is evened out within it."""
 
 OUTPUT_TOKEN_WEIGHT = 2
 """A generated token counts as so many tokens of a prompt in what accounts receive."""
@@ -30,6 +34,8 @@
     max_backlog_s : float
         Prefill that the engine is given ahead; the rest waits where its order can
         still change.
+    max_queue_s : float
+        Prefill granted and waiting beyond which asks are refused at once.
     prefill_share : float
         Part of the engine's time that prompts may take; the rest lets running answers
         keep their pace.
@@ -38,6 +44,7 @@
     """
 
     max_backlog_s: float = 0.12
+    max_queue_s: float = 2.0
     prefill_share: float = 0.85
     max_grant_s: float = 20.0
 
@@ -55,6 +62,7 @@
 class _WaitingAsk:
     ask: Ask
     account: str
+    kind: str
     arrived_at_s: float
     on_time_until_s: float
     cost_tokens: int
@@ -92,7 +100,8 @@
         self.speed = EngineSpeed()
         self.cache = PrefixCacheView(engine.memory_tokens)
         self._shares = shares
-        self._queue = AdmissionQueue(shares)
+        self._ratios = ServedRatios(half_life_s=RATIOS_HALF_LIFE_S)
+        self._queue = AdmissionQueue(shares, self._ratios)
         self._waiting: dict[AskKey, _WaitingAsk] = {}
         self._grants: dict[AskKey, _Grant] = {}
         self._busy_until_s = 0.0
@@ -128,15 +137,16 @@
             return self._answer(ask.key, Verdict.GRANTED, now_s)
         if ask.key in self._waiting:
             return self._answer(ask.key, Verdict.QUEUED, now_s)
+        self._ratios.asked(ask.kind, now_s=now_s)
         if not self._queue and self._has_room(ask, now_s):
             return self._grant(ask, now_s)
         prefill_tokens = self._prefill_tokens(ask)
-        expected_s = self.backlog(now_s=now_s).backlog_s
-        if now_s + expected_s > ask.wait_until_s:
+        if self.backlog(now_s=now_s).backlog_s > self.options.max_queue_s:
             return self._answer(ask.key, Verdict.REFUSED, now_s)
         waiting = _WaitingAsk(
             ask=ask,
             account=ask.account,
+            kind=ask.kind,
             arrived_at_s=now_s,
             on_time_until_s=self._grant_by_s(ask, prefill_tokens),
             cost_tokens=prefill_tokens,
@@ -221,6 +231,7 @@
         self._busy_until_s = start_s + self._prefill_s(tokens)
         self._grants[ask.key] = _Grant(ask, tokens, ahead_tokens, now_s)
         self._unstarted_tokens += tokens
+        self._ratios.served(ask.kind, now_s=now_s)
         self._memory_tokens += ask.memory_tokens
         received = ask.prompt_tokens + OUTPUT_TOKEN_WEIGHT * ask.output_tokens
         self._shares.add(ask.account, received, now_s=now_s)
--- a/packages/citrondock-core/src/citrondock_core/routing/grant.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/grant.py
@@ -44,6 +44,8 @@
         Engine.
     account : str
         Account that pays for it.
+    kind : str
+        Kind of request, for equal service of all kinds.
     prompt_tokens, output_tokens : int
         Tokens of the prompt, and expected ones of the answer.
     shared_parts : tuple of PromptPart
@@ -57,6 +59,7 @@
     key: AskKey
     target_id: str
     account: str
+    kind: str
     prompt_tokens: int
     output_tokens: int
     shared_parts: tuple[PromptPart, ...]
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -116,6 +116,7 @@
         self.route = route
         self.owner = account
         self.account = account or ""
+        self.kind = route.name
         self.service = route.service_for(facts.request_id)
         self.configuration_version = configuration_version
         self.arrived_at_s = now_s
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -10,6 +10,7 @@
 from citrondock_core.routing.admission_queue import AdmissionQueue
 from citrondock_core.routing.attempt_budget import AttemptBudget, AttemptBudgetOptions
 from citrondock_core.routing.engine_hints import EngineHints
+from citrondock_core.routing.engine_home import RATIOS_HALF_LIFE_S
 from citrondock_core.routing.grant import Ask, AskAnswer, Stage, Verdict
 from citrondock_core.routing.placement import Placement, PlacementChoice
 from citrondock_core.routing.request_facts import PromptFacts
@@ -18,6 +19,7 @@
     RouteKind,
     ServiceOptions,
 )
+from citrondock_core.routing.served_ratios import ServedRatios
 from citrondock_core.routing.target_directory import DirectoryChange, TargetDirectory
 from citrondock_core.routing.target_load import TargetLoad
 from citrondock_router.gateway.exchange import Exchange, Scheduler, Step
@@ -113,6 +115,7 @@
         self._queues: dict[str, AdmissionQueue] = {}
         self._budgets: dict[str, AttemptBudget] = {}
         self._shares = AccountShares(half_life_s=SHARES_HALF_LIFE_S)
+        self._ratios = ServedRatios(half_life_s=RATIOS_HALF_LIFE_S)
         self._sent: dict[int, Exchange] = {}
         self.live_count = 0
 
@@ -151,6 +154,7 @@
             return
         queue = self._queue(exchange.service)
         if queue or not self._place(exchange):
+            self._ratios.asked(exchange.kind, now_s=self._loop.time())
             queue.push(exchange)
             self._pump(exchange.service)
 
@@ -299,6 +303,7 @@
             key=exchange.ask_key,
             target_id=entry.target_id,
             account=exchange.account,
+            kind=exchange.kind,
             prompt_tokens=prompt.prompt_token_count,
             output_tokens=output,
             shared_parts=prompt.hashed_shared_parts,
@@ -375,6 +380,8 @@
         if queue is not None and not queue.remove(exchange):
             return True
         self._shares.add(exchange.account, exchange.cost_tokens, now_s=now_s)
+        if queue is not None:
+            self._ratios.served(exchange.kind, now_s=now_s)
         self._start(exchange, choice)
         return True
 
@@ -387,7 +394,7 @@
     def _queue(self, service: str) -> AdmissionQueue:
         queue = self._queues.get(service)
         if queue is None:
-            queue = self._queues[service] = AdmissionQueue(self._shares)
+            queue = self._queues[service] = AdmissionQueue(self._shares, self._ratios)
         return queue
 
     def _budget(self, service: str) -> AttemptBudget:
--- a/packages/citrondock-wire/grants.thrift
+++ b/packages/citrondock-wire/grants.thrift
@@ -13,6 +13,7 @@
   7: list<i32> part_tokens
   8: i32 on_time_left_ms       // until the first answer is late
   9: i32 wait_left_ms          // until the asker gives up
+  10: string kind
 }
 
 enum Verdict {
--- a/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
+++ b/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
@@ -67,11 +67,12 @@
      - part_tokens
      - on_time_left_ms
      - wait_left_ms
+     - kind
 
     """
 
 
-    def __init__(self, number=None, target=None, account=None, prompt_tokens=None, output_tokens=None, part_ids=None, part_tokens=None, on_time_left_ms=None, wait_left_ms=None,):
+    def __init__(self, number=None, target=None, account=None, prompt_tokens=None, output_tokens=None, part_ids=None, part_tokens=None, on_time_left_ms=None, wait_left_ms=None, kind=None,):
         self.number = number
         self.target = target
         self.account = account
@@ -81,6 +82,7 @@
         self.part_tokens = part_tokens
         self.on_time_left_ms = on_time_left_ms
         self.wait_left_ms = wait_left_ms
+        self.kind = kind
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -146,6 +148,11 @@
                     self.wait_left_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -198,6 +205,10 @@
             oprot.writeFieldBegin('wait_left_ms', TType.I32, 9)
             oprot.writeI32(self.wait_left_ms)
             oprot.writeFieldEnd()
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 10)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -702,6 +713,7 @@
     (7, TType.LIST, 'part_tokens', (TType.I32, None, False), None, ),  # 7
     (8, TType.I32, 'on_time_left_ms', None, None, ),  # 8
     (9, TType.I32, 'wait_left_ms', None, None, ),  # 9
+    (10, TType.STRING, 'kind', 'UTF8', None, ),  # 10
 )
 all_structs.append(Answer)
 Answer.thrift_spec = (
