--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/mypy $(SOURCES)
+	$(BIN)/mypy $(SOURCES) platform
 
 format: setup
 	$(BIN)/ruff format .
--- a/packages/citrondock-core/src/citrondock_core/routing/admission_queue.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/admission_queue.py
@@ -1,7 +1,7 @@
 """Requests of one service that wait for room at a target."""
 
 from collections.abc import Iterator
-from typing import Protocol
+from typing import Generic, Protocol, TypeVar
 
 from citrondock_core.routing.account_shares import AccountShares
 from citrondock_core.routing.served_ratios import ServedRatios
@@ -17,11 +17,14 @@
     cost_tokens: int
 
 
-class AdmissionQueue:
+_W = TypeVar("_W", bound=Waiting)
+
+
+class AdmissionQueue(Generic[_W]):
     """Waiting requests by account; the account that received least goes first.
 
-    Requests that can still be on time go before those that cannot. Within an account the
-    kind of request goes first that was served least, and of a kind the most urgent.
+    Requests that can still be on time go before those that cannot. Within an account
+    the kind of request goes first that was served least, and of a kind the most urgent.
 
     Parameters
     ----------
@@ -34,7 +37,7 @@
     def __init__(self, shares: AccountShares, ratios: ServedRatios) -> None:
         self._shares = shares
         self._ratios = ratios
-        self._by_account: dict[str, dict[int, Waiting]] = {}
+        self._by_account: dict[str, dict[int, _W]] = {}
         self._count = 0
         self.waiting_tokens = 0
         self._tokens_by_account: dict[str, int] = {}
@@ -42,7 +45,7 @@
     def __len__(self) -> int:
         return self._count
 
-    def __iter__(self) -> Iterator[Waiting]:
+    def __iter__(self) -> Iterator[_W]:
         for waiting in self._by_account.values():
             yield from waiting.values()
 
@@ -50,7 +53,7 @@
         """Return the tokens that wait for one account."""
         return self._tokens_by_account.get(account, 0)
 
-    def push(self, request: Waiting) -> None:
+    def push(self, request: _W) -> None:
         """Add a request."""
         self._by_account.setdefault(request.account, {})[id(request)] = request
         self._count += 1
@@ -58,7 +61,7 @@
         tokens = self.waiting_tokens_of(request.account) + request.cost_tokens
         self._tokens_by_account[request.account] = tokens
 
-    def remove(self, request: Waiting) -> bool:
+    def remove(self, request: _W) -> bool:
         """Take a request out; return whether it was waiting."""
         waiting = self._by_account.get(request.account)
         if waiting is None or waiting.pop(id(request), None) is None:
@@ -71,9 +74,9 @@
         self.waiting_tokens -= request.cost_tokens
         return True
 
-    def in_order(self, *, now_s: float) -> list[Waiting]:
+    def in_order(self, *, now_s: float) -> list[_W]:
         """Return all requests in the order in which they should be sent."""
-        ordered: list[tuple[bool, float, float, int, Waiting]] = []
+        ordered: list[tuple[bool, float, float, int, _W]] = []
         for account, waiting in self._by_account.items():
             received = self._shares.received(account, now_s=now_s)
             for request in sorted(waiting.values(), key=self._order_in_account):
@@ -85,5 +88,5 @@
         ordered.sort(key=lambda rank: rank[:4])
         return [rank[4] for rank in ordered]
 
-    def _order_in_account(self, request: Waiting) -> tuple[float, float]:
+    def _order_in_account(self, request: _W) -> tuple[float, float]:
         return self._ratios.ratio(request.kind), request.on_time_until_s
--- a/packages/citrondock-core/src/citrondock_core/routing/engine_home.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_home.py
@@ -101,7 +101,7 @@
         self.cache = PrefixCacheView(engine.memory_tokens)
         self._shares = shares
         self._ratios = ServedRatios(half_life_s=RATIOS_HALF_LIFE_S)
-        self._queue = AdmissionQueue(shares, self._ratios)
+        self._queue: AdmissionQueue[_WaitingAsk] = AdmissionQueue(shares, self._ratios)
         self._waiting: dict[AskKey, _WaitingAsk] = {}
         self._grants: dict[AskKey, _Grant] = {}
         self._busy_until_s = 0.0
@@ -118,6 +118,10 @@
         """Requests that were granted and have not ended."""
         return len(self._grants)
 
+    def keys(self) -> list[AskKey]:
+        """Return the asks that wait or were granted and have not ended."""
+        return [*self._waiting, *self._grants]
+
     def backlog(self, *, now_s: float) -> EngineBacklog:
         """Return the engine's load."""
         waiting_s = self._prefill_s(self._queue.waiting_tokens)
@@ -166,7 +170,6 @@
         if not self._queue or self._ahead_s(now_s) > self.options.max_backlog_s:
             return answers
         for waiting in self._queue.in_order(now_s=now_s):
-            assert isinstance(waiting, _WaitingAsk)
             if not self._has_room(waiting.ask, now_s):
                 break
             self._forget_waiting(waiting)
--- a/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
@@ -7,7 +7,7 @@
 from citrondock_core.routing.target_entry import TargetEntry
 
 _SUSPECT_SHARE = 0.5
-"""Share of a service's targets whose joint disappearance is taken for lapsed entries."""
+"""Share of a service's targets that, gone together, are taken for lapsed entries."""
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/citrondock-core/src/citrondock_core/routing/target_load.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/target_load.py
@@ -6,7 +6,7 @@
 
 FIRST_SUSPENSION_S = 0.5
 MAX_SUSPENSION_S = 4.0
-"""A failing target gets nothing new for so long, doubling with each failure in a row."""
+"""A failing target gets nothing new for so long, doubling with each failure."""
 
 
 @attrs.define
--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -8,6 +8,7 @@
 
 import attrs
 import httptools
+from typing_extensions import override
 
 from citrondock_core.routing.route import ClientLimits
 from citrondock_router.gateway.dialect import Header, RequestHead
@@ -132,6 +133,7 @@
     def _is_body_too_large(self) -> bool:
         return self._body_bytes > self._handler.limits.max_body_bytes
 
+    @override
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
@@ -139,6 +141,7 @@
         detect_silence(transport.get_extra_info("socket"))
         self._handler.connected(self)
 
+    @override
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self._waiting.clear()
@@ -147,14 +150,17 @@
             current.client_left()
         self._handler.disconnected(self)
 
+    @override
     def pause_writing(self) -> None:
         if self._current is not None:
             self._current.client_is_slow(True)
 
+    @override
     def resume_writing(self) -> None:
         if self._current is not None:
             self._current.client_is_slow(False)
 
+    @override
     def data_received(self, data: bytes) -> None:
         if self._is_discarding:
             return
@@ -178,6 +184,7 @@
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
+        """Start a message."""
         self._url = b""
         self._headers = []
         self._header_bytes = 0
@@ -187,12 +194,15 @@
         self.head_began_at_s = self._loop.time()
 
     def on_url(self, url: bytes) -> None:
+        """Take part of the target."""
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
+        """Take the end of the head."""
         self._in_head = False
         self._header_bytes = len(self._url) + sum(
             len(name) + len(value) + 4 for name, value in self._headers
@@ -205,11 +215,13 @@
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
+        """Take part of the body."""
         self._body_bytes += len(data)
         if not self._is_body_too_large:
             self._body.append(data)
 
     def on_message_complete(self) -> None:
+        """Take the end of the message."""
         self._in_message = False
         if self._is_discarding or self._is_head_too_large or self._is_body_too_large:
             return
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -6,6 +6,8 @@
 from collections.abc import Sequence
 from http import HTTPStatus
 
+from typing_extensions import override
+
 from citrondock_core.routing.attempt_rules import AttemptHistory, Proof
 from citrondock_core.routing.grant import AskKey
 from citrondock_core.routing.placement import PlacementChoice
@@ -25,7 +27,7 @@
     TargetConnection,
 )
 from citrondock_router.gateway.target_connections import TargetConnections
-from citrondock_router.log import log_event
+from citrondock_router.log import LogValue, log_event
 
 MAX_COLLECTED_BYTES = 262_144
 """Plain answers up to this size are passed on only when they are whole."""
@@ -200,18 +202,21 @@
 
     # From the client's connection.
 
+    @override
     def client_left(self) -> None:
         if self.step is Step.DONE:
             return
         self._withdraw("client_left")
         self._end(Outcome(status=0, reason="client_left"))
 
+    @override
     def client_is_slow(self, slow: bool) -> None:
         if self._target is not None and self.step is Step.ANSWERING:
             self._target.pause() if slow else self._target.resume()
 
     # From the target's connection.
 
+    @override
     def answer_began(self, head: AnswerHead) -> bool:
         facts = self._dialect.answer_facts(head)
         if facts.request_id and facts.request_id != self.facts.request_id:
@@ -224,6 +229,7 @@
             self._spoiled("unsigned_answer")
         return True
 
+    @override
     def answer_data(self, data: bytes) -> None:
         if self.step is Step.DONE or self._is_rejected or self._head is None:
             return
@@ -244,6 +250,7 @@
         else:
             self._collect(data)
 
+    @override
     def answer_ended(self) -> None:
         self._target = None
         if self.step is Step.DONE or self._head is None:
@@ -255,6 +262,7 @@
         else:
             self._plain_ended(self._head)
 
+    @override
     def answer_broken(self, cause: BreakCause) -> None:
         self._target = None
         if self.step is Step.DONE:
@@ -505,10 +513,11 @@
         self._timer.cancel()
         self._scheduler.finished(self, outcome)
 
-    def _log(self, event: str, **fields: str | int | float) -> None:
+    def _log(self, event: str, **fields: LogValue) -> None:
         target = self.choice.load.entry.target_id if self.choice else ""
         log_event(
             event,
+            level="INFO",
             request_id=self.facts.request_id,
             target=target,
             route=self.route.name,
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -3,6 +3,8 @@
 import asyncio
 from http import HTTPStatus
 
+from typing_extensions import override
+
 from citrondock_core.routing.route import ClientLimits, RoutingConfiguration
 from citrondock_core.routing.route_table import ConfigurationHolder
 from citrondock_core.routing.target_directory import DirectoryChange, TargetDirectory
@@ -62,6 +64,7 @@
         self._is_leaving = False
         self._has_targets = False
 
+    @override
     @property
     def limits(self) -> ClientLimits:
         in_force = self.configuration.in_force
@@ -69,6 +72,7 @@
             return LIMITS_BEFORE_CONFIGURATION
         return in_force.configuration.limits
 
+    @override
     @property
     def is_leaving(self) -> bool:
         return self._is_leaving
@@ -124,6 +128,7 @@
                 )
         self.scheduler.directory_changed(change)
 
+    @override
     def handle(
         self, request: ClientRequest, client: ClientConnection
     ) -> RequestInProgress | None:
@@ -166,12 +171,15 @@
         self.scheduler.admit(exchange)
         return None if exchange.step is Step.DONE else exchange
 
+    @override
     def connected(self, client: ClientConnection) -> None:
         self._clients.add(client)
 
+    @override
     def disconnected(self, client: ClientConnection) -> None:
         self._clients.discard(client)
 
+    @override
     def rejected(self, status: int, reason: str) -> None:
         self._metrics.count_rejected(reason)
         log_event("request_rejected", status=status, reason=reason)
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
@@ -7,6 +7,7 @@
 from typing import cast
 
 import attrs
+from typing_extensions import override
 
 from citrondock_core.routing.account_shares import AccountShares
 from citrondock_core.routing.engine_hints import EngineHints
@@ -157,6 +158,8 @@
         now_s = self._loop.time()
         for home in self._homes.values():
             home.expire(now_s=now_s)
+        known = {key for home in self._homes.values() for key in home.keys()}
+        self._askers = {k: asker for k, asker in self._askers.items() if k in known}
 
     def greet(self, addresses: Iterable[Address]) -> None:
         """Tell routers of this one and ask them to tell of themselves."""
@@ -171,13 +174,16 @@
 
     # Datagrams.
 
+    @override
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.DatagramTransport, transport)
 
+    @override
     def error_received(self, exc: Exception) -> None:
         # A peer that is gone; its silence is noticed by the asks.
         log_event("peer_unreachable", level="DEBUG", detail=str(exc))
 
+    @override
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         now_s = self._loop.time()
         try:
--- a/packages/citrondock-router/src/citrondock_router/gateway/log_writer.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/log_writer.py
@@ -23,7 +23,7 @@
         self.dropped_count = 0
         os.set_blocking(descriptor, False)
 
-    def write(self, line: str) -> None:
+    def write(self, line: str, /) -> None:
         """Take one line."""
         data = line.encode("utf-8", "replace")
         if self._buffered_bytes + len(data) > MAX_BUFFERED_BYTES:
@@ -32,9 +32,6 @@
         self._lines.append(data)
         self._buffered_bytes += len(data)
 
-    def flush(self) -> None:
-        """Do nothing; `drain` writes."""
-
     def drain(self) -> None:
         """Write what the reader takes now."""
         if not self._lines:
--- a/packages/citrondock-router/src/citrondock_router/gateway/operations_handler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/operations_handler.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
 
+from typing_extensions import override
+
 from citrondock_core.routing.route import ClientLimits
 from citrondock_router.gateway.client_connection import (
     ClientConnection,
@@ -34,14 +36,17 @@
     def __init__(self, pages: Mapping[bytes, Page]) -> None:
         self._pages = pages
 
+    @override
     @property
     def limits(self) -> ClientLimits:
         return _LIMITS
 
+    @override
     @property
     def is_leaving(self) -> bool:
         return False
 
+    @override
     def handle(
         self, request: ClientRequest, client: ClientConnection
     ) -> RequestInProgress | None:
@@ -53,11 +58,14 @@
         client.answer(status, status.phrase.encode(), headers, body)
         return None
 
+    @override
     def connected(self, client: ClientConnection) -> None:
         return None
 
+    @override
     def disconnected(self, client: ClientConnection) -> None:
         return None
 
+    @override
     def rejected(self, status: int, reason: str) -> None:
         return None
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -5,6 +5,7 @@
 from functools import partial
 
 import attrs
+from typing_extensions import override
 
 from citrondock_core.routing.account_shares import AccountShares
 from citrondock_core.routing.admission_queue import AdmissionQueue
@@ -112,7 +113,7 @@
         self._services: dict[str, ServiceOptions] = {}
         self._loads: dict[str, TargetLoad] = {}
         self._loads_by_service: dict[str, list[TargetLoad]] = {}
-        self._queues: dict[str, AdmissionQueue] = {}
+        self._queues: dict[str, AdmissionQueue[Exchange]] = {}
         self._budgets: dict[str, AttemptBudget] = {}
         self._shares = AccountShares(half_life_s=SHARES_HALF_LIFE_S)
         self._ratios = ServedRatios(half_life_s=RATIOS_HALF_LIFE_S)
@@ -144,6 +145,7 @@
 
     # From exchanges.
 
+    @override
     def submit(self, exchange: Exchange) -> None:
         if not self._loads_by_service.get(exchange.service):
             exchange.refuse("no_target_known")
@@ -158,12 +160,14 @@
             queue.push(exchange)
             self._pump(exchange.service)
 
+    @override
     def withdraw(self, exchange: Exchange) -> None:
         if exchange.ask_key is not None:
             self._broker.progress(exchange.ask_key, Stage.WITHDRAWN)
             exchange.ask_key = None
         self._queue(exchange.service).remove(exchange)
 
+    @override
     def may_repeat(self, exchange: Exchange) -> bool:
         taken = self._budget(exchange.service).take(now_s=self._loop.time())
         if not taken:
@@ -175,6 +179,7 @@
             )
         return taken
 
+    @override
     def first_answer(self, exchange: Exchange) -> None:
         now_s = self._loop.time()
         if exchange.ask_key is not None:
@@ -188,6 +193,7 @@
             exchange.service, now_s - exchange.arrived_at_s
         )
 
+    @override
     def attempt_ended(self, exchange: Exchange, *, failed: bool) -> None:
         self._sent.pop(id(exchange), None)
         if exchange.ask_key is not None:
@@ -204,6 +210,7 @@
             choice.load.succeeded()
         self._pump(exchange.service)
 
+    @override
     def retry_after_s(self, exchange: Exchange) -> float:
         now_s = self._loop.time()
         loads = self._loads_by_service.get(exchange.service, [])
@@ -213,6 +220,7 @@
         wait_s = min(backlogs_s, default=RETRY_FLOOR_S)
         return round(RETRY_FLOOR_S + min(wait_s, MAX_RETRY_S), 3)
 
+    @override
     def finished(self, exchange: Exchange, outcome: Outcome) -> None:
         self.live_count -= 1
         self._sent.pop(id(exchange), None)
@@ -246,7 +254,6 @@
         now_s = self._loop.time()
         for service, queue in self._queues.items():
             for exchange in list(queue):
-                assert isinstance(exchange, Exchange)
                 if now_s >= self._wait_until_s(exchange):
                     queue.remove(exchange)
                     exchange.refuse("no_room_in_time")
@@ -324,6 +331,11 @@
         prompt = exchange.facts.prompt
         assert prompt is not None
         target_id = choice.load.entry.target_id
+        if answer.verdict is Verdict.GRANTED and target_id not in self._loads:
+            # It left while the prompt waited.
+            self._broker.progress(answer.key, Stage.WITHDRAWN)
+            self._ask(exchange, prompt)
+            return
         if answer.verdict is Verdict.GRANTED:
             engine = self._engine(exchange.service)
             if engine is not None:
@@ -365,11 +377,12 @@
         if not queue:
             return
         for exchange in queue.in_order(now_s=self._loop.time()):
-            assert isinstance(exchange, Exchange)
             if not self._place(exchange, queue=queue):
                 return
 
-    def _place(self, exchange: Exchange, queue: AdmissionQueue | None = None) -> bool:
+    def _place(
+        self, exchange: Exchange, queue: AdmissionQueue[Exchange] | None = None
+    ) -> bool:
         now_s = self._loop.time()
         loads = self._loads_by_service.get(exchange.service, [])
         choice = self._placement.choose_plain(
@@ -391,7 +404,7 @@
             self._sent[id(exchange)] = exchange
         exchange.send_to(choice)
 
-    def _queue(self, service: str) -> AdmissionQueue:
+    def _queue(self, service: str) -> AdmissionQueue[Exchange]:
         queue = self._queues.get(service)
         if queue is None:
             queue = self._queues[service] = AdmissionQueue(self._shares, self._ratios)
--- a/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 import httptools
+from typing_extensions import override
 
 from citrondock_router.gateway.dialect import AnswerHead, Header
 from citrondock_router.gateway.socket_options import detect_silence
@@ -111,6 +112,7 @@
         if self._transport is not None and not self._transport.is_reading():
             self._transport.resume_reading()
 
+    @override
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
@@ -118,6 +120,7 @@
         if sock is not None and sock.family == socket.AF_INET:
             detect_silence(sock)
 
+    @override
     def data_received(self, data: bytes) -> None:
         if self._listener is None or self._parser is None:
             self._reusable = False
@@ -135,6 +138,7 @@
         if self._is_complete:
             self._finish()
 
+    @override
     def eof_received(self) -> bool:
         self._had_eof = True
         if self._listener is not None and self._ends_with_connection:
@@ -142,6 +146,7 @@
             self._finish()
         return False
 
+    @override
     def connection_lost(self, exc: Exception | None) -> None:
         clean = exc is None and self._had_eof
         self._break(BreakCause.CLOSED if clean else BreakCause.RESET)
@@ -151,18 +156,22 @@
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
+        """Start a message."""
         if self._is_complete:
             self._has_surplus = True
         self._headers = []
         self._reason = b""
 
     def on_status(self, reason: bytes) -> None:
+        """Take the reason phrase."""
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
+        """Take the end of the head."""
         if self._is_complete or self._listener is None or self._parser is None:
             return
         status = self._parser.get_status_code()
@@ -180,10 +189,12 @@
             self._is_complete = True
 
     def on_body(self, data: bytes) -> None:
+        """Take part of the body."""
         if self._listener is not None and not (self._is_complete or self._is_foreign):
             self._listener.answer_data(data)
 
     def on_message_complete(self) -> None:
+        """Take the end of the message."""
         if self._is_interim or self._is_complete:
             return
         if self._is_foreign:
--- a/packages/citrondock-router/src/citrondock_router/gateway/target_connections.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/target_connections.py
@@ -6,7 +6,7 @@
 from citrondock_router.gateway.target_connection import TargetConnection
 
 CONNECT_TIMEOUT_S = 0.4
-"""A target in another zone answers within a few milliseconds; one that is lost never."""
+"""A target in another zone answers within milliseconds; one that is lost never."""
 
 IDLE_MARGIN_S = 0.6
 """A kept connection is not used in the last part of its announced idle time."""
--- a/packages/citrondock-router/src/citrondock_router/log.py
+++ b/packages/citrondock-router/src/citrondock_router/log.py
@@ -4,10 +4,18 @@
 import sys
 import threading
 from types import TracebackType
-from typing import TextIO
+from typing import Protocol, TextIO, cast
 
 from loguru import logger
 
+
+class LogStream(Protocol):
+    """Where lines are written."""
+
+    def write(self, text: str, /) -> object:
+        """Write one line."""
+
+
 LogValue = str | int | float | bool | None
 
 _PLAIN = frozenset(
@@ -32,7 +40,7 @@
         log_event("library_message", level=_level_name(record.levelno), **fields)
 
 
-def configure_logging(*, level: str = "INFO", stream: TextIO | None = None) -> None:
+def configure_logging(*, level: str = "INFO", stream: LogStream | None = None) -> None:
     """Send events of ``level`` and above to ``stream``, by default stderr.
 
     Warnings and errors of libraries, and exceptions that end a thread or the process,
@@ -40,7 +48,7 @@
     """
     logger.remove()
     logger.add(
-        stream or sys.stderr,
+        cast(TextIO, stream or sys.stderr),
         level=level,
         format=_FORMAT,
         colorize=False,
