Prompts may take 0.97 of an engine's time

Cause: the share of 0.85 was meant to keep running answers' pace; since the backlog is counted from prompts that have not started it only idled engines.

--- a/packages/citrondock-core/src/citrondock_core/routing/engine_home.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_home.py
@@ -45,7 +45,7 @@
 
     max_backlog_s: float = 0.12
     max_account_queue_s: float = 0.5
-    prefill_share: float = 0.85
+    prefill_share: float = 0.97
     max_grant_s: float = 20.0
 
 
