--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach s,$(SOURCES) platform,$(CURDIR)/$(s)))
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: setup demo test lint format bench experiment capacity known-red thrift
+.PHONY: setup demo test lint format bench experiment capacity measurements known-red thrift
 
 setup: $(VENV)/.citrondock-ready
 
@@ -46,6 +46,10 @@
 capacity: setup
 	$(BIN)/python -m citrondock_bench.capacity
 
+# Not run by CI: the page changes with each run on the users' bench.
+measurements: setup
+	$(BIN)/python -m citrondock_bench.measurements journal > docs/MEASUREMENTS.md
+
 known-red:
 	@tools/known-red --list
 
@@ -53,4 +57,6 @@
 thrift:
 	thrift --gen py -out packages/citrondock-wire/src/citrondock_wire/gen \
 		packages/citrondock-wire/peer.thrift
+	thrift --gen py -out packages/citrondock-wire/src/citrondock_wire/gen \
+		packages/citrondock-wire/grants.thrift
 	rm -f packages/citrondock-wire/src/citrondock_wire/gen/*/*-remote
--- a/packages/citrondock-cli/src/citrondock_cli/main.py
+++ b/packages/citrondock-cli/src/citrondock_cli/main.py
@@ -22,6 +22,7 @@
     ShowCommand,
 )
 from citrondock_cli.router_client import RouterClient, SubjectUnknownError
+from citrondock_cli.story_command import StoryCommand
 from citrondock_core.configuration_patch import TargetUnknownError
 from citrondock_core.configuration_reader import RevisionMissingError
 from citrondock_core.configuration_repository import (
@@ -47,6 +48,7 @@
         DrainCommand(),
         AccountsCommand(),
         ServicesCommand(),
+        StoryCommand(),
     )
 }
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -317,8 +317,12 @@
         self._collected_bytes = 0
         self._target = connection
         self.history.sending(entry.target_id)
-        if self.history.sent_count > 1:
-            self._log("request_sent_again", attempt=self.history.sent_count)
+        self._log(
+            "request_sent",
+            attempt=self.history.sent_count,
+            time_left_s=time_left_s,
+            resumed_after=resume_after,
+        )
         is_head = self.request.head.method == b"HEAD"
         connection.send(self._request_bytes(headers), self, is_head=is_head)
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -317,6 +317,16 @@
             on_time_until_s=exchange.on_time_until_s,
             wait_until_s=max(self._wait_until_s(exchange), now_s),
         )
+        log_event(
+            "engine_asked",
+            request_id=exchange.facts.request_id,
+            target=entry.target_id,
+            ask=exchange.ask_count,
+            prefill_tokens=choice.prefill_tokens,
+            believed_backlog_s=self._hints.backlog_s(entry.target_id, now_s=now_s),
+            predicted_s=choice.first_answer_s,
+            directory_revision=self._directory.revision,
+        )
         rate = self._hints.prefill_tokens_per_s(entry.target_id)
         self._hints.add(entry.target_id, choice.prefill_tokens / rate, now_s=now_s)
         self._broker.ask(ask, entry, partial(self._answered, exchange, choice))
@@ -331,6 +341,14 @@
         prompt = exchange.facts.prompt
         assert prompt is not None
         target_id = choice.load.entry.target_id
+        log_event(
+            "engine_answered",
+            request_id=exchange.facts.request_id,
+            target=target_id,
+            verdict=answer.verdict.name.lower(),
+            predicted_s=answer.first_answer_s,
+            waited_s=self._loop.time() - exchange.arrived_at_s,
+        )
         if answer.verdict is Verdict.GRANTED and target_id not in self._loads:
             # It left while the prompt waited.
             self._broker.progress(answer.key, Stage.WITHDRAWN)
--- /dev/null
+++ b/tests/gateway/test_grant_broker.py
@@ -0,0 +1,178 @@
+"""Routers ask each other's homes over datagrams."""
+
+import asyncio
+
+from harness import run
+
+from citrondock_core.routing.engine_hints import EngineHints
+from citrondock_core.routing.grant import Ask, Stage, Verdict
+from citrondock_core.routing.peer_table import PeerTable
+from citrondock_core.routing.request_facts import PromptPart
+from citrondock_core.routing.route import ModelEngineOptions
+from citrondock_core.routing.target_entry import TargetEntry
+from citrondock_router.gateway.gateway_settings import Address
+from citrondock_router.gateway.grant_broker import GrantBroker
+from citrondock_wire.grant_codec import GrantCodec, PeerDatagram
+
+HOST = "127.0.0.1"
+ENGINE = ModelEngineOptions(max_batch_size=8, memory_tokens=100_000)
+
+
+def entry(target_id, zone):
+    return TargetEntry(
+        target_id=target_id,
+        service="llm",
+        host=HOST,
+        port=1,
+        availability_zone=zone,
+        max_concurrency=8,
+        is_leaving=False,
+    )
+
+
+class Router:
+    """A broker with its socket."""
+
+    def __init__(self, name, zone):
+        loop = asyncio.get_running_loop()
+        self.table = PeerTable(name, zone)
+        self.hints = EngineHints()
+        self.broker = GrantBroker(self.table, self.hints, loop)
+        self.answers = []
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(
+            lambda: self.broker, local_addr=(HOST, 0)
+        )
+        self.address = Address(*self.transport.get_extra_info("sockname"))
+        self.broker.set_engines({"e1": ENGINE})
+
+    def ask(self, zone, *, prompt=2000, wait_s=1.0):
+        now_s = asyncio.get_running_loop().time()
+        ask = Ask(
+            key=self.broker.new_key(),
+            target_id="e1",
+            account="a",
+            kind="k",
+            prompt_tokens=prompt,
+            output_tokens=10,
+            shared_parts=(PromptPart("12", 100),),
+            on_time_until_s=now_s + wait_s,
+            wait_until_s=now_s + wait_s,
+        )
+        self.broker.ask(ask, entry("e1", zone), self.answers.append)
+        return ask.key
+
+    def verdicts(self):
+        return [answer.verdict for answer in self.answers]
+
+
+async def pair():
+    """Return a router of zone z1 and one of z2 that know each other."""
+    routers = [Router("v1", "z1"), Router("v2", "z2")]
+    for router in routers:
+        await router.start()
+    routers[0].broker.greet([routers[1].address])
+    await asyncio.sleep(0.05)
+    return routers
+
+
+async def ticks(routers, seconds):
+    end_s = asyncio.get_running_loop().time() + seconds
+    while asyncio.get_running_loop().time() < end_s:
+        for router in routers:
+            router.broker.tick()
+        await asyncio.sleep(0.005)
+
+
+class TestAsking:
+    def test_routers_know_each_other_after_one_greeting(self):
+        async def check():
+            first, second = await pair()
+            assert [peer.vm_name for peer in first.table.peers()] == ["v2"]
+            assert [peer.vm_name for peer in second.table.peers()] == ["v1"]
+
+        run(check())
+
+    def test_the_home_of_an_engine_answers_for_it(self):
+        async def check():
+            first, second = await pair()
+            first.ask("z2")
+            await ticks([first, second], 0.1)
+            assert first.verdicts() == [Verdict.GRANTED]
+            assert first.hints.backlog_s("e1", now_s=0) > 0
+
+        run(check())
+
+    def test_what_waits_is_granted_when_the_engine_goes_on(self):
+        async def check():
+            first, second = await pair()
+            keys = [first.ask("z2", prompt=9000) for _ in range(3)]
+            await ticks([first, second], 0.05)
+            assert first.verdicts().count(Verdict.GRANTED) == 1
+            first.broker.progress(keys[0], Stage.STARTED)
+            first.broker.progress(keys[0], Stage.ENDED)
+            await ticks([first, second], 0.4)
+            assert first.verdicts().count(Verdict.GRANTED) >= 2
+
+        run(check())
+
+    def test_a_silent_home_is_replaced(self):
+        async def check():
+            first, second = await pair()
+            second.transport.close()
+            first.ask("z2")
+            await ticks([first], 0.2)
+            assert first.verdicts() == [Verdict.GRANTED]
+
+        run(check())
+
+    def test_an_ask_that_is_never_answered_ends_as_refused(self):
+        async def check():
+            first, second = await pair()
+            for _ in range(4):
+                first.ask("z2", prompt=20_000, wait_s=0.1)
+            await ticks([first, second], 0.05)
+            second.transport.close()
+            await ticks([first], 0.4)
+            waiting = len(first.answers) - first.verdicts().count(Verdict.QUEUED)
+            assert waiting == 4
+
+        run(check())
+
+    def test_a_leaving_router_is_home_no_longer(self):
+        async def check():
+            first, second = await pair()
+            second.broker.leave()
+            await asyncio.sleep(0.05)
+            assert first.table.peers() == []
+
+        run(check())
+
+    def test_bytes_that_are_no_datagram_change_nothing(self):
+        async def check():
+            first, _second = await pair()
+            for data in (b"", b"\x00" * 40, b"\xff" * 200, b"GET / HTTP/1.1\r\n\r\n"):
+                first.broker.datagram_received(data, (HOST, 9))
+            assert [peer.vm_name for peer in first.table.peers()] == ["v2"]
+
+        run(check())
+
+
+class TestCodec:
+    def test_times_travel_as_differences(self):
+        async def check():
+            first, _second = await pair()
+            key = first.ask("z1")
+            ask = first.broker._pending[key].ask
+            sent = PeerDatagram(vm_name="v1", incarnation=key.incarnation, asks=[ask])
+            codec = GrantCodec()
+            now_s = ask.on_time_until_s - 0.5
+            data = codec.encode(sent, now_s=now_s)
+            [got] = codec.decode(data, now_s=100.0, own_incarnation=1).asks
+            assert abs(got.on_time_until_s - 100.5) < 0.01
+            assert (got.key, got.shared_parts) == (ask.key, ask.shared_parts)
+            assert len(data) < 120
+
+        run(check())
