--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -138,6 +138,7 @@
         self.last_data_at_s = 0.0
         self.first_answer_at_s: float | None = None
         self.longest_pause_s = 0.0
+        self._answered_at_s = 0.0
         self._client = client
         self._dialect = dialect
         self._connections = connections
@@ -237,9 +238,10 @@
         if self.first_answer_at_s is None:
             self.first_answer_at_s = now_s
         else:
-            pause_s = now_s - self.last_data_at_s
+            # Also over a change of targets; the client waits for both.
+            pause_s = now_s - self._answered_at_s
             self.longest_pause_s = max(self.longest_pause_s, pause_s)
-        self.last_data_at_s = now_s
+        self.last_data_at_s = self._answered_at_s = now_s
         if self.choice is not None:
             self.choice.load.last_data_at_s = now_s
         if self.step is Step.SENT:
--- /dev/null
+++ b/tests/bench/test_measurements.py
@@ -0,0 +1,58 @@
+"""The page of measurements is made from the journal."""
+
+import json
+
+from citrondock_bench.journal import newest_scores, read_journal
+from citrondock_bench.measurements import page
+
+
+def entry(run_id, command, days, site="north", at="2026-01-01T00:00:00Z"):
+    return {
+        "id": run_id,
+        "cmd": command,
+        "why": "w",
+        "at": [at, at],
+        "site": site,
+        "days": days,
+    }
+
+
+def day(name, worth, **fields):
+    return {
+        "name": name,
+        "G": worth,
+        "score": 0.5,
+        "rules": {},
+        "gate": True,
+        "parts": [["whole day", 0.36, 0.9], ["worst class", 0.08, 0.4]],
+        "prices": [["processor seconds", 20.0, 0.001], ["cloud calls", 30.0, 0.02]],
+        **fields,
+    }
+
+
+class TestMeasurements:
+    def journal(self, folder):
+        entries = [
+            entry("a", "score", [day("quiet-1", 0.5), day("fresh-1", 0.1)]),
+            entry("b", "run", [day("quiet-1", 0.9)]),
+            entry("c", "score", [day("quiet-1", 0.7, rules={"FAIR": 1}, score=None)]),
+            entry("d", "hunt", [{"name": "given up", "G": None}]),
+        ]
+        for number, content in enumerate(entries):
+            (folder / f"2026010{number}-x.json").write_text(json.dumps(content))
+        return read_journal(folder)
+
+    def test_the_newest_score_of_each_standard_day_counts(self, tmp_path):
+        newest = newest_scores(self.journal(tmp_path))
+        assert {name: d.run_id for name, d in newest["north"].items()} == {
+            "quiet-1": "c"
+        }
+
+    def test_the_page_shows_what_binds(self, tmp_path):
+        [row] = [
+            line
+            for line in page(self.journal(tmp_path)).splitlines()
+            if line.startswith("| quiet-1")
+        ]
+        for shown in ("0.700", "FAIR", "worst class 0.40", "cloud calls 0.020", "20"):
+            assert shown in row
