--- a/packages/citrondock-core/src/citrondock_core/routing/request_facts.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/request_facts.py
@@ -40,21 +40,21 @@
 
     @property
     def affinity_key(self) -> str:
-        """Id of the last part that other requests share, or empty."""
+        """Model and last part that other requests share, or empty."""
         if not self.parts:
             return ""
-        return self.parts[-2 if len(self.parts) > 1 else -1].part_id
+        part = self.parts[-2 if len(self.parts) > 1 else -1]
+        return f"{self.model}/{part.part_id}"
 
     @property
     def hashed_shared_parts(self) -> tuple[PromptPart, ...]:
         """All parts but the last, under ids of 64 bits with a sign."""
-        return tuple(
-            PromptPart(
-                str(xxhash.xxh64_intdigest(part.part_id.encode()) - _SIGN_BIT),
-                part.token_count,
-            )
-            for part in self.parts[:-1]
-        )
+        return tuple(self._hashed(part) for part in self.parts[:-1])
+
+    def _hashed(self, part: PromptPart) -> PromptPart:
+        # What one model keeps of a part is of no use to another.
+        digest = xxhash.xxh64_intdigest(f"{self.model}/{part.part_id}".encode())
+        return PromptPart(str(digest - _SIGN_BIT), part.token_count)
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/citrondock-core/src/citrondock_core/routing/route.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/route.py
@@ -112,14 +112,11 @@
     ----------
     name : str
         Unique name.
-    max_connections : int
-        Connections that one target accepts from all callers.
     engine : ModelEngineOptions or None
         Present for services of model engines.
     """
 
     name: str
-    max_connections: int
     engine: ModelEngineOptions | None = None
 
 
--- a/packages/citrondock-core/src/citrondock_core/routing/route_table.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/route_table.py
@@ -37,11 +37,10 @@
 
 @attrs.frozen
 class ConfigurationInForce:
-    """A configuration with its table of routes and when it was taken up."""
+    """A configuration with its table of routes."""
 
     configuration: RoutingConfiguration
     table: RouteTable
-    since_s: float
 
 
 class ConfigurationHolder:
@@ -55,10 +54,10 @@
         """Version in force, or 0 before the first."""
         return self.in_force.configuration.version if self.in_force else 0
 
-    def offer(self, configuration: RoutingConfiguration, *, now_s: float) -> bool:
+    def offer(self, configuration: RoutingConfiguration) -> bool:
         """Take a configuration up if it is newer; return whether it was."""
         if configuration.version <= self.version:
             return False
         table = RouteTable(configuration.routes)
-        self.in_force = ConfigurationInForce(configuration, table, now_s)
+        self.in_force = ConfigurationInForce(configuration, table)
         return True
--- a/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
@@ -1,6 +1,6 @@
 """Targets that requests may be sent to."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 
 import attrs
 
@@ -45,16 +45,12 @@
         """Return the entry of a target."""
         return self._entries.get(target_id)
 
-    def entries(self) -> Collection[TargetEntry]:
-        """Return all entries, leaving ones included."""
-        return self._entries.values()
-
-    def usable(self, service: str) -> list[TargetEntry]:
-        """Return the targets of a service that take new work."""
+    def usable(self, service: str | None = None) -> list[TargetEntry]:
+        """Return the targets that take new work, of one service or of all."""
         return [
             entry
             for entry in self._entries.values()
-            if entry.service == service and not entry.is_leaving
+            if service in (None, entry.service) and not entry.is_leaving
         ]
 
     def registry_returned(self, *, now_s: float) -> None:
--- /dev/null
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_answer.py
@@ -0,0 +1,76 @@
+"""The answer that a client gets from a target."""
+
+from citrondock_router.gateway.client_connection import ClientConnection
+from citrondock_router.gateway.dialect import AnswerHead, Dialect
+
+MAX_COLLECTED_BYTES = 262_144
+"""Plain answers up to this size are passed on only when they are whole."""
+
+
+class ClientAnswer:
+    """Collects a plain answer, or passes a stream on, under one head.
+
+    Parameters
+    ----------
+    client : ClientConnection
+        Where the answer goes.
+    dialect : Dialect
+        Gives the client's headers.
+    is_head : bool
+        Whether the client wants no body.
+    """
+
+    def __init__(
+        self, client: ClientConnection, dialect: Dialect, *, is_head: bool
+    ) -> None:
+        self._client = client
+        self._dialect = dialect
+        self._is_head = is_head
+        self._collected: list[bytes] = []
+        self._collected_bytes = 0
+        self.has_begun = False
+        self.passes_through = False
+
+    def forget_collected(self) -> None:
+        """Drop what an attempt left that goes on elsewhere."""
+        self._collected = []
+        self._collected_bytes = 0
+
+    def collect(self, head: AnswerHead, data: bytes) -> None:
+        """Take part of a plain answer; a long one is passed on from here."""
+        if self.passes_through:
+            self.pass_on(head, data)
+            return
+        self._collected.append(data)
+        self._collected_bytes += len(data)
+        if self._collected_bytes > MAX_COLLECTED_BYTES:
+            self.passes_through = True
+            collected = b"".join(self._collected)
+            self.forget_collected()
+            self.pass_on(head, collected)
+
+    def pass_on(self, head: AnswerHead, data: bytes) -> None:
+        """Write part of an answer whose length is not known."""
+        if self.has_begun:
+            self._client.write_data(data)
+            return
+        self.has_begun = True
+        headers = self._dialect.client_headers(head)
+        self._client.begin_stream(head.status, head.reason, headers, data)
+
+    def end(self, head: AnswerHead) -> None:
+        """End a stream whose events were passed on."""
+        if not self.has_begun:
+            self.pass_on(head, b"")
+        self._client.end_stream()
+
+    def deliver(self, head: AnswerHead) -> None:
+        """Write a whole plain answer, or the end of a long one."""
+        if self.passes_through:
+            self._client.end_stream()
+            return
+        headers = self._dialect.client_headers(head)
+        body = b"".join(self._collected)
+        self._client.answer(
+            head.status, head.reason, headers, body, is_head=self._is_head
+        )
--- a/packages/citrondock-router/src/citrondock_router/gateway/event_cutter.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/event_cutter.py
@@ -46,11 +46,6 @@
         """Forget an event that was cut, before the stream goes on elsewhere."""
         self._partial = b""
 
-    def take_partial(self) -> bytes:
-        """Return what is held back at the end of the stream."""
-        rest, self._partial = self._partial, b""
-        return rest
-
     def feed(self, data: bytes) -> bytes:
         """Return the events that are whole and new.
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -13,6 +13,7 @@
 from citrondock_core.routing.placement import PlacementChoice
 from citrondock_core.routing.request_facts import RequestFacts
 from citrondock_core.routing.route import Route
+from citrondock_router.gateway.client_answer import ClientAnswer
 from citrondock_router.gateway.client_connection import (
     ClientConnection,
     ClientRequest,
@@ -29,9 +30,6 @@
 from citrondock_router.gateway.target_connections import TargetConnections
 from citrondock_router.log import LogValue, log_event
 
-MAX_COLLECTED_BYTES = 262_144
-"""Plain answers up to this size are passed on only when they are whole."""
-
 MAX_CONNECT_TRIES = 4
 """Targets that are tried when connections cannot be opened."""
 
@@ -149,10 +147,8 @@
         self._opening: asyncio.Task[None] | None = None
         self._head: AnswerHead | None = None
         self._is_rejected = False
-        self._passes_through = False
-        self._client_has_head = False
-        self._collected: list[bytes] = []
-        self._collected_bytes = 0
+        is_head = request.head.method == b"HEAD"
+        self._answer = ClientAnswer(client, dialect, is_head=is_head)
         self._cutter: EventCutter | None = None
         if route.kind.may_run_again and route.kind.is_stream:
             self._cutter = EventCutter(last_event_id=facts.resume_after_event_id)
@@ -250,7 +246,7 @@
         if self._head.is_success and self.route.kind.is_stream:
             self._pass_events(data)
         else:
-            self._collect(data)
+            self._answer.collect(self._head, data)
 
     @override
     def answer_ended(self) -> None:
@@ -315,8 +311,7 @@
         self.sent_at_s = self.last_data_at_s = now_s
         self._head = None
         self._is_rejected = False
-        self._collected = []
-        self._collected_bytes = 0
+        self._answer.forget_collected()
         self._target = connection
         self.history.sending(entry.target_id)
         self._log(
@@ -345,29 +340,8 @@
             except EventOrderError as error:
                 self._spoiled(str(error))
                 return
-        if data:
-            self._pass_on(data)
-
-    def _collect(self, data: bytes) -> None:
-        if self._passes_through:
-            self._pass_on(data)
-            return
-        self._collected.append(data)
-        self._collected_bytes += len(data)
-        if self._collected_bytes > MAX_COLLECTED_BYTES:
-            self._passes_through = True
-            collected = b"".join(self._collected)
-            self._collected = []
-            self._pass_on(collected)
-
-    def _pass_on(self, data: bytes) -> None:
-        if self._client_has_head:
-            self._client.write_data(data)
-            return
-        assert self._head is not None
-        self._client_has_head = True
-        headers = self._dialect.client_headers(self._head)
-        self._client.begin_stream(self._head.status, self._head.reason, headers, data)
+        if data and self._head is not None:
+            self._answer.pass_on(self._head, data)
 
     def _stream_ended(self) -> None:
         assert self._head is not None
@@ -375,9 +349,7 @@
             self._broken("ended_within_event")
             return
         self._attempt_ended(None, "")
-        if not self._client_has_head:
-            self._pass_on(b"")
-        self._client.end_stream()
+        self._answer.end(self._head)
         self._end(Outcome(status=self._head.status, reason="answered", is_whole=True))
 
     def _plain_ended(self, head: AnswerHead) -> None:
@@ -388,7 +360,7 @@
             self._submit_again()
             return
         self._attempt_ended(None, "")
-        if self._client_has_head and not self._passes_through:
+        if self._answer.has_begun and not self._answer.passes_through:
             # Events were passed on; another answer cannot follow them.
             self._break_off(f"status {head.status} after events")
             return
@@ -397,18 +369,7 @@
             self.history.ended(Proof.MAY_HAVE_RUN)
             self._fail(HTTPStatus.BAD_GATEWAY, f"status {head.status} without proof")
             return
-        self._deliver(head)
-
-    def _deliver(self, head: AnswerHead) -> None:
-        if self._passes_through:
-            self._client.end_stream()
-        else:
-            headers = self._dialect.client_headers(head)
-            body = b"".join(self._collected)
-            is_head = self.request.head.method == b"HEAD"
-            self._client.answer(
-                head.status, head.reason, headers, body, is_head=is_head
-            )
+        self._answer.deliver(head)
         self._end(
             Outcome(status=head.status, reason="answered", is_whole=head.is_success)
         )
@@ -416,7 +377,7 @@
     def _is_failure_to_repeat(self, head: AnswerHead) -> bool:
         if head.status < 500 or not self.route.kind.may_run_again:
             return False
-        return not self._passes_through and self._can_repeat()
+        return not self._answer.passes_through and self._can_repeat()
 
     def _rejected(self) -> None:
         assert self._head is not None
@@ -424,7 +385,7 @@
         self._attempt_ended(Proof.NOT_RUN, reason)
         if self._can_repeat():
             self._submit_again()
-        elif self._client_has_head:
+        elif self._answer.has_begun:
             self._break_off(reason)
         else:
             self.refuse("target_rejected")
@@ -438,7 +399,7 @@
         self._attempt_ended(Proof.MAY_HAVE_RUN, reason)
         if self._can_repeat():
             self._submit_again()
-        elif self._client_has_head:
+        elif self._answer.has_begun:
             self._break_off(reason)
         else:
             self._fail(HTTPStatus.BAD_GATEWAY, reason)
@@ -446,7 +407,7 @@
     # Ends.
 
     def _can_repeat(self) -> bool:
-        if self._passes_through or self._loop.time() >= self.answer_by_s:
+        if self._answer.passes_through or self._loop.time() >= self.answer_by_s:
             return False
         return self.history.may_send_again() and self._scheduler.may_repeat(self)
 
@@ -489,7 +450,7 @@
             return
         is_sent = self.step in (Step.SENT, Step.ANSWERING)
         self._withdraw("timed_out")
-        if self._client_has_head:
+        if self._answer.has_begun:
             self._break_off("timed_out")
         elif is_sent or self.history.may_have_run:
             self._fail(HTTPStatus.GATEWAY_TIMEOUT, "timed_out")
@@ -497,7 +458,7 @@
             self._finish_with(HTTPStatus.SERVICE_UNAVAILABLE, "timed_out_waiting")
 
     def _fail(self, status: HTTPStatus, reason: str) -> None:
-        if self._client_has_head:
+        if self._answer.has_begun:
             self._break_off(reason)
         else:
             self._finish_with(status, reason)
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -99,7 +99,7 @@
     def configure(self, configuration: RoutingConfiguration) -> None:
         """Take up a configuration if it is newer."""
         before = self.configuration.version
-        if not self.configuration.offer(configuration, now_s=self._loop.time()):
+        if not self.configuration.offer(configuration):
             return
         self.scheduler.configure(dict(configuration.services))
         log_event(
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_metrics.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_metrics.py
@@ -26,6 +26,11 @@
         self._targets = Gauge(
             "citrondock_targets", "Targets known.", registry=self._registry
         )
+        self._totals = Gauge(
+            "citrondock_totals",
+            "Peer bytes sent and target connections opened so far.",
+            registry=self._registry,
+        )
         self._first_answer = self._histogram(
             "first_answer_seconds", "Arrival to first bytes.", _DELAY_BUCKETS_S
         )
@@ -59,8 +64,17 @@
         """Note how much later than predicted the first bytes came."""
         self._prediction.observe({"service": service}, error_s)
 
-    def set_state(self, *, configuration_version: int, target_count: int) -> None:
+    def set_state(
+        self,
+        *,
+        configuration_version: int,
+        target_count: int,
+        peer_bytes: int,
+        opened_connections: int,
+    ) -> None:
         """Take figures of the router as a whole."""
+        self._totals.set({"kind": "peer_bytes_sent"}, peer_bytes)
+        self._totals.set({"kind": "target_connections_opened"}, opened_connections)
         self._configuration.set({}, configuration_version)
         self._targets.set({}, target_count)
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -198,5 +198,7 @@
         self.metrics.set_state(
             configuration_version=self.gateway.configuration.version,
             target_count=len(self.directory),
+            peer_bytes=self.broker.sent_bytes,
+            opened_connections=self._connections.opened_count,
         )
         return HTTPStatus.OK, self.metrics.render()
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -1,7 +1,6 @@
 """Decides when and where requests are sent."""
 
 import asyncio
-from collections.abc import Iterable
 from functools import partial
 
 import attrs
@@ -27,6 +26,7 @@
 from citrondock_router.gateway.gateway_metrics import GatewayMetrics
 from citrondock_router.gateway.grant_broker import SHARES_HALF_LIFE_S, GrantBroker
 from citrondock_router.gateway.outcome import Outcome
+from citrondock_router.gateway.silence import SilenceOptions, is_silent
 from citrondock_router.gateway.target_connections import TargetConnections
 from citrondock_router.log import log_event
 
@@ -36,6 +36,9 @@
 MAX_ASKS = 3
 """Engines that are asked for one attempt before it is refused."""
 
+WAIT_IN_TARGETS = 1.0
+"""Longest wait for a target, as a multiple of the time for the first answer."""
+
 MOVE_GAIN_S = 0.1
 """A queued prompt asks another engine if that gains more time than this."""
 
@@ -44,35 +47,6 @@
 """Refused clients are asked to come back after what the engines have to read."""
 
 
-@attrs.frozen(kw_only=True)
-class PatienceOptions:
-    """How long requests wait for what.
-
-    Parameters
-    ----------
-    wait_in_targets : float
-        Longest wait for a target, as a multiple of the time for the first answer.
-    silence_in_targets : float
-        Silence after which a request that may run again goes elsewhere if its target
-        says nothing to anybody, as a multiple of the time for the first answer.
-    min_silence_s : float
-        Shortest such silence.
-    pause_s : float
-        Silence within an answer after which the same holds.
-    quiet_target_s : float
-        Time for which a target has said nothing to anybody to be taken for silent.
-    hung_s : float
-        Silence after which a request goes elsewhere although its target answers others.
-    """
-
-    wait_in_targets: float = 1.0
-    silence_in_targets: float = 2.0
-    min_silence_s: float = 0.35
-    pause_s: float = 1.0
-    quiet_target_s: float = 0.6
-    hung_s: float = 2.0
-
-
 class FleetScheduler(Scheduler):
     """Queues, loads and budgets of all services on one router.
 
@@ -99,9 +73,9 @@
         budget_options: AttemptBudgetOptions,
         metrics: GatewayMetrics,
         loop: asyncio.AbstractEventLoop,
-        patience: PatienceOptions | None = None,
+        silence: SilenceOptions | None = None,
     ) -> None:
-        self.budget_options = budget_options
+        self._budget_options = budget_options
         self._directory = directory
         self._connections = connections
         self._placement = placement
@@ -109,7 +83,7 @@
         self._broker = broker
         self._metrics = metrics
         self._loop = loop
-        self._patience = patience or PatienceOptions()
+        self._silence = silence or SilenceOptions()
         self._services: dict[str, ServiceOptions] = {}
         self._loads: dict[str, TargetLoad] = {}
         self._loads_by_service: dict[str, list[TargetLoad]] = {}
@@ -120,10 +94,11 @@
         self._sent: dict[int, Exchange] = {}
         self.live_count = 0
 
-    @property
-    def loads(self) -> Iterable[TargetLoad]:
-        """Loads of all usable targets."""
-        return self._loads.values()
+    def set_budget(self, options: AttemptBudgetOptions) -> None:
+        """Take other limits of repeated sends."""
+        self._budget_options = options
+        for budget in self._budgets.values():
+            budget.options = options
 
     def configure(self, services: dict[str, ServiceOptions]) -> None:
         """Take the services of a new configuration."""
@@ -259,37 +234,13 @@
                     exchange.refuse("no_room_in_time")
             self._pump(service)
         for exchange in list(self._sent.values()):
-            if self._is_silent(exchange, now_s):
+            if is_silent(exchange, self._silence, now_s=now_s):
                 self._metrics.count_silence(exchange.service)
                 exchange.try_elsewhere("silent")
 
     def _wait_until_s(self, exchange: Exchange) -> float:
         target_s = exchange.on_time_until_s - exchange.arrived_at_s
-        return exchange.arrived_at_s + self._patience.wait_in_targets * target_s
-
-    def _is_silent(self, exchange: Exchange, now_s: float) -> bool:
-        is_sent = exchange.step in (Step.SENT, Step.ANSWERING)
-        if not is_sent or not exchange.route.kind.may_run_again:
-            return False
-        patience = self._patience
-        silence_s = now_s - exchange.last_data_at_s
-        if exchange.step is Step.ANSWERING:
-            longest_s = patience.pause_s
-        else:
-            target_s = exchange.route.first_answer_target_s
-            longest_s = max(
-                patience.silence_in_targets * target_s, patience.min_silence_s
-            )
-        if silence_s < longest_s:
-            return False
-        if exchange.facts.prompt is None or silence_s >= max(
-            longest_s, patience.hung_s
-        ):
-            return True
-        quiet_s = (
-            now_s - exchange.choice.load.last_data_at_s if exchange.choice else 0.0
-        )
-        return quiet_s >= patience.quiet_target_s
+        return exchange.arrived_at_s + WAIT_IN_TARGETS * target_s
 
     # Prompts: the home of an engine decides when they are sent.
 
@@ -431,7 +382,7 @@
     def _budget(self, service: str) -> AttemptBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = self._budgets[service] = AttemptBudget(self.budget_options)
+            budget = self._budgets[service] = AttemptBudget(self._budget_options)
         return budget
 
     def _engine(self, service: str) -> ModelEngineOptions | None:
@@ -442,9 +393,7 @@
         loads: dict[str, TargetLoad] = {}
         by_service: dict[str, list[TargetLoad]] = {}
         engines: dict[str, ModelEngineOptions] = {}
-        for entry in self._directory.entries():
-            if entry.is_leaving:
-                continue
+        for entry in self._directory.usable():
             load = self._loads.get(entry.target_id)
             if load is None or load.entry.is_other_life_of(entry):
                 load = TargetLoad(entry)
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -171,8 +171,8 @@
         version=version,
         routes=(*routes, model),
         services={
-            "app": ServiceOptions(name="app", max_connections=50),
-            "llm": ServiceOptions(name="llm", max_connections=50, engine=engine),
+            "app": ServiceOptions(name="app"),
+            "llm": ServiceOptions(name="llm", engine=engine),
         },
         limits=ClientLimits(
             max_header_bytes=4096,
--- a/tests/gateway/test_operations_page.py
+++ b/tests/gateway/test_operations_page.py
@@ -7,12 +7,13 @@
 
 import pytest
 from harness import (
-    HOST,
+    Client,
     Harness,
     ScriptedTarget,
     chunk,
     event,
     hard_reset,
+    request,
     run,
     stream_head,
 )
@@ -144,11 +145,11 @@
                 metrics.count_silence("s")
                 metrics.observe_first_answer("s", 0.1)
                 metrics.observe_prediction("s", 0.1)
-                reader, writer = await asyncio.open_connection(HOST, fleet.metrics_port)
                 await fleet.get("/safe/x")
-                writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
-                text = (await reader.readuntil(b"citrondock_targets ")).decode()
-                writer.close()
+                client = await Client.connect(fleet.metrics_port)
+                client.writer.write(request("/metrics"))
+                text = (await client.read()).body.decode()
+                client.writer.close()
                 for name in names:
                     assert name in text
 
--- a/tests/routing/test_routes.py
+++ b/tests/routing/test_routes.py
@@ -85,15 +85,15 @@
 class TestConfigurationHolder:
     def test_an_older_configuration_never_comes_back(self):
         holder = ConfigurationHolder()
-        assert holder.offer(configuration(3, [route("/new/")]), now_s=0)
-        assert not holder.offer(configuration(2), now_s=1)
-        assert not holder.offer(configuration(3), now_s=1)
+        assert holder.offer(configuration(3, [route("/new/")]))
+        assert not holder.offer(configuration(2))
+        assert not holder.offer(configuration(3))
         assert holder.in_force.table.match("h.example", "/new/x") is not None
 
     def test_versions_are_compared_as_numbers(self):
         holder = ConfigurationHolder()
-        holder.offer(configuration(9), now_s=0)
-        assert holder.offer(configuration(10), now_s=1)
+        holder.offer(configuration(9))
+        assert holder.offer(configuration(10))
 
 
 class TestTargetDirectory:
