--- a/packages/citrondock-core/src/citrondock_core/routing/attempt_budget.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/attempt_budget.py
@@ -26,6 +26,20 @@
     spare_count: float = attrs.field(validator=ge(0))
 
 
+MIN_SHARING_ROUTERS = 16
+"""Routers that the fleet's spare repeats are divided by at least, as some may not be
+known yet."""
+
+SHARING_MARGIN = 1.25
+"""The same for a fleet whose routers are known, as it may be growing."""
+
+
+def shared_spare_count(fleet_spare_count: float, known_router_count: int) -> float:
+    """Return this router's part of the fleet's repeats beyond the ratio."""
+    sharing = max(MIN_SHARING_ROUTERS, SHARING_MARGIN * known_router_count)
+    return fleet_spare_count / sharing
+
+
 class AttemptBudget:
     """Repeats of requests for one service on one router.
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -74,7 +74,7 @@
             placement=Placement(settings.availability_zone, hints),
             hints=hints,
             broker=self.broker,
-            budget_options=settings.budget,
+            budget_options=settings.budget(known_router_count=1),
             metrics=self.metrics,
             loop=self.loop,
         )
@@ -180,10 +180,15 @@
             self.gateway.close_idle_clients()
             self._connections.close_expired()
             self.broker.expire()
+            self._share_budget()
             change = self.directory.expire(now_s=self.loop.time())
             if change.removed:
                 self.gateway.targets_changed(change)
 
+    def _share_budget(self) -> None:
+        router_count = len(self.broker.peers) + 1
+        self.gateway.scheduler.set_budget(self.settings.budget(router_count))
+
     async def _drain_log(self) -> None:
         while True:
             await asyncio.sleep(LOG_DRAIN_S)
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_settings.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_settings.py
@@ -3,7 +3,10 @@
 import attrs
 from attrs.validators import ge, gt
 
-from citrondock_core.routing.attempt_budget import AttemptBudgetOptions
+from citrondock_core.routing.attempt_budget import (
+    AttemptBudgetOptions,
+    shared_spare_count,
+)
 
 
 @attrs.frozen
@@ -41,8 +44,10 @@
         Time from the request to stop until the process is killed.
     registry_grace_s : float
         Time after an outage of the store within which living targets are back.
-    budget : AttemptBudgetOptions
-        Limits of repeated sends.
+    repeat_ratio, repeat_window_s : float
+        Repeated sends for each request, and the time over which both are counted.
+    fleet_spare_repeats : float
+        Repeats beyond the ratio that all routers together may use in each window.
     """
 
     vm_name: str
@@ -54,4 +59,16 @@
     store_address: Address
     grace_s: float = attrs.field(validator=gt(0))
     registry_grace_s: float = attrs.field(validator=ge(0))
-    budget: AttemptBudgetOptions
+    repeat_ratio: float = attrs.field(validator=ge(0))
+    repeat_window_s: float = attrs.field(validator=gt(0))
+    fleet_spare_repeats: float = attrs.field(validator=ge(0))
+
+    def budget(self, known_router_count: int) -> AttemptBudgetOptions:
+        """Return the limits of this router among so many."""
+        return AttemptBudgetOptions(
+            ratio=self.repeat_ratio,
+            window_s=self.repeat_window_s,
+            spare_count=shared_spare_count(
+                self.fleet_spare_repeats, known_router_count
+            ),
+        )
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -8,7 +8,6 @@
 
 import attrs
 
-from citrondock_core.routing.attempt_budget import AttemptBudgetOptions
 from citrondock_core.routing.route import (
     ClientLimits,
     ModelEngineOptions,
@@ -205,9 +204,9 @@
             store_address=Address(HOST, 1),
             grace_s=4.0,
             registry_grace_s=2.0,
-            budget=AttemptBudgetOptions(
-                ratio=0.2, window_s=10, spare_count=self.spare_repeats
-            ),
+            repeat_ratio=0.2,
+            repeat_window_s=10,
+            fleet_spare_repeats=self.spare_repeats * 16,
         )
         self._null = os.open(os.devnull, os.O_WRONLY)
         self.process = GatewayProcess(
--- a/tests/routing/test_attempts.py
+++ b/tests/routing/test_attempts.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from citrondock_core.routing.attempt_budget import AttemptBudget, AttemptBudgetOptions
+from citrondock_core.routing.attempt_budget import (
+    AttemptBudget,
+    AttemptBudgetOptions,
+    shared_spare_count,
+)
 from citrondock_core.routing.attempt_rules import AttemptHistory, Proof
 from citrondock_core.routing.route import RouteKind
 
@@ -61,3 +65,8 @@
             budget.count_request(now_s=0)
         assert budget.take(now_s=5)
         assert not budget.take(now_s=10.5)
+
+    def test_the_spare_repeats_of_all_routers_stay_under_those_of_the_fleet(self):
+        for router_count in (1, 7, 16, 66, 87, 380):
+            total = router_count * shared_spare_count(172, router_count)
+            assert total <= 172
