--- a/packages/citrondock-router/src/citrondock_router/gateway/client_answer.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_answer.py
@@ -70,7 +70,19 @@
             self._client.end_stream()
             return
         headers = self._dialect.client_headers(head)
-        body = b"".join(self._collected)
+        body = b"" if self._is_head else b"".join(self._collected)
         self._client.answer(
-            head.status, head.reason, headers, body, is_head=self._is_head
+            head.status,
+            head.reason,
+            headers,
+            body,
+            announced_bytes=_announced_bytes(head) if self._is_head else None,
         )
+
+
+def _announced_bytes(head: AnswerHead) -> int | None:
+    """Return the length that an answer announces, if it announces one."""
+    for name, value in head.headers:
+        if name.lower() == b"content-length" and value.strip().isdigit():
+            return int(value)
+    return None
--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -12,7 +12,7 @@
 
 from citrondock_core.routing.route import ClientLimits
 from citrondock_router.gateway.dialect import Header, RequestHead
-from citrondock_router.gateway.socket_options import detect_silence
+from citrondock_router.gateway.socket_options import detect_silence, reset_on_close
 
 LINGER_S = 1.0
 """Time for which bytes of a refused request are read and dropped, so that closing does
@@ -241,12 +241,21 @@
         headers: Sequence[Header],
         body: bytes,
         *,
-        is_head: bool = False,
+        announced_bytes: int | None = None,
     ) -> None:
-        """Write a whole answer."""
-        length = (b"Content-Length", b"%d" % len(body))
+        """Write a whole answer.
+
+        Parameters
+        ----------
+        status, reason, headers, body
+            The answer, headers about framing left out.
+        announced_bytes : int or None
+            Length that is announced in place of the body's, where there is none.
+        """
+        size = len(body) if announced_bytes is None else announced_bytes
+        length = (b"Content-Length", b"%d" % size)
         lines = _head_bytes(status, reason, [*headers, length, *self._ending()])
-        self._write(lines if is_head else lines + body)
+        self._write(lines + body)
         self._finished()
 
     def begin_stream(
@@ -273,6 +282,9 @@
     def break_off(self) -> None:
         """End an answer so that it cannot be taken for a whole one."""
         self._current = None
+        if self._transport is not None and not self._is_chunked:
+            # An answer without chunks would look whole after an ordinary close.
+            reset_on_close(self._transport.get_extra_info("socket"))
         self.close_at_once()
 
     def close_at_once(self) -> None:
--- a/packages/citrondock-router/src/citrondock_router/gateway/socket_options.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/socket_options.py
@@ -1,6 +1,7 @@
 """Options that show when the other end of a connection has gone silent."""
 
 import socket
+import struct
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
@@ -19,3 +20,8 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBE_COUNT)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def reset_on_close(sock: socket.socket) -> None:
+    """Have the next close end the connection with a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/tests/gateway/test_plain_requests.py
+++ b/tests/gateway/test_plain_requests.py
@@ -130,6 +130,21 @@
 
         run(check())
 
+    def test_an_answer_to_head_announces_the_length_without_a_body(self):
+        async def script(got, writer):
+            writer.write(whole(got, b"").replace(b"Length: 0", b"Length: 77"))
+
+        async def check():
+            async with scripted(script) as harness:
+                client = await Client.connect(harness.port)
+                client.writer.write(request("/safe/x", method="HEAD"))
+                head = await client.reader.readuntil(b"\r\n\r\n")
+                assert b"Content-Length: 77" in head
+                client.writer.write(request("/safe/x", "r2", method="HEAD"))
+                assert (await client.reader.read(12)) == b"HTTP/1.1 200"
+
+        run(check())
+
 
 class TestTruth:
     def test_a_reset_unsafe_request_is_neither_repeated_nor_called_not_run(self):
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from harness import (
     Client,
     Harness,
@@ -83,6 +84,18 @@
 
         run(check())
 
+    def test_an_old_client_sees_a_reset_where_a_close_would_look_whole(self):
+        async def check():
+            async with targets(sends(0, 3, end="reset")) as harness:
+                client = await Client.connect(harness.port)
+                client.writer.write(request("/stream/x").replace(b"1.1\r", b"1.0\r"))
+                await client.reader.readuntil(b"\r\n\r\n")
+                with pytest.raises(ConnectionResetError):
+                    while await client.reader.read(1000):
+                        continue
+
+        run(check())
+
     def test_a_resumable_stream_goes_on_elsewhere(self):
         async def check():
             script = sends(0, 3, end="reset", tail=b"id: 3\ndata: wo")
