--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 export PYTHONPATH := $(subst $(space),:,$(foreach s,$(SOURCES) platform,$(CURDIR)/$(s)))
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: setup demo test lint format bench experiment capacity measurements known-red thrift
+.PHONY: setup demo test lint format bench experiment capacity measurements soak known-red thrift
 
 setup: $(VENV)/.citrondock-ready
 
@@ -46,6 +46,12 @@
 capacity: setup
 	$(BIN)/python -m citrondock_bench.capacity
 
+# SEEDS soaks from FIRST_SEED on; CI runs two short ones.
+SEEDS ?= 50
+FIRST_SEED ?= 1
+soak: setup
+	$(BIN)/python tests/soak/soak.py --first_seed=$(FIRST_SEED) --seeds=$(SEEDS)
+
 # Not run by CI: the page changes with each run on the users' bench.
 measurements: setup
 	$(BIN)/python -m citrondock_bench.measurements journal > docs/MEASUREMENTS.md
--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -72,7 +72,8 @@
                 head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n"
                 writer.write(head.encode() + data)
                 await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            # Cancelled when the loop of a test ends with connections open.
             writer.close()
 
     async def _answer(self, method, target, body):
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -119,6 +119,15 @@
     return False
 
 
+def ignores(pid, number):
+    """Return whether a process ignores a signal, as the kernel says."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        name, _, mask = line.partition(":")
+        if name == "SigIgn":
+            return bool(int(mask, 16) >> (number - 1) & 1)
+    return False
+
+
 class TestProcess:
     def test_it_starts_serves_and_ends_without_cutting_a_stream(self, tmp_path):
         async def check():
@@ -169,6 +178,24 @@
 
         asyncio.run(asyncio.wait_for(check(), 40))
 
+    def test_a_request_to_read_settings_during_the_start_does_not_end_it(
+        self, tmp_path
+    ):
+        path = tmp_path / "local.json"
+        path.write_text("{}")
+        process = subprocess.Popen(
+            [sys.executable, str(ROOT / "platform" / "run_router.py")],
+            env={**os.environ, "CITRONDOCK_SETTINGS": str(path)},
+            stdout=subprocess.DEVNULL,
+        )
+        ignored = False
+        while process.poll() is None and not ignored:
+            ignored = ignores(process.pid, signal.SIGHUP)
+        assert ignored
+        process.send_signal(signal.SIGHUP)
+        # It comes as far as its settings, which cannot be used.
+        assert process.wait(20) == 2
+
     def test_settings_that_cannot_be_used_end_it_with_a_reason(self, tmp_path):
         path = tmp_path / "local.json"
         path.write_text("{}")
--- /dev/null
+++ b/tests/soak/soak_targets.py
@@ -0,0 +1,132 @@
+"""Targets that sometimes reject, fail, lose or spoil their answers."""
+
+import asyncio
+import random
+
+from soak_ledger import Ledger, Run, event, plain_body
+
+WORK_S = 0.03
+EVENT_PAUSE_S = 0.03
+FAULTS = ("reject", "fail", "lose", "spoil", "extra", "cut", "mute")
+
+
+class SoakTarget:
+    """One life of one target.
+
+    Parameters
+    ----------
+    target_id : str
+        Id; requests for another are answered with 421.
+    ledger : Ledger
+        Gets each run.
+    rng : random.Random
+        Decides about faults.
+    """
+
+    def __init__(self, target_id: str, ledger: Ledger, rng: random.Random) -> None:
+        self.target_id = target_id
+        self.fault_share = 0.0
+        self.gone_at_s: float | None = None
+        self._ledger = ledger
+        self._rng = rng
+        self.port = 0
+
+    async def start(self) -> None:
+        """Listen."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                lines = head.split("\r\n")
+                headers = {}
+                for line in lines[1:]:
+                    name, _, value = line.partition(":")
+                    headers[name.lower()] = value.strip()
+                await reader.readexactly(int(headers.get("content-length", 0)))
+                if not await self._answer(lines[0].split()[1], headers, writer):
+                    break
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            # The caller went, or the soak is over.
+            return
+        finally:
+            writer.close()
+
+    async def _answer(self, path: str, headers: dict[str, str], writer) -> bool:
+        """Answer one request; return whether the connection goes on."""
+        request_id = headers["request-id"]
+        if headers.get("expected-instance") != self.target_id:
+            writer.write(self._head(421, request_id) + b"Content-Length: 0\r\n\r\n")
+            return True
+        fault = ""
+        if self._rng.random() < self.fault_share:
+            fault = self._rng.choice(FAULTS)
+        if fault == "reject":
+            head = self._head(503, request_id)
+            writer.write(head + b"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+            return True
+        after = headers.get("last-event-id")
+        start = int(after) + 1 if after is not None else 0
+        now_s = asyncio.get_running_loop().time()
+        self._ledger.ran(request_id, Run(self.target_id, start, now_s))
+        if self.gone_at_s is not None and now_s > self.gone_at_s:
+            late_s = now_s - self.gone_at_s
+            self._ledger.late_arrivals.append(
+                f"{request_id}: sent to {self.target_id} {late_s:.1f} s late"
+            )
+        if fault == "mute":
+            await asyncio.sleep(20)
+        if "stream" in path or "resumable" in path:
+            return await self._stream(request_id, start, fault, writer)
+        await asyncio.sleep(WORK_S)
+        return self._plain(request_id, fault, writer)
+
+    def _plain(self, request_id: str, fault: str, writer) -> bool:
+        body = plain_body(request_id)
+        length = f"Content-Length: {len(body)}\r\n\r\n".encode()
+        whole = self._head(200, request_id) + length + body
+        if fault == "fail":
+            failed = self._head(500, request_id)
+            writer.write(failed + b"Content-Length: 0\r\n\r\n")
+        elif fault == "lose":
+            return False
+        elif fault == "spoil":
+            writer.write(whole.replace(b"HTTP/1.1 200", b"\x01\x02HTTQ 20", 1))
+        elif fault == "extra":
+            writer.write(whole + whole.replace(request_id.encode(), b"elsewhere"))
+        elif fault == "cut":
+            writer.write(whole[:-3])
+            return False
+        else:
+            writer.write(whole)
+        return True
+
+    async def _stream(self, request_id, start, fault, writer) -> bool:
+        writer.write(
+            self._head(200, request_id) + b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        stop = self._rng.randrange(1, self._ledger.event_count) if fault else 0
+        for number in range(start, self._ledger.event_count):
+            data = event(number, request_id)
+            if fault and number >= stop:
+                writer.write(b"%x\r\n%b" % (len(data), data[: len(data) // 2]))
+                await writer.drain()
+                return False
+            writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+            await writer.drain()
+            await asyncio.sleep(EVENT_PAUSE_S)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    def _head(self, status: int, request_id: str) -> bytes:
+        return (
+            f"HTTP/1.1 {status} X\r\nRequest-Id: {request_id}\r\n"
+            "Response-Signature: s\r\n"
+        ).encode()
--- /dev/null
+++ b/tests/soak/soak_world.py
@@ -0,0 +1,261 @@
+"""Routers as processes, among a store, targets and proxies of one soak."""
+
+import asyncio
+import contextlib
+import json
+import os
+import random
+import signal
+import socket
+import sys
+from pathlib import Path
+
+from soak_ledger import Ledger
+from soak_targets import SoakTarget
+from store_standin import StoreStandIn
+
+from citrondock_standins.fault import Fault
+from citrondock_standins.proxy import FaultProxy
+
+ROOT = Path(__file__).resolve().parents[2]
+HOST = "127.0.0.1"
+GRACE_S = 4
+TIMEOUT_MS = 3000
+TARGET_COUNT = 4
+ROUTER_COUNT = 3
+KINDS = {
+    "safe": ("safe", False),
+    "unsafe": ("unsafe", False),
+    "stream": ("streaming", False),
+    "resumable": ("streaming", True),
+}
+
+
+def is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            return False
+        return True
+
+
+def minds(pid: int, number: signal.Signals) -> bool:
+    """Return whether a process handles or ignores a signal, as the kernel says."""
+    found = 0
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        name, _, mask = line.partition(":")
+        if name in ("SigIgn", "SigCgt"):
+            found |= int(mask, 16)
+    return bool(found >> (number - 1) & 1)
+
+
+def configuration(version: int) -> dict:
+    """Return a configuration; each version has a route that no earlier one has."""
+
+    def route(name, kind, resumable):
+        return {
+            "name": name,
+            "host": "h.example",
+            "pathPrefix": f"/{name}/",
+            "routeType": kind,
+            "resumable": resumable,
+            "timeoutMs": TIMEOUT_MS,
+            "targetLatencyMs": 400,
+            "targetGapMs": 300,
+            "service": "app",
+            "maxAttempts": 3,
+            "public": True,
+        }
+
+    routes = [route(name, *kind) for name, kind in KINDS.items()]
+    routes += [route(f"v{n}", "safe", False) for n in range(1, version + 1)]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "app", "maxConnections": 100}],
+        "limits": {
+            "maxHeaderBytes": 8192,
+            "maxBodyBytes": 100_000,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 10_000,
+        },
+    }
+
+
+class Router:
+    """One router process, its settings file and its proxy to the store."""
+
+    def __init__(
+        self, name: str, store_port: int, ports: list[int], path: Path
+    ) -> None:
+        self.name = name
+        self.port, self.readiness_port = ports[:2]
+        self.store = FaultProxy(HOST, store_port).start()
+        self.stopped_until_s = 0.0
+        self._path = path / f"{name}.json"
+        self._log = (path / f"{name}.log").open("ab")
+        self._process: asyncio.subprocess.Process | None = None
+        self._is_ended_by_us = False
+        self._path.write_text(
+            json.dumps(
+                {
+                    "nodeName": name,
+                    "zone": "z1",
+                    "ip": HOST,
+                    "listen": {
+                        "frontend": f"{HOST}:{ports[0]}",
+                        "readiness": f"{HOST}:{ports[1]}",
+                    },
+                    "internalPorts": [ports[2], ports[2] + 1],
+                    "bounds": {
+                        "graceS": GRACE_S,
+                        "retryBudgetRatio": 0.2,
+                        "retryWindowS": 10,
+                        "budgetSlack": 400,
+                    },
+                    "platform": {"address": f"{HOST}:{self.store.port}"},
+                }
+            )
+        )
+
+    async def start(self) -> None:
+        """Start the process."""
+        self._is_ended_by_us = False
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "platform" / "run_router.py"),
+            env={**os.environ, "CITRONDOCK_SETTINGS": str(self._path)},
+            stdout=self._log,
+            stderr=self._log,
+        )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it lives."""
+        process = self._process
+        if process is None or process.returncode is not None:
+            return
+        if number is signal.SIGHUP and not minds(process.pid, number):
+            # The interpreter itself has not started; nothing of ours runs yet.
+            return
+        if number in (signal.SIGTERM, signal.SIGKILL):
+            self._is_ended_by_us = True
+        process.send_signal(number)
+
+    async def wait(self, timeout_s: float) -> None:
+        """Wait for the end of a stopping process, and kill one that hangs."""
+        assert self._process is not None
+        try:
+            await asyncio.wait_for(self._process.wait(), timeout_s)
+        except TimeoutError:
+            self.send(signal.SIGKILL)
+            await self._process.wait()
+
+    def own_end(self) -> str:
+        """Return how the process ended by itself, or nothing."""
+        process = self._process
+        if process is None or process.returncode is None or self._is_ended_by_us:
+            return ""
+        return f"{self.name} with {process.returncode}"
+
+    async def is_ready(self) -> bool:
+        """Return whether it says that it is ready."""
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(0.5):
+                reader, writer = await asyncio.open_connection(
+                    HOST, self.readiness_port
+                )
+                writer.write(b"GET /v1/readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+                return b" 200 " in line
+        return False
+
+    async def close(self) -> None:
+        """End the process and the proxy."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        if self._process is not None:
+            await self._process.wait()
+        self.store.stop()
+        self._log.close()
+
+
+class World:
+    """Everything of one soak."""
+
+    def __init__(self, rng: random.Random, ledger: Ledger, path: Path) -> None:
+        self.rng = rng
+        self.ledger = ledger
+        self.version = 1
+        self.store_was_harmed = False
+        self.store = StoreStandIn()
+        self.targets: dict[str, SoakTarget] = {}
+        self.proxies: dict[str, FaultProxy] = {}
+        self.routers: list[Router] = []
+        self._path = path
+        self._next_target = 0
+
+    async def start(self) -> None:
+        """Start everything and wait until the routers are ready."""
+        await self.store.start()
+        await self.store.put("config", "main", configuration(self.version))
+        for _ in range(TARGET_COUNT):
+            await self.add_target()
+        first = 20_000 + os.getpid() * 32 % 10_000
+        for number in range(ROUTER_COUNT):
+            ports = []
+            while len(ports) < 4:
+                first += 1
+                if is_free(first):
+                    ports.append(first)
+            ports = [ports[0], ports[1], ports[2]]
+            router = Router(f"v{number}", self.store.port, ports, self._path)
+            self.routers.append(router)
+            await router.start()
+        for router in self.routers:
+            while not await router.is_ready():
+                await asyncio.sleep(0.05)
+
+    async def add_target(self) -> None:
+        """Register a new target behind a proxy of its own."""
+        self._next_target += 1
+        name = f"i-{self._next_target}"
+        target = SoakTarget(name, self.ledger, random.Random(self.rng.random()))
+        await target.start()
+        self.targets[name] = target
+        self.proxies[name] = FaultProxy(HOST, target.port).start()
+        await self.register(name, "ready")
+
+    async def register(self, name: str, state: str) -> None:
+        """Write a target's entry."""
+        entry = {
+            "service": "app",
+            "address": f"{HOST}:{self.proxies[name].port}",
+            "zone": "z1",
+            "maxBatchSize": 16,
+            "state": state,
+        }
+        await self.store.put("servers", name, entry)
+
+    async def fault_proxy(self, proxy: FaultProxy, *faults: Fault) -> None:
+        """Put faults in force without holding the event loop."""
+        await asyncio.to_thread(proxy.set_faults, *faults)
+
+    async def heal(self) -> None:
+        """End every fault."""
+        self.store.fault = ""
+        for proxy in [*self.proxies.values(), *(r.store for r in self.routers)]:
+            await self.fault_proxy(proxy)
+        for target in self.targets.values():
+            target.fault_share = 0.0
+
+    async def close(self) -> None:
+        """End all processes that this soak started."""
+        self.ledger.own_ends += [end for r in self.routers if (end := r.own_end())]
+        for router in self.routers:
+            await router.close()
+        for target in self.targets.values():
+            target.stop()
+        for proxy in self.proxies.values():
+            proxy.stop()
