--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -147,8 +147,8 @@
         self._opening: asyncio.Task[None] | None = None
         self._head: AnswerHead | None = None
         self._is_rejected = False
-        is_head = request.head.method == b"HEAD"
-        self._answer = ClientAnswer(client, dialect, is_head=is_head)
+        self._is_head = request.head.method == b"HEAD"
+        self._answer = ClientAnswer(client, dialect, is_head=self._is_head)
         self._cutter: EventCutter | None = None
         if route.kind.may_run_again and route.kind.is_stream:
             self._cutter = EventCutter(last_event_id=facts.resume_after_event_id)
@@ -203,7 +203,7 @@
     def client_left(self) -> None:
         if self.step is Step.DONE:
             return
-        self._withdraw("client_left")
+        self._withdraw()
         self._end(Outcome(status=0, reason="client_left"))
 
     @override
@@ -320,8 +320,8 @@
             time_left_s=time_left_s,
             resumed_after=resume_after,
         )
-        is_head = self.request.head.method == b"HEAD"
-        connection.send(self._request_bytes(headers), self, is_head=is_head)
+        request_bytes = self._request_bytes(headers)
+        connection.send(request_bytes, self, is_head=self._is_head)
 
     def _request_bytes(self, headers: Sequence[Header]) -> bytes:
         head, body = self.request.head, self.request.body
@@ -435,7 +435,7 @@
         if target is not None:
             target.abandon()
 
-    def _withdraw(self, reason: str) -> None:
+    def _withdraw(self) -> None:
         if self.step is Step.WAITING:
             self._scheduler.withdraw(self)
         if self.step in (Step.SENT, Step.ANSWERING):
@@ -449,7 +449,7 @@
         if self.step is Step.DONE:
             return
         is_sent = self.step in (Step.SENT, Step.ANSWERING)
-        self._withdraw("timed_out")
+        self._withdraw()
         if self._answer.has_begun:
             self._break_off("timed_out")
         elif is_sent or self.history.may_have_run:
--- a/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
@@ -22,11 +22,15 @@
     ----------
     wait_s : float
         Time for which a watch waits; a silent connection is noticed after it.
+    settle_s : float
+        Pause after a change, so that one answer brings the changes that come with
+        it: each of them would end the watches of the whole fleet.
     min_backoff_s, max_backoff_s : float
         Longest pause after the first failure, and after any.
     """
 
     wait_s: float = 3.0
+    settle_s: float = 0.3
     min_backoff_s: float = 0.1
     max_backoff_s: float = 1.0
 
@@ -87,6 +91,8 @@
             )
             if snapshot.objects:
                 self._sink.changed(snapshot)
+                self._revision = snapshot.revision
+                await asyncio.sleep(self._options.settle_s)
         self._revision = snapshot.revision
 
     def _answered(self) -> None:
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -4,18 +4,17 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 from pathlib import Path
 
 import pytest
+from machine import HOST, ignores, is_free
 from store_standin import StoreStandIn
 
 from citrondock_platform.settings import SettingsFileError, read_settings
 
 ROOT = Path(__file__).resolve().parents[2]
-HOST = "127.0.0.1"
 
 
 def free_ports(count):
@@ -27,15 +26,6 @@
     raise OSError("no free ports")
 
 
-def is_free(port):
-    with socket.socket() as sock:
-        try:
-            sock.bind((HOST, port))
-        except OSError:
-            return False
-        return True
-
-
 def settings(store_port, ports, **fields):
     return {
         "nodeName": "v1",
@@ -119,15 +109,6 @@
     return False
 
 
-def ignores(pid, number):
-    """Return whether a process ignores a signal, as the kernel says."""
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        name, _, mask = line.partition(":")
-        if name == "SigIgn":
-            return bool(int(mask, 16) >> (number - 1) & 1)
-    return False
-
-
 class TestProcess:
     def test_it_starts_serves_and_ends_without_cutting_a_stream(self, tmp_path):
         async def check():
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -14,7 +14,9 @@
 from citrondock_router.gateway.object_follower import FollowerOptions, ObjectFollower
 from citrondock_router.gateway.watched_store import HistoryGoneError, StoreOutError
 
-QUICK = FollowerOptions(wait_s=0.2, min_backoff_s=0.01, max_backoff_s=0.05)
+QUICK = FollowerOptions(
+    wait_s=0.2, settle_s=0.01, min_backoff_s=0.01, max_backoff_s=0.05
+)
 
 
 def server(address="10.0.0.1:80", **fields):
@@ -96,11 +98,11 @@
 
 
 class TestFollowing:
-    async def followed(self, standin, store):
+    async def followed(self, standin, store, options=QUICK):
         directory = TargetDirectory(grace_s=0.3)
         clock = asyncio.get_running_loop().time
         sink = TargetSink(directory, lambda change: None, clock)
-        follower = ObjectFollower(store, "servers", sink, options=QUICK)
+        follower = ObjectFollower(store, "servers", sink, options=options)
         return directory, asyncio.ensure_future(follower.run())
 
     def test_changes_arrive_while_waiting(self):
@@ -119,6 +121,22 @@
 
         run(check())
 
+    def test_changes_that_come_together_cost_few_calls(self):
+        async def check():
+            standin, store = await started()
+            options = FollowerOptions(wait_s=2.0, settle_s=0.2)
+            directory, task = await self.followed(standin, store, options)
+            await until(lambda: standin.calls)
+            for number in range(30):
+                await standin.put("servers", f"i-{number}", server())
+                await asyncio.sleep(0.01)
+            await until(lambda: len(directory) == 30)
+            watches = [call for call in standin.calls if "watch=" in call]
+            assert len(watches) <= 5
+            task.cancel()
+
+        run(check())
+
     def test_a_gap_in_the_history_is_filled_by_a_list(self):
         async def check():
             standin, store = await started()
--- a/tests/soak/soak_clients.py
+++ b/tests/soak/soak_clients.py
@@ -4,8 +4,9 @@
 import itertools
 import random
 
+from machine import HOST
 from soak_ledger import Ledger, Seen
-from soak_world import HOST, KINDS, TIMEOUT_MS, Router, World
+from soak_world import KINDS, TIMEOUT_MS, Router, World
 
 CLIENT_COUNT = 10
 PAUSE_S = 0.03
--- a/tests/soak/soak_world.py
+++ b/tests/soak/soak_world.py
@@ -6,10 +6,10 @@
 import os
 import random
 import signal
-import socket
 import sys
 from pathlib import Path
 
+from machine import HOST, is_free, outlives
 from soak_ledger import Ledger
 from soak_targets import SoakTarget
 from store_standin import StoreStandIn
@@ -18,7 +18,6 @@
 from citrondock_standins.proxy import FaultProxy
 
 ROOT = Path(__file__).resolve().parents[2]
-HOST = "127.0.0.1"
 GRACE_S = 4
 TIMEOUT_MS = 3000
 TARGET_COUNT = 4
@@ -31,25 +30,6 @@
 }
 
 
-def is_free(port: int) -> bool:
-    with socket.socket() as sock:
-        try:
-            sock.bind((HOST, port))
-        except OSError:
-            return False
-        return True
-
-
-def minds(pid: int, number: signal.Signals) -> bool:
-    """Return whether a process handles or ignores a signal, as the kernel says."""
-    found = 0
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        name, _, mask = line.partition(":")
-        if name in ("SigIgn", "SigCgt"):
-            found |= int(mask, 16)
-    return bool(found >> (number - 1) & 1)
-
-
 def configuration(version: int) -> dict:
     """Return a configuration; each version has a route that no earlier one has."""
 
@@ -135,7 +115,7 @@
         process = self._process
         if process is None or process.returncode is not None:
             return
-        if number is signal.SIGHUP and not minds(process.pid, number):
+        if number is signal.SIGHUP and not outlives(process.pid, number):
             # The interpreter itself has not started; nothing of ours runs yet.
             return
         if number in (signal.SIGTERM, signal.SIGKILL):
