--- a/packages/citrondock-core/src/citrondock_core/rendezvous.py
+++ b/packages/citrondock-core/src/citrondock_core/rendezvous.py
@@ -6,12 +6,34 @@
 
 from citrondock_core.messages import Member
 
+_POINT_RANGE = 1 << 52
+
 
 def score(key: str, name: str) -> int:
     """Return the weight of ``name`` for ``key``; the largest is chosen."""
     return xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
 
 
+class RendezvousScores:
+    """Scores of many names for one key.
+
+    Parameters
+    ----------
+    key : str
+        What is placed.
+    """
+
+    def __init__(self, key: str) -> None:
+        self._state = xxhash.xxh64(f"{key}\0".encode())
+
+    def point(self, name: str) -> float:
+        """Return `score` as a number between 0 and 1, both excluded."""
+        state = self._state.copy()
+        state.update(name.encode())
+        # 52 bits and a half are exact in a float and never round to 1.
+        return ((state.intdigest() >> 12) + 0.5) / _POINT_RANGE
+
+
 def choose(key: str, names: Iterable[str]) -> str | None:
     """Return the name that ``key`` falls to, or None when there is none.
 
--- a/packages/citrondock-core/src/citrondock_core/routing/placement.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/placement.py
@@ -5,15 +5,13 @@
 
 import attrs
 
-from citrondock_core.rendezvous import score
+from citrondock_core.rendezvous import RendezvousScores
 from citrondock_core.routing.engine_hints import EngineHints
 from citrondock_core.routing.engine_speed import FIRST_TOKEN_BASE_S
 from citrondock_core.routing.prefix_cache_view import PrefixCacheView
 from citrondock_core.routing.request_facts import PromptFacts
 from citrondock_core.routing.target_load import TargetLoad
 
-_SCORE_RANGE = float(1 << 64)
-
 
 @attrs.frozen(kw_only=True)
 class PlacementOptions:
@@ -92,17 +90,23 @@
     ) -> PlacementChoice | None:
         """Return the engine with the earliest first token, or None without engines."""
         pool = _preferred(loads, excluded, now_s)
-        key = prompt.affinity_key
-        favourite = max(pool, key=lambda load: self._affinity(key, load), default=None)
-        best: PlacementChoice | None = None
-        best_cost_s = math.inf
+        if not pool:
+            return None
+        favourite = self._favourite(prompt.affinity_key, pool)
+        shared_tokens = sum(part.token_count for part in prompt.parts[:-1])
+        own_tokens = max(prompt.prompt_token_count - shared_tokens, 0)
+        best = self._choice(prompt, favourite, own_tokens, now_s)
+        best_cost_s = self._cost_s(best) - self.options.affinity_slack_s
         for load in pool:
-            choice = self._choice(prompt, load, load is favourite, now_s)
-            cost_s = choice.first_answer_s
-            if load.entry.availability_zone != self._zone:
-                cost_s += self.options.other_zone_cost_s
             if load is favourite:
-                cost_s -= self.options.affinity_slack_s
+                continue
+            target_id = load.entry.target_id
+            backlog_s = self._hints.backlog_s(target_id, now_s=now_s)
+            if FIRST_TOKEN_BASE_S + backlog_s >= best_cost_s:
+                continue
+            prefill_tokens = self._prefill_tokens(prompt, load)
+            choice = self._choice(prompt, load, prefill_tokens, now_s)
+            cost_s = self._cost_s(choice)
             if cost_s < best_cost_s:
                 best, best_cost_s = choice, cost_s
         return best
@@ -123,26 +127,35 @@
         busy_share = load.running_count / load.entry.max_concurrency
         return busy_share, load.entry.availability_zone != self._zone
 
-    def _affinity(self, key: str, load: TargetLoad) -> float:
-        target_id = load.entry.target_id
-        point = (score(key, target_id) + 1) / (_SCORE_RANGE + 2)
-        return -self._hints.speed(target_id) / math.log(point)
+    def _favourite(self, key: str, pool: Sequence[TargetLoad]) -> TargetLoad:
+        """Return the engine of a weighted rendezvous, the same on all routers."""
+        scores = RendezvousScores(key)
+        best, best_weight = pool[0], -1.0
+        for load in pool:
+            target_id = load.entry.target_id
+            weight = -self._hints.speed(target_id) / math.log(scores.point(target_id))
+            if weight > best_weight:
+                best, best_weight = load, weight
+        return best
+
+    def _cost_s(self, choice: PlacementChoice) -> float:
+        is_local = choice.load.entry.availability_zone == self._zone
+        other_zone_s = 0.0 if is_local else self.options.other_zone_cost_s
+        return choice.first_answer_s + other_zone_s
+
+    def _prefill_tokens(self, prompt: PromptFacts, load: TargetLoad) -> int:
+        cache = self._caches.get(load.entry.target_id)
+        cached = cache.cached_tokens(prompt.parts[:-1]) if cache else 0
+        return max(prompt.prompt_token_count - cached, 0)
 
     def _choice(
-        self, prompt: PromptFacts, load: TargetLoad, is_favourite: bool, now_s: float
+        self, prompt: PromptFacts, load: TargetLoad, prefill_tokens: int, now_s: float
     ) -> PlacementChoice:
         target_id = load.entry.target_id
-        shared = prompt.parts[:-1]
-        if is_favourite:
-            cached = sum(part.token_count for part in shared)
-        else:
-            cache = self._caches.get(target_id)
-            cached = cache.cached_tokens(shared) if cache else 0
-        prefill = max(prompt.prompt_token_count - cached, 0)
         backlog_s = self._hints.backlog_s(target_id, now_s=now_s)
-        prefill_s = prefill / self._hints.prefill_tokens_per_s(target_id)
+        prefill_s = prefill_tokens / self._hints.prefill_tokens_per_s(target_id)
         first_s = FIRST_TOKEN_BASE_S + backlog_s + prefill_s
-        return PlacementChoice(load, prefill, first_s)
+        return PlacementChoice(load, prefill_tokens, first_s)
 
 
 def _preferred(
--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Sequence
 from http import HTTPStatus
+from typing import cast
 
 import attrs
 import httptools
@@ -135,9 +136,9 @@
 
     @override
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-        transport.set_write_buffer_limits(high=MAX_UNREAD_ANSWER_BYTES)
+        # Loops of other libraries have transports of their own types.
+        self._transport = cast(asyncio.Transport, transport)
+        self._transport.set_write_buffer_limits(high=MAX_UNREAD_ANSWER_BYTES)
         detect_silence(transport.get_extra_info("socket"))
         self._handler.connected(self)
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -18,7 +18,11 @@
 from citrondock_router.gateway.grant_broker import GrantBroker
 from citrondock_router.gateway.log_writer import LogWriter
 from citrondock_router.gateway.operations_handler import OperationsHandler, Page
-from citrondock_router.gateway.scheduler import TICK_S, FleetScheduler
+from citrondock_router.gateway.scheduler import (
+    SILENCE_CHECK_S,
+    TICK_S,
+    FleetScheduler,
+)
 from citrondock_router.gateway.shutdown import shut_down
 from citrondock_router.gateway.target_connections import TargetConnections
 from citrondock_router.log import log_event
@@ -105,6 +109,7 @@
         operations = OperationsHandler(self._pages)
         tasks = [asyncio.ensure_future(part) for part in background]
         tasks.append(asyncio.ensure_future(self._tick()))
+        tasks.append(asyncio.ensure_future(self._check_silence()))
         tasks.append(asyncio.ensure_future(self._keep_house()))
         tasks.append(asyncio.ensure_future(self._drain_log()))
         for task in tasks:
@@ -174,6 +179,11 @@
             self.broker.tick()
             self.gateway.scheduler.tick()
 
+    async def _check_silence(self) -> None:
+        while True:
+            await asyncio.sleep(SILENCE_CHECK_S)
+            self.gateway.scheduler.check_silence()
+
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -33,6 +33,9 @@
 TICK_S = 0.01
 """Period in which waiting requests are looked at when nothing else happens."""
 
+SILENCE_CHECK_S = 0.05
+"""Period in which silent targets are looked for; silences are longer than 0.3 s."""
+
 MAX_ASKS = 3
 """Engines that are asked for one attempt before it is refused."""
 
@@ -225,7 +228,7 @@
     # Periodic.
 
     def tick(self) -> None:
-        """Look at requests that wait for too long, here or at a target."""
+        """Look at requests that have waited here for too long."""
         now_s = self._loop.time()
         for service, queue in self._queues.items():
             for exchange in list(queue):
@@ -233,6 +236,10 @@
                     queue.remove(exchange)
                     exchange.refuse("no_room_in_time")
             self._pump(service)
+
+    def check_silence(self) -> None:
+        """Take requests back from targets that have said nothing for too long."""
+        now_s = self._loop.time()
         for exchange in list(self._sent.values()):
             if is_silent(exchange, self._silence, now_s=now_s):
                 self._metrics.count_silence(exchange.service)
--- a/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
@@ -5,6 +5,7 @@
 import socket
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from typing import cast
 
 import httptools
 from typing_extensions import override
@@ -114,8 +115,8 @@
 
     @override
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        # Loops of other libraries have transports of their own types.
+        self._transport = cast(asyncio.Transport, transport)
         sock = transport.get_extra_info("socket")
         if sock is not None and sock.family == socket.AF_INET:
             detect_silence(sock)
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -19,6 +19,7 @@
 )
 from citrondock_core.routing.target_entry import TargetEntry
 from citrondock_platform.headers import PlatformDialect
+from citrondock_router.gateway import event_loop
 from citrondock_router.gateway.gateway_process import GatewayProcess
 from citrondock_router.gateway.gateway_settings import Address, GatewaySettings
 from citrondock_router.gateway.log_writer import LogWriter
@@ -314,4 +315,4 @@
     async def bounded() -> None:
         await asyncio.wait_for(coroutine, 30)
 
-    asyncio.run(bounded())
+    event_loop.run(bounded())
