Keep prompts in line at one engine while others are tried

Cause: a prompt that had to wait left its queue at once for an engine that the router believed idle.

Ruled out: homes that tell all routers their backlog; 30 homes to 66 routers ten times a second is 15 KB/s at each router, against 3.

A prompt now stays in line at the first engine. Up to two others are asked to take it at once or not at all; their refusals carry the length of their queues, and it moves only to one that is shorter by 0.1 s. What homes say of the first token now counts what waits before it. The asking has a module of its own.

--- a/packages/citrondock-core/src/citrondock_core/routing/engine_home.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_home.py
@@ -150,7 +150,8 @@
             return self._grant(ask, now_s)
         prefill_tokens = self._prefill_tokens(ask)
         waiting_tokens = self._queue.waiting_tokens_of(ask.account)
-        if self._prefill_s(waiting_tokens) > self.options.max_account_queue_s:
+        is_too_much = self._prefill_s(waiting_tokens) > self.options.max_account_queue_s
+        if is_too_much or now_s >= ask.wait_until_s:
             return self._answer(ask.key, Verdict.REFUSED, now_s)
         waiting = _WaitingAsk(
             ask=ask,
@@ -160,9 +161,10 @@
             on_time_until_s=self._grant_by_s(ask, prefill_tokens),
             cost_tokens=prefill_tokens,
         )
+        answer = self._answer(ask.key, Verdict.QUEUED, now_s)
         self._waiting[ask.key] = waiting
         self._queue.push(waiting)
-        return self._answer(ask.key, Verdict.QUEUED, now_s)
+        return answer
 
     def pump(self, *, now_s: float) -> list[AskAnswer]:
         """Return grants and refusals that are due."""
@@ -262,6 +264,8 @@
 
     def _answer(self, key: AskKey, verdict: Verdict, now_s: float) -> AskAnswer:
         first_s = FIRST_TOKEN_BASE_S + self._ahead_s(now_s)
+        if verdict is not Verdict.GRANTED:
+            first_s += self._prefill_s(self._queue.waiting_tokens)
         return AskAnswer(key=key, verdict=verdict, first_answer_s=first_s)
 
     def _prefill_tokens(self, ask: Ask) -> int:
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -9,7 +9,6 @@
 from typing_extensions import override
 
 from citrondock_core.routing.attempt_rules import AttemptHistory, Proof
-from citrondock_core.routing.grant import AskKey
 from citrondock_core.routing.placement import PlacementChoice
 from citrondock_core.routing.request_facts import RequestFacts
 from citrondock_core.routing.route import Route
@@ -130,7 +129,6 @@
         self.step = Step.WAITING
         self.choice: PlacementChoice | None = None
         self.excluded: set[str] = set()
-        self.ask_key: AskKey | None = None
         self.ask_count = 0
         self.sent_at_s = 0.0
         self.last_data_at_s = 0.0
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -1,9 +1,8 @@
 """Decides when and where requests are sent."""
 
 import asyncio
-from functools import partial
+from collections.abc import Sequence
 
-import attrs
 from typing_extensions import override
 
 from citrondock_core.routing.account_shares import AccountShares
@@ -11,9 +10,7 @@
 from citrondock_core.routing.attempt_budget import AttemptBudget, AttemptBudgetOptions
 from citrondock_core.routing.engine_hints import EngineHints
 from citrondock_core.routing.engine_home import RATIOS_HALF_LIFE_S
-from citrondock_core.routing.grant import Ask, AskAnswer, Stage, Verdict
 from citrondock_core.routing.placement import Placement, PlacementChoice
-from citrondock_core.routing.request_facts import PromptFacts
 from citrondock_core.routing.route import (
     ModelEngineOptions,
     RouteKind,
@@ -22,6 +19,7 @@
 from citrondock_core.routing.served_ratios import ServedRatios
 from citrondock_core.routing.target_directory import DirectoryChange, TargetDirectory
 from citrondock_core.routing.target_load import TargetLoad
+from citrondock_router.gateway.engine_asker import AskingPool, EngineAsker
 from citrondock_router.gateway.exchange import Exchange, Scheduler, Step
 from citrondock_router.gateway.gateway_metrics import GatewayMetrics
 from citrondock_router.gateway.grant_broker import SHARES_HALF_LIFE_S, GrantBroker
@@ -36,21 +34,15 @@
 SILENCE_CHECK_S = 0.05
 """Period in which silent targets are looked for; silences are longer than 0.3 s."""
 
-MAX_ASKS = 3
-"""Engines that are asked for one attempt before it is refused."""
-
 WAIT_IN_TARGETS = 1.0
 """Longest wait for a target, as a multiple of the time for the first answer."""
 
-MOVE_GAIN_S = 0.1
-"""A queued prompt asks another engine if that gains more time than this."""
-
 RETRY_FLOOR_S = 0.05
 MAX_RETRY_S = 2.0
 """Refused clients are asked to come back after what the engines have to read."""
 
 
-class FleetScheduler(Scheduler):
+class FleetScheduler(Scheduler, AskingPool):
     """Queues, loads and budgets of all services on one router.
 
     Parameters
@@ -84,6 +76,9 @@
         self._placement = placement
         self._hints = hints
         self._broker = broker
+        self._asker = EngineAsker(
+            self, placement=placement, hints=hints, broker=broker, loop=loop
+        )
         self._metrics = metrics
         self._loop = loop
         self._silence = silence or SilenceOptions()
@@ -128,9 +123,10 @@
         if not self._loads_by_service.get(exchange.service):
             exchange.refuse("no_target_known")
             return
-        exchange.ask_count = 0
-        if exchange.facts.prompt is not None and self._engine(exchange.service):
-            self._ask(exchange, exchange.facts.prompt)
+        prompt = exchange.facts.prompt
+        if prompt is not None and self.engine(exchange.service):
+            wait_until_s = self._wait_until_s(exchange)
+            self._asker.submit(exchange, prompt, wait_until_s=wait_until_s)
             return
         queue = self._queue(exchange.service)
         if queue or not self._place(exchange):
@@ -140,9 +136,7 @@
 
     @override
     def withdraw(self, exchange: Exchange) -> None:
-        if exchange.ask_key is not None:
-            self._broker.progress(exchange.ask_key, Stage.WITHDRAWN)
-            exchange.ask_key = None
+        self._asker.withdraw(exchange)
         self._queue(exchange.service).remove(exchange)
 
     @override
@@ -160,8 +154,7 @@
     @override
     def first_answer(self, exchange: Exchange) -> None:
         now_s = self._loop.time()
-        if exchange.ask_key is not None:
-            self._broker.progress(exchange.ask_key, Stage.STARTED)
+        self._asker.started(exchange)
         if exchange.choice is not None:
             predicted_s = exchange.choice.first_answer_s
             self._metrics.observe_prediction(
@@ -174,10 +167,7 @@
     @override
     def attempt_ended(self, exchange: Exchange, *, failed: bool) -> None:
         self._sent.pop(id(exchange), None)
-        if exchange.ask_key is not None:
-            stage = Stage.FAILED if failed else Stage.ENDED
-            self._broker.progress(exchange.ask_key, stage)
-            exchange.ask_key = None
+        self._asker.attempt_ended(exchange, failed=failed)
         choice = exchange.choice
         if choice is None:
             return
@@ -191,7 +181,7 @@
     @override
     def retry_after_s(self, exchange: Exchange) -> float:
         now_s = self._loop.time()
-        loads = self._loads_by_service.get(exchange.service, [])
+        loads = self.loads(exchange.service)
         backlogs_s = [
             self._hints.backlog_s(load.entry.target_id, now_s=now_s) for load in loads
         ]
@@ -225,6 +215,24 @@
             directory_revision=self._directory.revision,
         )
 
+    # For the asker.
+
+    @override
+    def loads(self, service: str) -> Sequence[TargetLoad]:
+        return self._loads_by_service.get(service, [])
+
+    @override
+    def engine(self, service: str) -> ModelEngineOptions | None:
+        options = self._services.get(service)
+        return options.engine if options else None
+
+    @override
+    def start(self, exchange: Exchange, choice: PlacementChoice) -> None:
+        choice.load.sent(exchange.key)
+        if exchange.route.kind is not RouteKind.AT_MOST_ONCE:
+            self._sent[id(exchange)] = exchange
+        exchange.send_to(choice)
+
     # Periodic.
 
     def tick(self) -> None:
@@ -249,103 +257,6 @@
         target_s = exchange.on_time_until_s - exchange.arrived_at_s
         return exchange.arrived_at_s + WAIT_IN_TARGETS * target_s
 
-    # Prompts: the home of an engine decides when they are sent.
-
-    def _ask(self, exchange: Exchange, prompt: PromptFacts) -> None:
-        now_s = self._loop.time()
-        loads = self._loads_by_service.get(exchange.service, [])
-        choice = self._placement.choose_engine(
-            prompt, loads, excluded=exchange.excluded, now_s=now_s
-        )
-        if choice is None:
-            exchange.refuse("no_target_known")
-            return
-        exchange.ask_count += 1
-        exchange.ask_key = self._broker.new_key()
-        entry = choice.load.entry
-        output = prompt.expected_output_token_count or prompt.max_output_token_count
-        ask = Ask(
-            key=exchange.ask_key,
-            target_id=entry.target_id,
-            account=exchange.account,
-            kind=exchange.kind,
-            prompt_tokens=prompt.prompt_token_count,
-            output_tokens=output,
-            shared_parts=prompt.hashed_shared_parts,
-            on_time_until_s=exchange.on_time_until_s,
-            wait_until_s=max(self._wait_until_s(exchange), now_s),
-        )
-        log_event(
-            "engine_asked",
-            request_id=exchange.facts.request_id,
-            target=entry.target_id,
-            ask=exchange.ask_count,
-            prefill_tokens=choice.prefill_tokens,
-            believed_backlog_s=self._hints.backlog_s(entry.target_id, now_s=now_s),
-            predicted_s=choice.first_answer_s,
-            directory_revision=self._directory.revision,
-        )
-        rate = self._hints.prefill_tokens_per_s(entry.target_id)
-        self._hints.add(entry.target_id, choice.prefill_tokens / rate, now_s=now_s)
-        self._broker.ask(ask, entry, partial(self._answered, exchange, choice))
-
-    def _answered(
-        self, exchange: Exchange, choice: PlacementChoice, answer: AskAnswer
-    ) -> None:
-        if exchange.ask_key != answer.key or not exchange.is_waiting:
-            if answer.verdict is Verdict.GRANTED:
-                self._broker.progress(answer.key, Stage.WITHDRAWN)
-            return
-        prompt = exchange.facts.prompt
-        assert prompt is not None
-        target_id = choice.load.entry.target_id
-        log_event(
-            "engine_answered",
-            request_id=exchange.facts.request_id,
-            target=target_id,
-            verdict=answer.verdict.name.lower(),
-            predicted_s=answer.first_answer_s,
-            waited_s=self._loop.time() - exchange.arrived_at_s,
-        )
-        if answer.verdict is Verdict.GRANTED and target_id not in self._loads:
-            # It left while the prompt waited.
-            self._broker.progress(answer.key, Stage.WITHDRAWN)
-            self._ask(exchange, prompt)
-            return
-        if answer.verdict is Verdict.GRANTED:
-            engine = self._engine(exchange.service)
-            if engine is not None:
-                self._placement.sent(prompt, target_id, engine.memory_tokens)
-            predicted = attrs.evolve(choice, first_answer_s=answer.first_answer_s)
-            self._start(exchange, predicted)
-            return
-        may_move = exchange.ask_count < MAX_ASKS
-        if answer.verdict is Verdict.QUEUED:
-            if may_move and self._gains_elsewhere(exchange, prompt, answer):
-                self._broker.progress(answer.key, Stage.WITHDRAWN)
-                exchange.excluded.add(target_id)
-                self._ask(exchange, prompt)
-            return
-        exchange.ask_key = None
-        now_s = self._loop.time()
-        if may_move and now_s < self._wait_until_s(exchange):
-            exchange.excluded.add(target_id)
-            self._ask(exchange, prompt)
-        else:
-            exchange.refuse("no_room_in_time")
-
-    def _gains_elsewhere(
-        self, exchange: Exchange, prompt: PromptFacts, answer: AskAnswer
-    ) -> bool:
-        loads = self._loads_by_service.get(exchange.service, [])
-        now_s = self._loop.time()
-        best = self._placement.choose_engine(
-            prompt, loads, excluded=exchange.excluded, now_s=now_s
-        )
-        if best is None:
-            return False
-        return best.first_answer_s + MOVE_GAIN_S < answer.first_answer_s
-
     # Plain requests: they are few beside the places, and sent at once.
 
     def _pump(self, service: str) -> None:
@@ -360,7 +271,7 @@
         self, exchange: Exchange, queue: AdmissionQueue[Exchange] | None = None
     ) -> bool:
         now_s = self._loop.time()
-        loads = self._loads_by_service.get(exchange.service, [])
+        loads = self.loads(exchange.service)
         choice = self._placement.choose_plain(
             loads, excluded=exchange.excluded, now_s=now_s
         )
@@ -371,15 +282,9 @@
         self._shares.add(exchange.account, exchange.cost_tokens, now_s=now_s)
         if queue is not None:
             self._ratios.served(exchange.kind, now_s=now_s)
-        self._start(exchange, choice)
+        self.start(exchange, choice)
         return True
 
-    def _start(self, exchange: Exchange, choice: PlacementChoice) -> None:
-        choice.load.sent(exchange.key)
-        if exchange.route.kind is not RouteKind.AT_MOST_ONCE:
-            self._sent[id(exchange)] = exchange
-        exchange.send_to(choice)
-
     def _queue(self, service: str) -> AdmissionQueue[Exchange]:
         queue = self._queues.get(service)
         if queue is None:
@@ -392,10 +297,6 @@
             budget = self._budgets[service] = AttemptBudget(self._budget_options)
         return budget
 
-    def _engine(self, service: str) -> ModelEngineOptions | None:
-        options = self._services.get(service)
-        return options.engine if options else None
-
     def _rebuild(self) -> None:
         loads: dict[str, TargetLoad] = {}
         by_service: dict[str, list[TargetLoad]] = {}
@@ -408,7 +309,7 @@
             load.entry = entry
             loads[entry.target_id] = load
             by_service.setdefault(entry.service, []).append(load)
-            engine = self._engine(entry.service)
+            engine = self.engine(entry.service)
             if engine is not None:
                 engines[entry.target_id] = engine
         self._loads, self._loads_by_service = loads, by_service
--- a/tests/routing/test_engine_home.py
+++ b/tests/routing/test_engine_home.py
@@ -51,6 +51,15 @@
         assert verdicts[0] is Verdict.GRANTED
         assert verdicts[-1] is Verdict.QUEUED
 
+    def test_an_ask_that_does_not_wait_is_refused_and_told_of_the_queue(self):
+        engine_home = home()
+        fill(engine_home)
+        answer = engine_home.ask(ask(1, wait_s=0.0), now_s=0)
+        assert answer.verdict is Verdict.REFUSED
+        queue_s = 2 * 6000 / USUAL_PREFILL_TOKENS_PER_S
+        assert answer.first_answer_s > FIRST_TOKEN_BASE_S + queue_s
+        assert AskKey(incarnation=1, number=1) not in engine_home.keys()
+
     def test_a_repeated_ask_is_granted_once(self):
         engine_home = home()
         engine_home.ask(ask(1), now_s=0)
