Count what accounts receive over the engines of all homes

Cause: a home ordered accounts by what they received at its own engines. With seven routers a home has one or two of nine engines; with 66 it has one of 30 at most, so an account whose prompts share parts that live on a few engines looked well served there and poorly elsewhere.

Ruled out: asks that carry what their router saw of the account (a router sees a 66th of it, and asks one home some twice in 15 s); a keeper for each account (a datagram to each keeper a home and period).

Homes tell each other the 16 accounts that received most, every 0.5 s, or less often where that takes more than 1,000 bytes a second and router; what was told decays like the rest. Half-life of service is 2 s, so in fleets of some hundred homes the news is older than what it tells of: that is the open end.

--- a/packages/citrondock-core/src/citrondock_core/routing/account_shares.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/account_shares.py
@@ -1,9 +1,24 @@
 """Service that accounts received lately, for max-min fairness over seconds."""
 
 import math
+from abc import ABC, abstractmethod
 
+from typing_extensions import override
 
-class AccountShares:
+
+class Shares(ABC):
+    """What accounts received lately."""
+
+    @abstractmethod
+    def received(self, account: str, *, now_s: float) -> float:
+        """Return the decayed tokens of an account."""
+
+    @abstractmethod
+    def add(self, account: str, tokens: float, *, now_s: float) -> None:
+        """Charge an account when its request starts."""
+
+
+class AccountShares(Shares):
     """Decaying sums of tokens started, by account.
 
     Parameters
@@ -17,14 +32,18 @@
         self._tokens: dict[str, float] = {}
         self._at_s: dict[str, float] = {}
 
+    @override
     def received(self, account: str, *, now_s: float) -> float:
-        """Return the decayed tokens of an account."""
         tokens = self._tokens.get(account)
         if tokens is None:
             return 0.0
         return tokens * math.exp((self._at_s[account] - now_s) * self._decay_per_s)
 
+    @override
     def add(self, account: str, tokens: float, *, now_s: float) -> None:
-        """Charge an account when its request starts."""
         self._tokens[account] = self.received(account, now_s=now_s) + tokens
         self._at_s[account] = now_s
+
+    def accounts(self) -> list[str]:
+        """Return the accounts that ever received something."""
+        return list(self._tokens)
--- a/packages/citrondock-core/src/citrondock_core/routing/admission_queue.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/admission_queue.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 from typing import Generic, Protocol, TypeVar
 
-from citrondock_core.routing.account_shares import AccountShares
+from citrondock_core.routing.account_shares import Shares
 from citrondock_core.routing.served_ratios import ServedRatios
 
 
@@ -28,13 +28,13 @@
 
     Parameters
     ----------
-    shares : AccountShares
+    shares : Shares
         What accounts received lately.
     ratios : ServedRatios
         How much of each kind was served lately.
     """
 
-    def __init__(self, shares: AccountShares, ratios: ServedRatios) -> None:
+    def __init__(self, shares: Shares, ratios: ServedRatios) -> None:
         self._shares = shares
         self._ratios = ratios
         self._by_account: dict[str, dict[int, _W]] = {}
--- a/packages/citrondock-core/src/citrondock_core/routing/engine_home.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_home.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from citrondock_core.routing.account_shares import AccountShares
+from citrondock_core.routing.account_shares import Shares
 from citrondock_core.routing.admission_queue import AdmissionQueue
 from citrondock_core.routing.engine_speed import FIRST_TOKEN_BASE_S, EngineSpeed
 from citrondock_core.routing.grant import (
@@ -84,8 +84,8 @@
         Engine.
     engine : ModelEngineOptions
         Its size.
-    shares : AccountShares
-        What accounts received at all engines homed here.
+    shares : Shares
+        What accounts received at all engines.
     options : HomeOptions
         How full the engine is kept.
     """
@@ -94,7 +94,7 @@
         self,
         target_id: str,
         engine: ModelEngineOptions,
-        shares: AccountShares,
+        shares: Shares,
         *,
         options: HomeOptions | None = None,
     ) -> None:
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -110,6 +110,7 @@
         tasks = [asyncio.ensure_future(part) for part in background]
         tasks.append(asyncio.ensure_future(self._tick()))
         tasks.append(asyncio.ensure_future(self._check_silence()))
+        tasks.append(asyncio.ensure_future(self._tell_usage()))
         tasks.append(asyncio.ensure_future(self._keep_house()))
         tasks.append(asyncio.ensure_future(self._drain_log()))
         for task in tasks:
@@ -184,6 +185,10 @@
             await asyncio.sleep(SILENCE_CHECK_S)
             self.gateway.scheduler.check_silence()
 
+    async def _tell_usage(self) -> None:
+        while True:
+            await asyncio.sleep(self.broker.tell_usage())
+
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
@@ -9,9 +9,9 @@
 import attrs
 from typing_extensions import override
 
-from citrondock_core.routing.account_shares import AccountShares
 from citrondock_core.routing.engine_hints import EngineHints
 from citrondock_core.routing.engine_home import EngineHome
+from citrondock_core.routing.fleet_shares import AccountUsage, FleetShares
 from citrondock_core.routing.grant import (
     Ask,
     AskAnswer,
@@ -45,9 +45,23 @@
 QUEUED_MARGIN_S = 0.1
 """Time beyond the end of an ask's wait after which its queue is taken for lost."""
 
+MIN_USAGE_PERIOD_S = 0.5
+"""Homes tell each other of accounts four times in `SHARES_HALF_LIFE_S` at most."""
+
+MAX_USAGE_BYTES_PER_S = 1000.0
+"""A third of the control traffic of a router; a large fleet tells less often."""
+
 AnswerCallback = Callable[[AskAnswer], None]
 
 
+@attrs.frozen
+class KnownEngine:
+    """An engine that prompts may be sent to: its size and where it stands."""
+
+    options: ModelEngineOptions
+    availability_zone: str
+
+
 @attrs.define(eq=False)
 class _PendingAsk:
     ask: Ask
@@ -87,8 +101,8 @@
         self._granted_by: dict[AskKey, tuple[str, str]] = {}
         self._homes: dict[str, EngineHome] = {}
         self._askers: dict[AskKey, str] = {}
-        self._engines: dict[str, ModelEngineOptions] = {}
-        self._shares = AccountShares(half_life_s=SHARES_HALF_LIFE_S)
+        self._engines: dict[str, KnownEngine] = {}
+        self._shares = FleetShares(half_life_s=SHARES_HALF_LIFE_S)
         self._incarnations: dict[str, int] = {}
         self._is_leaving = False
 
@@ -98,7 +112,7 @@
         """Return a name for an ask."""
         return AskKey(incarnation=self.incarnation, number=next(self._numbers))
 
-    def set_engines(self, engines: dict[str, ModelEngineOptions]) -> None:
+    def set_engines(self, engines: dict[str, KnownEngine]) -> None:
         """Take the engines that prompts may be sent to."""
         self._engines = engines
         self._hints.keep(set(engines))
@@ -162,6 +176,22 @@
         known = {key for home in self._homes.values() for key in home.keys()}
         self._askers = {k: asker for k, asker in self._askers.items() if k in known}
 
+    def tell_usage(self) -> float:
+        """Tell other homes what accounts received here; return when to do so again."""
+        now_s = self._loop.time()
+        usage = self._shares.largest(now_s=now_s) if self._homes else []
+        homes = self._other_homes(now_s) if usage else set()
+        before_bytes = self.sent_bytes
+        datagram = self._datagram(usage=usage)
+        for vm_name in homes:
+            self._send(vm_name, datagram)
+        told_bytes = self.sent_bytes - before_bytes
+        return max(told_bytes / MAX_USAGE_BYTES_PER_S, MIN_USAGE_PERIOD_S)
+
+    def received(self, account: str, *, now_s: float) -> float:
+        """Return what an account received lately, as far as is known here."""
+        return self._shares.received(account, now_s=now_s)
+
     def greet(self, addresses: Iterable[Address]) -> None:
         """Tell routers of this one and ask them to tell of themselves."""
         for address in addresses:
@@ -200,6 +230,7 @@
         self.peers.heard(datagram.vm_name)
         for backlog in datagram.backlogs:
             self._hints.take(backlog, now_s=now_s)
+        self._shares.take(datagram.vm_name, datagram.usage, now_s=now_s)
         for news in datagram.progress:
             self._take_progress(news)
         for ask in datagram.asks:
@@ -271,7 +302,7 @@
             return
         home = self._homes.get(ask.target_id)
         if home is None:
-            home = EngineHome(ask.target_id, engine, self._shares)
+            home = EngineHome(ask.target_id, engine.options, self._shares)
             self._homes[ask.target_id] = home
         self._askers[ask.key] = asker
         answer = home.ask(ask, now_s=now_s)
@@ -316,6 +347,13 @@
         for answer in answers:
             self._loop.call_soon(self._take_answer, answer)
 
+    def _other_homes(self, now_s: float) -> set[str]:
+        homes = {
+            self.peers.home_of(target_id, engine.availability_zone, now_s=now_s)
+            for target_id, engine in self._engines.items()
+        }
+        return homes - {self.peers.vm_name}
+
     # Presence and sending.
 
     def _note_incarnation(self, vm_name: str, incarnation: int, now_s: float) -> None:
@@ -361,6 +399,7 @@
         answers: list[AskAnswer] | None = None,
         progress: list[AskProgress] | None = None,
         backlogs: list[EngineBacklog] | None = None,
+        usage: list[AccountUsage] | None = None,
     ) -> PeerDatagram:
         return PeerDatagram(
             vm_name=self.peers.vm_name,
@@ -369,6 +408,7 @@
             answers=answers or [],
             progress=progress or [],
             backlogs=backlogs or [],
+            usage=usage or [],
         )
 
     def _send(self, vm_name: str, datagram: PeerDatagram) -> None:
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -22,7 +22,11 @@
 from citrondock_router.gateway.engine_asker import AskingPool, EngineAsker
 from citrondock_router.gateway.exchange import Exchange, Scheduler, Step
 from citrondock_router.gateway.gateway_metrics import GatewayMetrics
-from citrondock_router.gateway.grant_broker import SHARES_HALF_LIFE_S, GrantBroker
+from citrondock_router.gateway.grant_broker import (
+    SHARES_HALF_LIFE_S,
+    GrantBroker,
+    KnownEngine,
+)
 from citrondock_router.gateway.outcome import Outcome
 from citrondock_router.gateway.silence import SilenceOptions, is_silent
 from citrondock_router.gateway.target_connections import TargetConnections
@@ -300,7 +304,7 @@
     def _rebuild(self) -> None:
         loads: dict[str, TargetLoad] = {}
         by_service: dict[str, list[TargetLoad]] = {}
-        engines: dict[str, ModelEngineOptions] = {}
+        engines: dict[str, KnownEngine] = {}
         for entry in self._directory.usable():
             load = self._loads.get(entry.target_id)
             if load is None or load.entry.is_other_life_of(entry):
@@ -311,7 +315,8 @@
             by_service.setdefault(entry.service, []).append(load)
             engine = self.engine(entry.service)
             if engine is not None:
-                engines[entry.target_id] = engine
+                known = KnownEngine(engine, entry.availability_zone)
+                engines[entry.target_id] = known
         self._loads, self._loads_by_service = loads, by_service
         self._placement.keep(set(loads))
         self._broker.set_engines(engines)
--- a/packages/citrondock-wire/grants.thrift
+++ b/packages/citrondock-wire/grants.thrift
@@ -47,6 +47,12 @@
   3: i32 speed_percent
 }
 
+// What an account received lately at the engines of the sender.
+struct Usage {
+  1: string account
+  2: i32 tokens
+}
+
 struct Presence {
   1: string availability_zone
   2: bool leaving
@@ -61,4 +67,5 @@
   5: optional list<Progress> progress
   6: optional list<Backlog> backlogs
   7: optional Presence presence
+  8: optional list<Usage> usage
 }
--- a/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
+++ b/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
@@ -464,6 +464,74 @@
         return not (self == other)
 
 
+class Usage(object):
+    """
+    Attributes:
+     - account
+     - tokens
+
+    """
+
+
+    def __init__(self, account=None, tokens=None,):
+        self.account = account
+        self.tokens = tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Usage')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 2)
+            oprot.writeI32(self.tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Presence(object):
     """
     Attributes:
@@ -553,11 +621,12 @@
      - progress
      - backlogs
      - presence
+     - usage
 
     """
 
 
-    def __init__(self, vm_name=None, incarnation=None, asks=None, answers=None, progress=None, backlogs=None, presence=None,):
+    def __init__(self, vm_name=None, incarnation=None, asks=None, answers=None, progress=None, backlogs=None, presence=None, usage=None,):
         self.vm_name = vm_name
         self.incarnation = incarnation
         self.asks = asks
@@ -565,6 +634,7 @@
         self.progress = progress
         self.backlogs = backlogs
         self.presence = presence
+        self.usage = usage
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -635,6 +705,17 @@
                     self.presence.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.usage = []
+                    (_etype41, _size38) = iprot.readListBegin()
+                    for _i42 in range(_size38):
+                        _elem43 = Usage()
+                        _elem43.read(iprot)
+                        self.usage.append(_elem43)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -656,35 +737,42 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter38 in self.asks:
-                iter38.write(oprot)
+            for iter44 in self.asks:
+                iter44.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answers is not None:
             oprot.writeFieldBegin('answers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.answers))
-            for iter39 in self.answers:
-                iter39.write(oprot)
+            for iter45 in self.answers:
+                iter45.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.progress is not None:
             oprot.writeFieldBegin('progress', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.progress))
-            for iter40 in self.progress:
-                iter40.write(oprot)
+            for iter46 in self.progress:
+                iter46.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.backlogs is not None:
             oprot.writeFieldBegin('backlogs', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.backlogs))
-            for iter41 in self.backlogs:
-                iter41.write(oprot)
+            for iter47 in self.backlogs:
+                iter47.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.presence is not None:
             oprot.writeFieldBegin('presence', TType.STRUCT, 7)
             self.presence.write(oprot)
             oprot.writeFieldEnd()
+        if self.usage is not None:
+            oprot.writeFieldBegin('usage', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.usage))
+            for iter48 in self.usage:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -736,6 +824,12 @@
     (2, TType.I32, 'backlog_ms', None, None, ),  # 2
     (3, TType.I32, 'speed_percent', None, None, ),  # 3
 )
+all_structs.append(Usage)
+Usage.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'tokens', None, None, ),  # 2
+)
 all_structs.append(Presence)
 Presence.thrift_spec = (
     None,  # 0
@@ -753,6 +847,7 @@
     (5, TType.LIST, 'progress', (TType.STRUCT, [Progress, None], False), None, ),  # 5
     (6, TType.LIST, 'backlogs', (TType.STRUCT, [Backlog, None], False), None, ),  # 6
     (7, TType.STRUCT, 'presence', [Presence, None], None, ),  # 7
+    (8, TType.LIST, 'usage', (TType.STRUCT, [Usage, None], False), None, ),  # 8
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
+++ b/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
@@ -6,6 +6,7 @@
 from thrift.TSerialization import deserialize, serialize
 
 from citrondock_core.errors import CitrondockError
+from citrondock_core.routing.fleet_shares import AccountUsage
 from citrondock_core.routing.grant import (
     Ask,
     AskAnswer,
@@ -63,6 +64,7 @@
     progress: list[AskProgress] = attrs.field(factory=list)
     backlogs: list[EngineBacklog] = attrs.field(factory=list)
     presence: Presence | None = None
+    usage: list[AccountUsage] = attrs.field(factory=list)
 
 
 class GrantCodec:
@@ -89,6 +91,7 @@
                 )
                 if presence
                 else None,
+                usage=[_usage_out(item) for item in datagram.usage] or None,
             ),
             self._factory,
         )
@@ -128,6 +131,9 @@
             )
             if presence
             else None,
+            usage=[
+                AccountUsage(item.account, item.tokens) for item in read.usage or ()
+            ],
         )
 
 
@@ -205,6 +211,10 @@
     )
 
 
+def _usage_out(usage: AccountUsage) -> ttypes.Usage:
+    return ttypes.Usage(account=usage.account, tokens=usage.tokens)
+
+
 def _backlog_in(backlog: ttypes.Backlog) -> EngineBacklog:
     return EngineBacklog(
         target_id=backlog.target,
--- a/tests/gateway/test_grant_broker.py
+++ b/tests/gateway/test_grant_broker.py
@@ -6,12 +6,17 @@
 
 from citrondock_core.routing.engine_hints import EngineHints
 from citrondock_core.routing.grant import Ask, Stage, Verdict
-from citrondock_core.routing.peer_table import PeerTable
+from citrondock_core.routing.peer_table import Peer, PeerTable
 from citrondock_core.routing.request_facts import PromptPart
 from citrondock_core.routing.route import ModelEngineOptions
 from citrondock_core.routing.target_entry import TargetEntry
 from citrondock_router.gateway.gateway_settings import Address
-from citrondock_router.gateway.grant_broker import GrantBroker
+from citrondock_router.gateway.grant_broker import (
+    MAX_USAGE_BYTES_PER_S,
+    MIN_USAGE_PERIOD_S,
+    GrantBroker,
+    KnownEngine,
+)
 from citrondock_wire.grant_codec import GrantCodec, PeerDatagram
 
 HOST = "127.0.0.1"
@@ -46,7 +51,7 @@
             lambda: self.broker, local_addr=(HOST, 0)
         )
         self.address = Address(*self.transport.get_extra_info("sockname"))
-        self.broker.set_engines({"e1": ENGINE})
+        self.broker.set_engines({"e1": KnownEngine(ENGINE, "z2")})
 
     def ask(self, zone, *, prompt=2000, wait_s=1.0):
         now_s = asyncio.get_running_loop().time()
@@ -86,6 +91,56 @@
         await asyncio.sleep(0.005)
 
 
+class TestUsage:
+    def test_homes_hear_what_accounts_received_at_others(self):
+        async def check():
+            first, second = await pair()
+            second.broker.set_engines(
+                {"e1": KnownEngine(ENGINE, "z2"), "e2": KnownEngine(ENGINE, "z1")}
+            )
+            for _ in range(3):
+                first.ask("z2")
+                await ticks([first, second], 0.05)
+            second.broker.tell_usage()
+            await asyncio.sleep(0.05)
+            now_s = asyncio.get_running_loop().time()
+            received = first.broker.received("a", now_s=now_s)
+            assert 0.8 * 3 * 2020 < received <= 3 * 2020
+
+        run(check())
+
+    def test_a_router_without_engines_tells_nothing(self):
+        async def check():
+            first, _ = await pair()
+            before_bytes = first.broker.sent_bytes
+            assert first.broker.tell_usage() == MIN_USAGE_PERIOD_S
+            assert first.broker.sent_bytes == before_bytes
+
+        run(check())
+
+    def test_a_large_fleet_is_told_less_often(self):
+        async def check():
+            first, _ = await pair()
+            for number in range(200):
+                first.table.put(
+                    Peer(
+                        vm_name=f"p{number}", host=HOST, port=9, availability_zone="z2"
+                    )
+                )
+            engines = {f"e{n}": KnownEngine(ENGINE, "z2") for n in range(400)}
+            engines["e1"] = KnownEngine(ENGINE, "z1")
+            first.broker.set_engines(engines)
+            first.ask("z1")
+            await ticks([first], 0.05)
+            before_bytes = first.broker.sent_bytes
+            period_s = first.broker.tell_usage()
+            told_bytes = first.broker.sent_bytes - before_bytes
+            assert told_bytes > 2000
+            assert told_bytes / period_s <= MAX_USAGE_BYTES_PER_S
+
+        run(check())
+
+
 class TestAsking:
     def test_routers_know_each_other_after_one_greeting(self):
         async def check():
