Send calls that run once on connections that have not rested

Cause: targets may drop a connection that rested for 0.3 s without notice; what is sent on it next is reset, and a call that runs at most once has failed then, as it may have run.

Ruled out: fresh connections for all requests (others can be sent again, and each new connection is priced).

Such calls take a kept connection only within 0.1 s of its last answer, otherwise a new one in place of the one that rested longest.

--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -168,7 +168,9 @@
         """Send the request to a target."""
         self.choice = choice
         entry = choice.load.entry
-        connection = self._connections.take_idle(entry)
+        connection = self._connections.take_idle(
+            entry, may_run_again=self.route.kind.may_run_again
+        )
         if connection is not None:
             self._write(connection)
             return
--- a/packages/citrondock-router/src/citrondock_router/gateway/target_connections.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/target_connections.py
@@ -15,6 +15,11 @@
 """Idle time that is trusted where a target announces none."""
 
 
+MAX_REST_S = 0.1
+"""Longest rest of a connection for requests that may run only once: a target that has
+dropped it leaves open whether they ran, and some drop connections after 0.3 s."""
+
+
 class TargetConnections:
     """Idle connections by target.
 
@@ -29,14 +34,22 @@
         self._idle: dict[str, list[TargetConnection]] = {}
         self.opened_count = 0
 
-    def take_idle(self, entry: TargetEntry) -> TargetConnection | None:
+    def take_idle(
+        self, entry: TargetEntry, *, may_run_again: bool
+    ) -> TargetConnection | None:
         """Return a kept connection, the most recently used first, or None."""
+        now_s = self._loop.time()
         idle = self._idle.get(entry.target_id)
         while idle:
-            connection = idle.pop()
-            if connection.is_open and self._loop.time() < _usable_until_s(connection):
-                return connection
-            connection.abandon()
+            connection = idle[-1]
+            if connection.is_open and now_s < _usable_until_s(connection):
+                is_fresh = now_s - connection.idle_since_s <= MAX_REST_S
+                if is_fresh or may_run_again:
+                    return idle.pop()
+                # A new connection takes the place of the one that rested longest.
+                idle.pop(0).abandon()
+                return None
+            idle.pop().abandon()
         return None
 
     async def open(self, entry: TargetEntry) -> TargetConnection:
--- a/tests/gateway/test_plain_requests.py
+++ b/tests/gateway/test_plain_requests.py
@@ -34,6 +34,62 @@
     return sum(len(target.received) for target in harness.targets)
 
 
+class TestRestingConnections:
+    def test_a_call_that_runs_once_takes_no_connection_that_rested(self):
+        async def check():
+            used = set()
+
+            async def forgets_rested_connections(got, writer):
+                # A second request on a connection meets a target that dropped it.
+                if writer in used:
+                    hard_reset(writer)
+                    return
+                used.add(writer)
+                writer.write(whole(got))
+
+            async with scripted(forgets_rested_connections) as harness:
+                assert (await harness.get("/unsafe/x")).status == 200
+                await asyncio.sleep(0.3)
+                assert (await harness.get("/unsafe/x", "r2")).status == 200
+                assert len(used) == 2
+
+        run(check())
+
+    def test_connections_that_rested_do_not_pile_up(self):
+        async def check():
+            writers = set()
+
+            async def script(got, writer):
+                writers.add(writer)
+                writer.write(whole(got))
+
+            async with scripted(script) as harness:
+                for number in range(4):
+                    assert (await harness.get("/unsafe/x", f"r{number}")).status == 200
+                    await asyncio.sleep(0.15)
+                open_count = sum(not writer.is_closing() for writer in writers)
+                assert len(writers) == 4
+                assert open_count == 1
+
+        run(check())
+
+    def test_a_call_that_may_run_again_does(self):
+        async def check():
+            used = set()
+
+            async def script(got, writer):
+                used.add(writer)
+                writer.write(whole(got))
+
+            async with scripted(script) as harness:
+                assert (await harness.get("/safe/x")).status == 200
+                await asyncio.sleep(0.3)
+                assert (await harness.get("/safe/x", "r2")).status == 200
+                assert len(used) == 1
+
+        run(check())
+
+
 class TestWholeAnswers:
     def test_an_answer_is_passed_on_unchanged(self):
         async def script(got, writer):
