Know requests that come back after a refusal

Cause: in overload clients come back after a refusal, late already, and were put before new requests that could still be on time.

Ruled out: the client's deadline as a sign of its age. It is spread over 0.85 to 1 of the route's timeout from the first attempt on (trial, log of one router).

A router remembers the prompts that it refused in the last 15 s by the part that no other prompt shares, with the time of the first arrival; one that comes back is late by that time, and goes behind those that are not.

--- a/packages/citrondock-core/src/citrondock_core/routing/admission_queue.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/admission_queue.py
@@ -13,9 +13,12 @@
     account: str
     kind: str
     arrived_at_s: float
-    on_time_until_s: float
     cost_tokens: int
 
+    @property
+    def on_time_until_s(self) -> float:
+        """When its first answer is late."""
+
 
 _W = TypeVar("_W", bound=Waiting)
 
--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/routing/refused_requests.py
@@ -0,0 +1,48 @@
+"""Requests that were refused lately, to know them when they come back."""
+
+from collections import OrderedDict
+
+from citrondock_core.routing.request_facts import RequestFacts
+
+MAX_REMEMBERED = 4096
+"""Some ten seconds of refusals on a busy router; about half a megabyte."""
+
+MAX_AGE_S = 15.0
+"""The longest time that clients wait for an answer."""
+
+
+class RefusedRequests:
+    """Remembers when refused requests arrived first.
+
+    Each attempt of a client has its own id; what tells that two are the same request is
+    the part of the prompt that no other shares.
+    """
+
+    def __init__(self) -> None:
+        self._arrived_at_s: OrderedDict[str, float] = OrderedDict()
+
+    def note(self, account: str, facts: RequestFacts, *, arrived_at_s: float) -> None:
+        """Remember a request that is refused now."""
+        key = _key(account, facts)
+        if key is None:
+            return
+        self._arrived_at_s[key] = arrived_at_s
+        self._arrived_at_s.move_to_end(key)
+        while len(self._arrived_at_s) > MAX_REMEMBERED:
+            self._arrived_at_s.popitem(last=False)
+
+    def first_arrival_s(
+        self, account: str, facts: RequestFacts, *, now_s: float
+    ) -> float:
+        """Return when a request arrived first, and forget it; now if it is new."""
+        key = _key(account, facts)
+        arrived_at_s = self._arrived_at_s.pop(key, now_s) if key is not None else now_s
+        return arrived_at_s if now_s - arrived_at_s <= MAX_AGE_S else now_s
+
+
+def _key(account: str, facts: RequestFacts) -> str | None:
+    prompt = facts.prompt
+    if prompt is None or not prompt.parts:
+        return None
+    own = prompt.parts[-1].part_id
+    return f"{account}/{prompt.model}/{own}/{prompt.prompt_token_count}"
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -123,7 +123,8 @@
         if facts.time_left_s is not None:
             time_left_s = min(time_left_s, facts.time_left_s)
         self.answer_by_s = now_s + time_left_s
-        self.on_time_until_s = now_s + min(route.first_answer_target_s, time_left_s)
+        self.target_s = min(route.first_answer_target_s, time_left_s)
+        self.first_arrived_at_s = now_s
         self.cost_tokens = facts.prompt.prompt_token_count if facts.prompt else 1
         self.history = AttemptHistory(kind=route.kind, max_attempts=route.max_attempts)
         self.step = Step.WAITING
@@ -157,6 +158,11 @@
         """Key under which the load of a target counts this request."""
         return f"{self.facts.request_id}/{id(self)}"
 
+    @property
+    def on_time_until_s(self) -> float:
+        """When its first answer is late; refusals before this attempt count too."""
+        return self.first_arrived_at_s + self.target_s
+
     @property
     def is_waiting(self) -> bool:
         """Whether it waits for a target."""
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from http import HTTPStatus
 
 from typing_extensions import override
 
@@ -11,6 +12,7 @@
 from citrondock_core.routing.engine_hints import EngineHints
 from citrondock_core.routing.engine_home import RATIOS_HALF_LIFE_S
 from citrondock_core.routing.placement import Placement, PlacementChoice
+from citrondock_core.routing.refused_requests import RefusedRequests
 from citrondock_core.routing.route import (
     ModelEngineOptions,
     RouteKind,
@@ -94,6 +96,7 @@
         self._shares = AccountShares(half_life_s=SHARES_HALF_LIFE_S)
         self._ratios = ServedRatios(half_life_s=RATIOS_HALF_LIFE_S)
         self._sent: dict[int, Exchange] = {}
+        self._refused = RefusedRequests()
         self.live_count = 0
 
     def set_budget(self, options: AttemptBudgetOptions) -> None:
@@ -116,8 +119,12 @@
 
     def admit(self, exchange: Exchange) -> None:
         """Take a request that a client has just sent."""
+        now_s = self._loop.time()
         self.live_count += 1
-        self._budget(exchange.service).count_request(now_s=self._loop.time())
+        self._budget(exchange.service).count_request(now_s=now_s)
+        exchange.first_arrived_at_s = self._refused.first_arrival_s(
+            exchange.account, exchange.facts, now_s=now_s
+        )
         self.submit(exchange)
 
     # From exchanges.
@@ -199,6 +206,11 @@
         arrived_at_s = exchange.arrived_at_s
         first_s = exchange.first_answer_at_s
         self._metrics.count_request(exchange.service, outcome)
+        if outcome.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            first_arrived_at_s = exchange.first_arrived_at_s
+            self._refused.note(
+                exchange.account, exchange.facts, arrived_at_s=first_arrived_at_s
+            )
         log_event(
             "request_ended",
             request_id=exchange.facts.request_id,
@@ -211,6 +223,7 @@
             attempts=exchange.history.sent_count,
             targets=",".join(exchange.history.target_ids),
             asks=exchange.ask_count,
+            refused_before_s=arrived_at_s - exchange.first_arrived_at_s,
             waited_s=exchange.sent_at_s - arrived_at_s if exchange.sent_at_s else None,
             first_answer_s=first_s - arrived_at_s if first_s is not None else None,
             longest_pause_s=exchange.longest_pause_s,
@@ -258,8 +271,7 @@
                 exchange.try_elsewhere("silent")
 
     def _wait_until_s(self, exchange: Exchange) -> float:
-        target_s = exchange.on_time_until_s - exchange.arrived_at_s
-        return exchange.arrived_at_s + WAIT_IN_TARGETS * target_s
+        return exchange.arrived_at_s + WAIT_IN_TARGETS * exchange.target_s
 
     # Plain requests: they are few beside the places, and sent at once.
 
