Thin logs out under load without losing a failed request; metrics of shares and queues

Cause: the log's buffer dropped whatever came last once a reader was too slow, also the lines of a request that failed.

From 128 KB on that wait, lines of requests are held until their end; those of served ones are left out and counted by kind, those of failed ones all written. 512 KB stay the limit of all. Notices of gaps no longer pile up before a reader that stands still.

New metrics: requests by account (64 accounts, then `other`), repeats left, requests waiting, prompts at the engines homed here, age of the store's answers by kind, lag of the event loop, lines dropped.

Ruled out: sampling by request id, which loses the lines of most failed requests. Cost: not measured on its own yet.

--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_metrics.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_metrics.py
@@ -1,13 +1,55 @@
 """Counters and histograms of the gateway."""
 
+from collections.abc import Mapping
+from http import HTTPStatus
+
+import attrs
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from citrondock_router.gateway.outcome import Outcome
 
 _DELAY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 5.0)
 _ERROR_BUCKETS_S = (-0.2, -0.1, -0.05, 0.0, 0.05, 0.1, 0.2, 0.4, 1.0)
+_LAG_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
 _TEXT = ("text/plain",)
 
+MAX_ACCOUNT_LABELS = 64
+"""Accounts with counters of their own; each is some lines of every scrape."""
+
+OTHER_ACCOUNTS = "other"
+
+
+@attrs.frozen(kw_only=True)
+class RouterState:
+    """Figures of one router at one moment.
+
+    Parameters
+    ----------
+    configuration_version, target_count : int
+        What is in force and known.
+    peer_bytes, opened_connections : int
+        Sent and opened since the start.
+    home_waiting_count, home_granted_count : int
+        Prompts of all routers at the engines homed here.
+    dropped_log_line_count : int
+        Lines that the log has not yet told of.
+    waiting_by_service, repeats_left_by_service : mapping
+        By name of the service.
+    store_age_s_by_kind : mapping
+        Seconds since the last answer of the store, by kind of objects.
+    """
+
+    configuration_version: int
+    target_count: int
+    peer_bytes: int
+    opened_connections: int
+    home_waiting_count: int
+    home_granted_count: int
+    dropped_log_line_count: int
+    waiting_by_service: Mapping[str, int]
+    repeats_left_by_service: Mapping[str, float]
+    store_age_s_by_kind: Mapping[str, float]
+
 
 class GatewayMetrics:
     """Figures of one router in the form that Prometheus reads."""
@@ -18,22 +60,36 @@
         self._rejected = self._counter("rejected", "Bytes that were no request.")
         self._exhausted = self._counter("repeats_denied", "Repeats over the budget.")
         self._silences = self._counter("silences", "Answers that stopped coming.")
-        self._configuration = Gauge(
-            "citrondock_configuration_version",
-            "Configuration in force.",
-            registry=self._registry,
+        self._account_requests = self._counter(
+            "account_requests", "Requests by account and outcome."
         )
-        self._targets = Gauge(
-            "citrondock_targets", "Targets known.", registry=self._registry
+        self._accounts: set[str] = set()
+        self._configuration = self._gauge(
+            "configuration_version", "Configuration in force."
         )
-        self._totals = Gauge(
-            "citrondock_totals",
-            "Peer bytes sent and target connections opened so far.",
-            registry=self._registry,
+        self._targets = self._gauge("targets", "Targets known.")
+        self._totals = self._gauge(
+            "totals", "Peer bytes sent and target connections opened so far."
+        )
+        self._repeats_left = self._gauge(
+            "repeats_left", "Repeats that the budget allows now."
+        )
+        self._waiting = self._gauge("requests_waiting", "Requests without a target.")
+        self._home_requests = self._gauge(
+            "home_requests", "Prompts at the engines homed here."
+        )
+        self._store_age = self._gauge(
+            "store_age_seconds", "Time since the store last answered."
+        )
+        self._log_lines_dropped = self._gauge(
+            "log_lines_dropped", "Lines dropped and not yet told of in the log."
         )
         self._first_answer = self._histogram(
             "first_answer_seconds", "Arrival to first bytes.", _DELAY_BUCKETS_S
         )
+        self._loop_lag = self._histogram(
+            "loop_lag_seconds", "Lateness of timers.", _LAG_BUCKETS_S
+        )
         self._prediction = self._histogram(
             "prediction_error_seconds", "First answer less predicted.", _ERROR_BUCKETS_S
         )
@@ -44,6 +100,23 @@
         labels = {"service": service, "status": str(outcome.status), "reason": reason}
         self._requests.inc(labels)
 
+    def count_account(self, account: str, service: str, outcome: Outcome) -> None:
+        """Count a request for its account."""
+        if account not in self._accounts:
+            if len(self._accounts) >= MAX_ACCOUNT_LABELS:
+                account = OTHER_ACCOUNTS
+            else:
+                self._accounts.add(account)
+        word = (
+            "served"
+            if outcome.is_whole
+            else "refused"
+            if _is_refusal(outcome)
+            else "failed"
+        )
+        labels = {"account": account, "service": service, "outcome": word}
+        self._account_requests.inc(labels)
+
     def count_rejected(self, reason: str) -> None:
         """Count bytes that no request could be read from."""
         self._rejected.inc({"reason": reason})
@@ -64,19 +137,26 @@
         """Note how much later than predicted the first bytes came."""
         self._prediction.observe({"service": service}, error_s)
 
-    def set_state(
-        self,
-        *,
-        configuration_version: int,
-        target_count: int,
-        peer_bytes: int,
-        opened_connections: int,
-    ) -> None:
+    def observe_loop_lag(self, lag_s: float) -> None:
+        """Note how late a timer of the event loop ran."""
+        self._loop_lag.observe({}, lag_s)
+
+    def set_state(self, state: RouterState) -> None:
         """Take figures of the router as a whole."""
-        self._totals.set({"kind": "peer_bytes_sent"}, peer_bytes)
-        self._totals.set({"kind": "target_connections_opened"}, opened_connections)
-        self._configuration.set({}, configuration_version)
-        self._targets.set({}, target_count)
+        self._totals.set({"kind": "peer_bytes_sent"}, state.peer_bytes)
+        opened = state.opened_connections
+        self._totals.set({"kind": "target_connections_opened"}, opened)
+        self._configuration.set({}, state.configuration_version)
+        self._targets.set({}, state.target_count)
+        self._home_requests.set({"state": "waiting"}, state.home_waiting_count)
+        self._home_requests.set({"state": "granted"}, state.home_granted_count)
+        self._log_lines_dropped.set({}, state.dropped_log_line_count)
+        for service, count in state.waiting_by_service.items():
+            self._waiting.set({"service": service}, count)
+        for service, left in state.repeats_left_by_service.items():
+            self._repeats_left.set({"service": service}, left)
+        for kind, age_s in state.store_age_s_by_kind.items():
+            self._store_age.set({"kind": kind}, age_s)
 
     def render(self) -> bytes:
         """Return all metrics as text."""
@@ -86,6 +166,9 @@
     def _counter(self, name: str, text: str) -> Counter:
         return Counter(f"citrondock_{name}_total", text, registry=self._registry)
 
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(f"citrondock_{name}", text, registry=self._registry)
+
     def _histogram(self, name: str, text: str, buckets: tuple[float, ...]) -> Histogram:
         return Histogram(
             f"citrondock_{name}",
@@ -93,3 +176,7 @@
             registry=self._registry,
             buckets=(*buckets, float("inf")),
         )
+
+
+def _is_refusal(outcome: Outcome) -> bool:
+    return outcome.status == HTTPStatus.SERVICE_UNAVAILABLE
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -13,10 +13,11 @@
 from citrondock_router.gateway.client_connection import ClientConnection
 from citrondock_router.gateway.dialect import Dialect
 from citrondock_router.gateway.gateway import Gateway
-from citrondock_router.gateway.gateway_metrics import GatewayMetrics
+from citrondock_router.gateway.gateway_metrics import GatewayMetrics, RouterState
 from citrondock_router.gateway.gateway_settings import Address, GatewaySettings
 from citrondock_router.gateway.grant_broker import GrantBroker
 from citrondock_router.gateway.log_writer import LogWriter
+from citrondock_router.gateway.object_follower import ObjectFollower
 from citrondock_router.gateway.operations_handler import OperationsHandler, Page
 from citrondock_router.gateway.scheduler import (
     SILENCE_CHECK_S,
@@ -94,6 +95,7 @@
         self.is_listening = asyncio.Event()
         self._stop = asyncio.Event()
         self._reload: Callable[[], None] | None = None
+        self._followers: Sequence[ObjectFollower] = ()
         self._pages: Mapping[bytes, Page] = {
             readiness_path: self._readiness,
             metrics_path: self._metrics_page,
@@ -103,11 +105,16 @@
         """Have ``reload`` called when the process is asked to read its settings."""
         self._reload = reload
 
+    def follow(self, followers: Sequence[ObjectFollower]) -> None:
+        """Keep up with kinds of objects while the process runs."""
+        self._followers = followers
+
     async def run(self, background: Sequence[Awaitable[None]]) -> None:
         """Serve until told to stop."""
         self._install_signals()
         operations = OperationsHandler(self._pages)
         tasks = [asyncio.ensure_future(part) for part in background]
+        tasks += [asyncio.ensure_future(one.run()) for one in self._followers]
         tasks.append(asyncio.ensure_future(self._tick()))
         tasks.append(asyncio.ensure_future(self._check_silence()))
         tasks.append(asyncio.ensure_future(self._tell_usage()))
@@ -182,7 +189,9 @@
 
     async def _check_silence(self) -> None:
         while True:
+            due_at_s = self.loop.time() + SILENCE_CHECK_S
             await asyncio.sleep(SILENCE_CHECK_S)
+            self.metrics.observe_loop_lag(max(self.loop.time() - due_at_s, 0.0))
             self.gateway.scheduler.check_silence()
 
     async def _tell_usage(self) -> None:
@@ -215,10 +224,22 @@
         return HTTPStatus.SERVICE_UNAVAILABLE, b"not ready\n"
 
     def _metrics_page(self) -> tuple[HTTPStatus, bytes]:
-        self.metrics.set_state(
+        now_s = self.loop.time()
+        scheduler = self.gateway.scheduler
+        state = RouterState(
             configuration_version=self.gateway.configuration.version,
             target_count=len(self.directory),
             peer_bytes=self.broker.sent_bytes,
             opened_connections=self._connections.opened_count,
+            home_waiting_count=self.broker.waiting_count,
+            home_granted_count=self.broker.granted_count,
+            dropped_log_line_count=self._log_writer.dropped_count,
+            waiting_by_service=scheduler.waiting_by_service(),
+            repeats_left_by_service=scheduler.repeats_left_by_service(),
+            store_age_s_by_kind={
+                follower.kind: follower.age_s(now_s=now_s)
+                for follower in self._followers
+            },
         )
+        self.metrics.set_state(state)
         return HTTPStatus.OK, self.metrics.render()
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
@@ -188,6 +188,16 @@
         told_bytes = self.sent_bytes - before_bytes
         return max(told_bytes / MAX_USAGE_BYTES_PER_S, MIN_USAGE_PERIOD_S)
 
+    @property
+    def waiting_count(self) -> int:
+        """Prompts that wait for the engines homed here."""
+        return sum(home.waiting_count for home in self._homes.values())
+
+    @property
+    def granted_count(self) -> int:
+        """Prompts at the engines homed here."""
+        return sum(home.running_count for home in self._homes.values())
+
     def received(self, account: str, *, now_s: float) -> float:
         """Return what an account received lately, as far as is known here."""
         return self._shares.received(account, now_s=now_s)
--- a/packages/citrondock-router/src/citrondock_router/gateway/log_writer.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/log_writer.py
@@ -3,8 +3,13 @@
 import os
 from collections import deque
 
-MAX_BUFFERED_BYTES = 262_144
-"""Lines beyond this are dropped and counted; some thousand lines."""
+from citrondock_router.gateway.log_filter import LogFilter
+
+THINNING_BYTES = 131_072
+"""Waiting lines beyond which those of served requests are left out; about 600 lines."""
+
+MAX_BUFFERED_BYTES = 524_288
+"""Lines beyond this are dropped and counted, whatever they say."""
 
 
 class LogWriter:
@@ -20,27 +25,28 @@
         self._descriptor = descriptor
         self._lines: deque[bytes] = deque()
         self._buffered_bytes = 0
+        self._filter = LogFilter()
         self.dropped_count = 0
         os.set_blocking(descriptor, False)
 
     def write(self, line: str, /) -> None:
         """Take one line."""
-        data = line.encode("utf-8", "replace")
-        if self._buffered_bytes + len(data) > MAX_BUFFERED_BYTES:
-            self.dropped_count += 1
+        is_thinning = self._buffered_bytes > THINNING_BYTES
+        if not is_thinning and not self._filter.is_holding:
+            self._take(line)
             return
-        self._lines.append(data)
-        self._buffered_bytes += len(data)
+        for kept in self._filter.lines(line, is_thinning=is_thinning):
+            self._take(kept)
 
-    def drain(self) -> None:
-        """Write what the reader takes now."""
+    def drain(self, *, is_last: bool = False) -> None:
+        """Write what the reader takes now; the last time, also lines that are held."""
+        if is_last:
+            for line in self._filter.held():
+                self._take(line)
+        if self._buffered_bytes <= THINNING_BYTES:
+            self._tell_of_gaps()
         if not self._lines:
             return
-        if self.dropped_count:
-            notice = f"event=log_lines_dropped count={self.dropped_count}\n".encode()
-            self.dropped_count = 0
-            self._lines.append(notice)
-            self._buffered_bytes += len(notice)
         data = b"".join(self._lines)
         try:
             written = os.write(self._descriptor, data)
@@ -53,3 +59,19 @@
         if written < len(data):
             self._lines.append(data[written:])
         self._buffered_bytes = len(data) - written
+
+    def _tell_of_gaps(self) -> None:
+        notice = self._filter.notice()
+        if notice is not None:
+            self._take(notice)
+        if self.dropped_count:
+            self._take(f"event=log_lines_dropped count={self.dropped_count}\n")
+            self.dropped_count = 0
+
+    def _take(self, line: str) -> None:
+        data = line.encode("utf-8", "replace")
+        if self._buffered_bytes + len(data) > MAX_BUFFERED_BYTES:
+            self.dropped_count += 1
+            return
+        self._lines.append(data)
+        self._buffered_bytes += len(data)
--- a/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
@@ -1,6 +1,7 @@
 """Keeps up with one kind of objects of a store."""
 
 import asyncio
+import math
 import random
 
 import attrs
@@ -8,6 +9,7 @@
 from citrondock_router.gateway.watched_store import (
     HistoryGoneError,
     ObjectSink,
+    Snapshot,
     StoreOutError,
     WatchedStore,
 )
@@ -68,6 +70,18 @@
         self._rng = rng or random.Random()
         self._revision: int | None = None
         self._failure_count = 0
+        self._answered_at_s: float | None = None
+
+    @property
+    def kind(self) -> str:
+        """Kind of objects that is followed."""
+        return self._kind
+
+    def age_s(self, *, now_s: float) -> float:
+        """Return the time since the store last answered; infinite if it never did."""
+        if self._answered_at_s is None:
+            return math.inf
+        return now_s - self._answered_at_s
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -91,9 +105,13 @@
             )
             if snapshot.objects:
                 self._sink.changed(snapshot)
-                self._revision = snapshot.revision
+                self._noted(snapshot)
                 await asyncio.sleep(self._options.settle_s)
+        self._noted(snapshot)
+
+    def _noted(self, snapshot: Snapshot) -> None:
         self._revision = snapshot.revision
+        self._answered_at_s = asyncio.get_running_loop().time()
 
     def _answered(self) -> None:
         if self._failure_count:
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -206,6 +206,7 @@
         arrived_at_s = exchange.arrived_at_s
         first_s = exchange.first_answer_at_s
         self._metrics.count_request(exchange.service, outcome)
+        self._metrics.count_account(exchange.account, exchange.service, outcome)
         if outcome.status == HTTPStatus.SERVICE_UNAVAILABLE:
             first_arrived_at_s = exchange.first_arrived_at_s
             self._refused.note(
@@ -232,6 +233,20 @@
             directory_revision=self._directory.revision,
         )
 
+    # For the metrics.
+
+    def waiting_by_service(self) -> dict[str, int]:
+        """Return how many requests wait for a target chosen here."""
+        return {service: len(queue) for service, queue in self._queues.items()}
+
+    def repeats_left_by_service(self) -> dict[str, float]:
+        """Return what the budgets allow now."""
+        now_s = self._loop.time()
+        return {
+            service: budget.left(now_s=now_s)
+            for service, budget in self._budgets.items()
+        }
+
     # For the asker.
 
     @override
--- a/tests/gateway/test_intake.py
+++ b/tests/gateway/test_intake.py
@@ -13,6 +13,9 @@
     run,
 )
 
+from citrondock_router.gateway.gateway_metrics import MAX_ACCOUNT_LABELS
+from citrondock_router.gateway.scheduler import SILENCE_CHECK_S
+
 
 def harness(**options):
     return Harness([ScriptedTarget("t0", answer_whole)], **options)
@@ -226,6 +229,38 @@
 
         run(check())
 
+    def test_metrics_tell_accounts_apart_up_to_a_bound(self):
+        async def check():
+            keys = {f"k{n}": f"a{n}" for n in range(MAX_ACCOUNT_LABELS + 2)}
+            async with harness(configured=configuration(accounts=keys)) as fleet:
+                for key in keys:
+                    reply = await fleet.get("/safe/x", Authorization=f"Bearer {key}")
+                    assert reply.status == 200
+                page = (await self.ask(fleet.metrics_port, "/metrics")).body.decode()
+                name = "citrondock_account_requests_total"
+                counted = {
+                    line.partition('account="')[2].partition('"')[0]: line.split()[-1]
+                    for line in page.splitlines()
+                    if line.startswith(name)
+                }
+                assert len(counted) == MAX_ACCOUNT_LABELS + 1
+                assert counted["a0"] == "1"
+                assert counted["other"] == "2"
+
+        run(check())
+
+    def test_metrics_tell_of_budgets_and_queues(self):
+        async def check():
+            async with harness() as fleet:
+                await fleet.get("/safe/x")
+                await asyncio.sleep(2.5 * SILENCE_CHECK_S)
+                page = (await self.ask(fleet.metrics_port, "/metrics")).body.decode()
+                assert 'citrondock_repeats_left{service="app"} 20.2' in page
+                assert 'citrondock_home_requests{state="waiting"} 0' in page
+                assert "citrondock_loop_lag_seconds_count" in page
+
+        run(check())
+
     def test_a_leaving_router_serves_and_asks_clients_to_go(self):
         async def check():
             async with harness() as fleet:
