Accept all connections that wait in one turn of the loop

Cause: the loop of libuv accepts one connection a turn. The router's own timers were not late; its log shows requests that ended with client_left 5 to 8 ms after they were read.

Ruled out: descriptors (1,688 of 3,075 in use), memory (37 MB at most), the lag of the loop (no `overloaded` in the log).

A listener of our own accepts up to 128 connections a turn, and pauses for 0.1 s when descriptors run out.

--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -16,6 +16,7 @@
 from citrondock_router.gateway.gateway_metrics import GatewayMetrics, RouterState
 from citrondock_router.gateway.gateway_settings import Address, GatewaySettings
 from citrondock_router.gateway.grant_broker import GrantBroker
+from citrondock_router.gateway.listener import Listener
 from citrondock_router.gateway.log_writer import LogWriter
 from citrondock_router.gateway.object_follower import ObjectFollower
 from citrondock_router.gateway.operations_handler import OperationsHandler, Page
@@ -35,9 +36,6 @@
 LOG_DRAIN_S = 0.1
 """Period in which log lines are written."""
 
-LISTEN_BACKLOG = 1024
-"""Connections that may wait to be accepted; a whole zone's clients may come at once."""
-
 
 class GatewayProcess:
     """One gateway with its listeners, timers and signals.
@@ -98,6 +96,7 @@
         self.client_port = self.readiness_port = self.metrics_port = 0
         self.is_listening = asyncio.Event()
         self._stop = asyncio.Event()
+        self._listeners: list[Listener] = []
         self._reload: Callable[[], None] | None = None
         self._followers: Sequence[ObjectFollower] = ()
         self._pages: Mapping[bytes, Page] = {
@@ -131,11 +130,9 @@
             lambda: self.broker, local_addr=(peer_address.host, peer_address.port)
         )
         settings = self.settings
-        self.client_port = await self._listen(
-            settings.client_address, self.gateway.accept
-        )
+        self.client_port = self._listen(settings.client_address, self.gateway.accept)
         self.readiness_port, self.metrics_port = [
-            await self._listen(address, lambda: ClientConnection(operations, self.loop))
+            self._listen(address, lambda: ClientConnection(operations, self.loop))
             for address in (settings.readiness_address, settings.metrics_address)
         ]
         self.is_listening.set()
@@ -154,6 +151,8 @@
         for task in tasks:
             task.remove_done_callback(self._task_ended)
             task.cancel()
+        for listener in self._listeners:
+            listener.close()
         self._log_writer.drain()
 
     def _task_ended(self, task: "asyncio.Future[None]") -> None:
@@ -163,18 +162,12 @@
         log_event("background_task_ended", level="ERROR", detail=repr(error))
         self._stop.set()
 
-    async def _listen(
+    def _listen(
         self, address: Address, protocol: Callable[[], asyncio.Protocol]
     ) -> int:
-        server = await self.loop.create_server(
-            protocol,
-            address.host,
-            address.port,
-            reuse_address=True,
-            backlog=LISTEN_BACKLOG,
-        )
-        port: int = server.sockets[0].getsockname()[1]
-        return port
+        listener = Listener(address, protocol, self.loop)
+        self._listeners.append(listener)
+        return listener.port
 
     def _install_signals(self) -> None:
         self.loop.add_signal_handler(signal.SIGTERM, self._stop.set)
--- /dev/null
+++ b/tests/gateway/test_listener.py
@@ -0,0 +1,95 @@
+"""Connections that come together are accepted together."""
+
+import asyncio
+import errno
+import socket
+import time
+
+from harness import HOST, run
+
+from citrondock_router.gateway.gateway_settings import Address
+from citrondock_router.gateway.listener import PAUSE_S, Listener
+
+COUNT = 60
+
+
+class Opened(asyncio.Protocol):
+    """Keeps when it was opened."""
+
+    opened_at_s: list[float]
+
+    def __init__(self, opened_at_s):
+        self.opened_at_s = opened_at_s
+
+    def connection_made(self, transport):
+        self.opened_at_s.append(time.monotonic())
+
+
+def connect(listener, count=COUNT):
+    return [socket.create_connection((HOST, listener.port)) for _ in range(count)]
+
+
+class TestListener:
+    def test_a_busy_loop_accepts_all_that_wait_in_one_turn(self):
+        async def check():
+            loop = asyncio.get_running_loop()
+            opened = []
+            listener = Listener(Address(HOST, 0), lambda: Opened(opened), loop)
+            clients = connect(listener)
+            turns = 0
+
+            def work():
+                nonlocal turns
+                turns += 1
+                time.sleep(0.005)
+                if len(opened) < COUNT:
+                    loop.call_soon(work)
+
+            work()
+            while len(opened) < COUNT:
+                await asyncio.sleep(0.01)
+            assert turns < COUNT / 4
+            listener.close()
+            for client in clients:
+                client.close()
+
+        run(check())
+
+    def test_it_goes_on_after_the_descriptors_ran_out(self, monkeypatch):
+        async def check():
+            loop = asyncio.get_running_loop()
+            opened = []
+            listener = Listener(Address(HOST, 0), lambda: Opened(opened), loop)
+            failures = [OSError(errno.EMFILE, "no descriptors")]
+            real = socket.socket.accept
+
+            def accept(sock):
+                if failures:
+                    raise failures.pop()
+                return real(sock)
+
+            monkeypatch.setattr(socket.socket, "accept", accept)
+            clients = connect(listener, 3)
+            await asyncio.sleep(PAUSE_S / 2)
+            assert opened == []
+            await asyncio.sleep(2 * PAUSE_S)
+            assert len(opened) == 3
+            listener.close()
+            for client in clients:
+                client.close()
+
+        run(check())
+
+    def test_a_closed_listener_accepts_nothing(self):
+        async def check():
+            loop = asyncio.get_running_loop()
+            listener = Listener(Address(HOST, 0), lambda: Opened([]), loop)
+            port = listener.port
+            listener.close()
+            try:
+                socket.create_connection((HOST, port), timeout=0.2)
+            except ConnectionRefusedError:
+                return
+            raise AssertionError("connected")
+
+        run(check())
