Let late routers only refuse; asks of late routers time out as before

A router out of the rotation hands its large account's clients to the next one, which then falls behind and leaves too. And asks got as much more time as the loop was late, which for a router that is always late means that they never time out: its log shows requests with one ask, no answer and client_left 2.4 s later.

A late router now refuses what it reads 0.15 s late and does nothing else.

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -57,12 +57,7 @@
     @property
     @abstractmethod
     def is_leaving(self) -> bool:
-        """Whether connections end with the answers that they carry."""
-
-    @property
-    @abstractmethod
-    def sends_clients_elsewhere(self) -> bool:
-        """Whether answers tell clients to open their next connection elsewhere."""
+        """Whether clients should open no more requests here."""
 
     @abstractmethod
     def handle(
@@ -346,7 +341,7 @@
         self.close_when_written()
 
     def _ending(self) -> list[Header]:
-        if self._current_keeps_alive and not self._handler.sends_clients_elsewhere:
+        if self._current_keeps_alive and not self._handler.is_leaving:
             return []
         self._current_keeps_alive = False
         return [(b"Connection", b"close")]
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -80,18 +80,11 @@
     def is_leaving(self) -> bool:
         return self._is_leaving
 
-    @override
-    @property
-    def sends_clients_elsewhere(self) -> bool:
-        return self._is_leaving or self.overload.is_overloaded
-
     @property
     def is_ready(self) -> bool:
         """Whether requests can be served."""
         has_configuration = self.configuration.in_force is not None
-        return (
-            has_configuration and self._has_targets and not self.sends_clients_elsewhere
-        )
+        return has_configuration and self._has_targets and not self._is_leaving
 
     @property
     def live_count(self) -> int:
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -181,9 +181,8 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            lag_s = self.gateway.overload.timer_ran()
-            self.metrics.observe_loop_lag(lag_s)
-            self.broker.tick(lag_s=lag_s)
+            self.metrics.observe_loop_lag(self.gateway.overload.timer_ran())
+            self.broker.tick()
             self.gateway.scheduler.tick()
 
     async def _check_silence(self) -> None:
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
@@ -158,18 +158,10 @@
 
     # Periodic.
 
-    def tick(self, *, lag_s: float = 0.0) -> None:
-        """Repeat asks that were not answered, and grant what has become due.
-
-        Parameters
-        ----------
-        lag_s : float
-            How late this call is; answers of that time may not have been read yet.
-        """
+    def tick(self) -> None:
+        """Repeat asks that were not answered, and grant what has become due."""
         now_s = self._loop.time()
         for pending in list(self._pending.values()):
-            if not pending.is_queued:
-                pending.due_at_s += lag_s
             if now_s >= pending.due_at_s:
                 self._overdue(pending, now_s)
         for home in list(self._homes.values()):
--- a/packages/citrondock-router/src/citrondock_router/gateway/operations_handler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/operations_handler.py
@@ -46,11 +46,6 @@
     def is_leaving(self) -> bool:
         return False
 
-    @override
-    @property
-    def sends_clients_elsewhere(self) -> bool:
-        return False
-
     @override
     def handle(
         self, request: ClientRequest, client: ClientConnection
--- a/packages/citrondock-router/src/citrondock_router/gateway/overload_guard.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/overload_guard.py
@@ -4,16 +4,12 @@
 
 from citrondock_router.log import log_event
 
-SHED_LAG_S = 0.3
+SHED_LAG_S = 0.15
 """Requests that waited so long for the event loop are refused at once; clients give up
 on a router that has not read their request for half a second to a second."""
 
-REPEATED_WITHIN_S = 2.0
-"""Two late turns within this time are an overload; one may be a large configuration."""
-
-OVERLOADED_S = 2.5
-"""Time for which clients are sent elsewhere. The balancer asks once a second and takes
-a router out after two answers."""
+CALM_S = 1.0
+"""An overload has ended after so long without a late turn."""
 
 
 class OverloadGuard:
@@ -41,14 +37,7 @@
         self._period_s = period_s
         self._ran_at_s: float | None = None
         self._late_until_s = 0.0
-        self._suspect_until_s = 0.0
-        self._overloaded_until_s = 0.0
-        self._is_told = False
-
-    @property
-    def is_overloaded(self) -> bool:
-        """Whether clients should go to another router."""
-        return self._clock() < self._overloaded_until_s
+        self._calm_at_s: float | None = None
 
     def must_shed(self) -> bool:
         """Return whether a request that is read now has waited for too long."""
@@ -63,9 +52,11 @@
         if lag_s > self._shed_lag_s:
             # What came during a long turn of the loop is read in this one.
             self._late_until_s = now_s + self._shed_lag_s / 2
-            self._note(lag_s, now_s)
-        elif self._is_told and not self.is_overloaded:
-            self._is_told = False
+            if self._calm_at_s is None:
+                log_event("overloaded", level="WARNING", lag_s=lag_s)
+            self._calm_at_s = now_s + CALM_S
+        elif self._calm_at_s is not None and now_s >= self._calm_at_s:
+            self._calm_at_s = None
             log_event("overload_ended")
         return lag_s
 
@@ -73,13 +64,3 @@
         if self._ran_at_s is None:
             return 0.0
         return max(now_s - self._ran_at_s - self._period_s, 0.0)
-
-    def _note(self, lag_s: float, now_s: float) -> None:
-        is_repeated = now_s < self._suspect_until_s
-        self._suspect_until_s = now_s + REPEATED_WITHIN_S
-        if not is_repeated:
-            return
-        self._overloaded_until_s = now_s + OVERLOADED_S
-        if not self._is_told:
-            self._is_told = True
-            log_event("overloaded", level="WARNING", lag_s=lag_s)
