Ask silent homes a few times with growing pauses, and give up

The repeats take the time that reading the answers needs, and each new home that it turns to grants the same engine once more.

Ruled out: lost datagrams (other routers saw none); the loop's reading of datagrams (32 a turn).

The time for an answer doubles with each home that was silent, and an ask ends with its wait: at most some eight sends instead of a hundred. The test fails without it.

--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
@@ -34,7 +34,8 @@
 )
 
 ANSWER_TIMEOUT_S = 0.025
-"""A home in another zone answers within a few milliseconds."""
+"""A home in another zone answers within a few milliseconds. The time doubles with each
+home that was silent, as it may be this router that is slow."""
 
 MAX_TRIES = 2
 """Datagrams are lost now and then; a home that misses so many in a row is silent."""
@@ -69,6 +70,7 @@
     home: str
     answered: AnswerCallback
     due_at_s: float
+    timeout_s: float = ANSWER_TIMEOUT_S
     tries: int = 1
     is_queued: bool = False
 
@@ -257,11 +259,12 @@
             self._send(pending.home, self._datagram(asks=[pending.ask]))
 
     def _overdue(self, pending: _PendingAsk, now_s: float) -> None:
-        if pending.is_queued:
+        is_over = now_s >= pending.ask.wait_until_s and pending.tries >= MAX_TRIES
+        if pending.is_queued or is_over:
             self._give_up(pending)
             return
         if pending.home == self.peers.vm_name:
-            pending.due_at_s = now_s + ANSWER_TIMEOUT_S
+            pending.due_at_s = now_s + pending.timeout_s
             return
         if pending.tries < MAX_TRIES:
             pending.tries += 1
@@ -277,7 +280,8 @@
             zone = entry.availability_zone
             pending.home = self.peers.home_of(entry.target_id, zone, now_s=now_s)
             pending.tries = 1
-        pending.due_at_s = now_s + ANSWER_TIMEOUT_S
+            pending.timeout_s *= 2
+        pending.due_at_s = now_s + pending.timeout_s
         self._send_ask(pending)
 
     def _give_up(self, pending: _PendingAsk) -> None:
--- a/tests/gateway/test_grant_broker.py
+++ b/tests/gateway/test_grant_broker.py
@@ -175,6 +175,25 @@
 
         run(check())
 
+    def test_a_router_that_hears_nothing_asks_a_few_times_and_gives_up(self):
+        async def check():
+            first, _ = await pair()
+            sent = []
+            first.broker._transport = None
+            first.broker._send = lambda vm_name, datagram: sent.append(vm_name)
+            for number in range(40):
+                first.table.put(
+                    Peer(
+                        vm_name=f"p{number}", host=HOST, port=9, availability_zone="z2"
+                    )
+                )
+            first.ask("z2", wait_s=0.6)
+            await ticks([first], 1.2)
+            assert first.verdicts() == [Verdict.REFUSED]
+            assert 3 <= len(sent) <= 10
+
+        run(check())
+
     def test_what_waits_is_granted_when_the_engine_goes_on(self):
         async def check():
             first, second = await pair()
