--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -5,7 +5,15 @@
 import socket
 import time
 
-from harness import HOST, run
+from harness import (
+    HOST,
+    Client,
+    Harness,
+    ScriptedTarget,
+    answer_whole,
+    request,
+    run,
+)
 
 from citrondock_router.gateway.gateway_settings import Address
 from citrondock_router.gateway.listener import PAUSE_S, Listener
@@ -93,3 +101,30 @@
             raise AssertionError("connected")
 
         run(check())
+
+
+class TestDescriptors:
+    def test_idle_clients_make_room_for_new_ones(self, monkeypatch):
+        async def check():
+            target = ScriptedTarget("t0", answer_whole)
+            async with Harness([target]) as harness:
+                idle = []
+                for number in range(20):
+                    client = await Client.connect(harness.port)
+                    client.writer.write(request("/safe/x", f"r{number}"))
+                    assert (await client.read()).status == 200
+                    idle.append(client)
+                real = socket.socket.accept
+
+                def accept(sock):
+                    if len(harness.gateway._clients) >= len(idle):
+                        raise OSError(errno.EMFILE, "no descriptors")
+                    return real(sock)
+
+                monkeypatch.setattr(socket.socket, "accept", accept)
+                reply = await asyncio.wait_for(harness.get("/safe/x", "new"), 2)
+                assert reply.status == 200
+                for client in idle:
+                    client.writer.close()
+
+        run(check())
