--- a/packages/citrondock-bench/src/citrondock_bench/journal.py
+++ b/packages/citrondock-bench/src/citrondock_bench/journal.py
@@ -78,7 +78,9 @@
     prices = {name: (amount, cost) for name, amount, cost in day.get("prices") or ()}
     parts = day.get("parts") or []
     weakest = min(parts, key=lambda part: part[2], default=None)
-    dearest = max(prices.items(), key=lambda item: item[1][1], default=None)
+    # Amounts that the site does not price come without a cost.
+    priced = [item for item in prices.items() if item[1][1] is not None]
+    dearest = max(priced, key=lambda item: item[1][1], default=None)
 
     def amount(name: str) -> float:
         return float(prices.get(name, (0.0, 0.0))[0])
--- a/tests/bench/test_measurements.py
+++ b/tests/bench/test_measurements.py
@@ -48,6 +48,13 @@
             "quiet-1": "c"
         }
 
+    def test_amounts_without_a_cost_are_passed_over(self, tmp_path):
+        prices = [["moves", 3.0, None], ["cloud calls", 30.0, 0.02]]
+        content = entry("a", "score", [day("quiet-1", 0.5, prices=prices)])
+        (tmp_path / "20260101-x.json").write_text(json.dumps(content))
+        [played] = read_journal(tmp_path)
+        assert played.dearest == "cloud calls 0.020"
+
     def test_the_page_shows_what_binds(self, tmp_path):
         [row] = [
             line
