One backoff, one metric registry, one rendezvous; fewer copies

- The doubling pause with jitter stood five times: object follower, peer registry, configuration follower, claim committer, store circuit.
`backoff_s` serves all.
- The gateway's metrics had their own copies of what makes counters, gauges, histograms and the page beside `metrics.py`; `MetricRegistry` serves both.
Account and service are counted in one call.
- `PeerTable.home_of` chose a router of the own zone as `rendezvous.home_of` does, which it calls now; the function score is the method of `RendezvousScores`.
- The gateway process had a loop of its own for each of four periodic actions.
- A prompt's shared parts were hashed again for each engine asked; now once an attempt.
- Tests: one reader of headers in the harness, one `scene` fixture.

--- a/packages/citrondock-core/src/citrondock_core/claim_committer.py
+++ b/packages/citrondock-core/src/citrondock_core/claim_committer.py
@@ -9,6 +9,7 @@
 import attrs
 from loguru import logger
 
+from citrondock_core.backoff import backoff_s
 from citrondock_core.claim_change import AcquireChange, ClaimChange, ReleaseChange
 from citrondock_core.claim_errors import ClaimUnavailableError
 from citrondock_core.claim_options import ClaimOptions
@@ -203,12 +204,14 @@
         if not failed:
             queue.failure_count = 0
             return
-        longest_s = min(
-            self._options.max_backoff_s,
-            self._options.min_backoff_s * 2.0 ** min(queue.failure_count, 20),
+        pause_s = backoff_s(
+            queue.failure_count,
+            min_s=self._options.min_backoff_s,
+            max_s=self._options.max_backoff_s,
+            rng=self._rng,
         )
         queue.failure_count += 1
-        queue.not_before_s = time.monotonic() + longest_s * self._rng.uniform(0.5, 1.0)
+        queue.not_before_s = time.monotonic() + pause_s
 
     def _fail(
         self, changes: Sequence[ClaimChange], error: Exception
--- a/packages/citrondock-core/src/citrondock_core/rendezvous.py
+++ b/packages/citrondock-core/src/citrondock_core/rendezvous.py
@@ -1,19 +1,13 @@
 """Rendezvous hashing: everyone who knows the same names makes the same choice."""
 
 from collections.abc import Iterable, Sequence
+from typing import Protocol
 
 import xxhash
 
-from citrondock_core.messages import Member
-
 _POINT_RANGE = 1 << 52
 
 
-def score(key: str, name: str) -> int:
-    """Return the weight of ``name`` for ``key``; the largest is chosen."""
-    return xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
-
-
 class RendezvousScores:
     """Scores of many names for one key.
 
@@ -26,12 +20,28 @@
     def __init__(self, key: str) -> None:
         self._state = xxhash.xxh64(f"{key}\0".encode())
 
-    def point(self, name: str) -> float:
-        """Return `score` as a number between 0 and 1, both excluded."""
+    def score(self, name: str) -> int:
+        """Return the weight of ``name``; the largest is chosen."""
         state = self._state.copy()
         state.update(name.encode())
+        return state.intdigest()
+
+    def point(self, name: str) -> float:
+        """Return `score` as a number between 0 and 1, both excluded."""
         # 52 bits and a half are exact in a float and never round to 1.
-        return ((state.intdigest() >> 12) + 0.5) / _POINT_RANGE
+        return ((self.score(name) >> 12) + 0.5) / _POINT_RANGE
+
+
+class Located(Protocol):
+    """A router of which the VM and its zone are known."""
+
+    @property
+    def vm_name(self) -> str:
+        """Name of its VM."""
+
+    @property
+    def availability_zone(self) -> str:
+        """Zone it stands in."""
 
 
 def choose(key: str, names: Iterable[str]) -> str | None:
@@ -49,18 +59,19 @@
     str or None
         A name; removing another name never changes the choice.
     """
-    return max(names, key=lambda name: (score(key, name), name), default=None)
+    scores = RendezvousScores(key)
+    return max(names, key=lambda name: (scores.score(name), name), default=None)
 
 
 def home_of(
-    target: str, availability_zone: str, members: Sequence[Member]
+    target: str, availability_zone: str, members: Sequence[Located]
 ) -> str | None:
     """Return the VM that is home of a target; see `choose_member`."""
     return choose_member(f"home/{target}", availability_zone, members)
 
 
 def choose_member(
-    key: str, availability_zone: str, members: Sequence[Member]
+    key: str, availability_zone: str, members: Sequence[Located]
 ) -> str | None:
     """Return the VM that ``key`` falls to, of its own zone where one lives there.
 
@@ -70,7 +81,7 @@
         What is placed.
     availability_zone : str
         Zone whose members go first.
-    members : sequence of Member
+    members : sequence of Located
         Live routers.
 
     Returns
--- a/packages/citrondock-core/src/citrondock_core/routing/peer_table.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/peer_table.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from citrondock_core.rendezvous import choose
+from citrondock_core.rendezvous import Located, home_of
 
 FIRST_SUSPICION_S = 1.0
 MAX_SUSPICION_S = 8.0
@@ -88,8 +88,8 @@
 
     def home_of(self, target_id: str, availability_zone: str, *, now_s: float) -> str:
         """Return the router that is home of an engine, of its own zone if one lives."""
-        live = [p for p in self._peers.values() if now_s >= p.suspected_until_s]
-        zones = {p.vm_name: p.availability_zone for p in live}
-        zones[self.vm_name] = self.availability_zone
-        local = [name for name, zone in zones.items() if zone == availability_zone]
-        return choose(f"home/{target_id}", local or zones) or self.vm_name
+        live: list[Located] = [
+            peer for peer in self._peers.values() if now_s >= peer.suspected_until_s
+        ]
+        home = home_of(target_id, availability_zone, [self, *live])
+        return home or self.vm_name
--- a/packages/citrondock-core/src/citrondock_core/store_circuit.py
+++ b/packages/citrondock-core/src/citrondock_core/store_circuit.py
@@ -7,6 +7,8 @@
 import attrs
 from attrs.validators import ge, gt
 
+from citrondock_core.backoff import backoff_s
+
 
 @attrs.frozen(kw_only=True)
 class CircuitOptions:
@@ -92,10 +94,13 @@
                 self._probe_at_s = self._clock() + self._open_s()
 
     def _open_s(self) -> float:
-        beyond = min(self._failure_count - self._options.failure_count, 20)
-        longest_s = self._options.min_open_s * 2.0 ** max(0, beyond)
-        longest_s = min(longest_s, self._options.max_open_s)
-        return longest_s * self._rng.uniform(0.5, 1.0)
+        beyond = max(self._failure_count - self._options.failure_count, 0)
+        return backoff_s(
+            beyond,
+            min_s=self._options.min_open_s,
+            max_s=self._options.max_open_s,
+            rng=self._rng,
+        )
 
     def _admit_in_recovery(self, now_s: float) -> bool:
         if self._recovered_at_s is None:
--- a/packages/citrondock-router/src/citrondock_router/configuration_follower.py
+++ b/packages/citrondock-router/src/citrondock_router/configuration_follower.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from citrondock_core.backoff import backoff_s
 from citrondock_core.configuration import Configuration
 from citrondock_core.configuration_codec import (
     decode_configuration,
@@ -302,9 +303,14 @@
         if self._failure_count == 0:
             log_event("configuration_store_failed", level="WARNING", error=str(error))
         self._take_from_peers()
-        longest_s = min(self._max_backoff_s, FIRST_BACKOFF_S * 2**self._failure_count)
-        self._failure_count = min(self._failure_count + 1, 16)
-        return self._rng.uniform(longest_s / 2, longest_s)
+        pause_s = backoff_s(
+            self._failure_count,
+            min_s=FIRST_BACKOFF_S,
+            max_s=self._max_backoff_s,
+            rng=self._rng,
+        )
+        self._failure_count += 1
+        return pause_s
 
     def _take_from_peers(self) -> bool:
         """Take the highest revision of the peers; tell whether any answered."""
--- a/packages/citrondock-router/src/citrondock_router/gateway/engine_asker.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/engine_asker.py
@@ -10,7 +10,7 @@
 from citrondock_core.routing.engine_hints import EngineHints
 from citrondock_core.routing.grant import Ask, AskAnswer, AskKey, Stage, Verdict
 from citrondock_core.routing.placement import Placement, PlacementChoice
-from citrondock_core.routing.request_facts import PromptFacts
+from citrondock_core.routing.request_facts import PromptFacts, PromptPart
 from citrondock_core.routing.route import ModelEngineOptions
 from citrondock_core.routing.target_load import TargetLoad
 from citrondock_router.gateway.exchange import Exchange
@@ -32,6 +32,8 @@
     ----------
     exchange, prompt : Exchange, PromptFacts
         Whose they are.
+    shared_parts : tuple of PromptPart
+        The prompt's shared parts as homes know them.
     wait_until_s : float
         When it gives up.
     key : AskKey or None
@@ -46,6 +48,7 @@
 
     exchange: Exchange
     prompt: PromptFacts
+    shared_parts: tuple[PromptPart, ...]
     wait_until_s: float
     key: AskKey | None = None
     first_answer_at_s: float = 0.0
@@ -102,7 +105,12 @@
         self, exchange: Exchange, prompt: PromptFacts, *, wait_until_s: float
     ) -> None:
         """Find an engine for an attempt of a request."""
-        asking = _Asking(exchange, prompt, max(wait_until_s, self._loop.time()))
+        asking = _Asking(
+            exchange,
+            prompt,
+            prompt.hashed_shared_parts,
+            max(wait_until_s, self._loop.time()),
+        )
         self._askings[id(exchange)] = asking
         self._ask(asking)
 
@@ -182,7 +190,7 @@
             kind=exchange.kind,
             prompt_tokens=prompt.prompt_token_count,
             output_tokens=output,
-            shared_parts=prompt.hashed_shared_parts,
+            shared_parts=asking.shared_parts,
             on_time_until_s=exchange.on_time_until_s,
             wait_until_s=wait_until_s,
         )
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_metrics.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_metrics.py
@@ -1,17 +1,15 @@
 """Counters and histograms of the gateway."""
 
 from collections.abc import Mapping
-from http import HTTPStatus
 
 import attrs
-from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from citrondock_router.gateway.outcome import Outcome
+from citrondock_router.metric_registry import MetricRegistry
 
 _DELAY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 5.0)
 _ERROR_BUCKETS_S = (-0.2, -0.1, -0.05, 0.0, 0.05, 0.1, 0.2, 0.4, 1.0)
 _LAG_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
-_TEXT = ("text/plain",)
 
 MAX_ACCOUNT_LABELS = 64
 """Accounts with counters of their own; each is some lines of every scrape."""
@@ -55,66 +53,67 @@
     """Figures of one router in the form that Prometheus reads."""
 
     def __init__(self) -> None:
-        self._registry = Registry()
-        self._requests = self._counter("requests", "Requests by service and outcome.")
-        self._rejected = self._counter("rejected", "Bytes that were no request.")
-        self._exhausted = self._counter("repeats_denied", "Repeats over the budget.")
-        self._silences = self._counter("silences", "Answers that stopped coming.")
-        self._account_requests = self._counter(
+        self._registry = MetricRegistry()
+        self._requests = self._registry.counter(
+            "requests", "Requests by service and outcome."
+        )
+        self._rejected = self._registry.counter(
+            "rejected", "Bytes that were no request."
+        )
+        self._exhausted = self._registry.counter(
+            "repeats_denied", "Repeats over the budget."
+        )
+        self._silences = self._registry.counter(
+            "silences", "Answers that stopped coming."
+        )
+        self._account_requests = self._registry.counter(
             "account_requests", "Requests by account and outcome."
         )
         self._accounts: set[str] = set()
-        self._configuration = self._gauge(
+        self._configuration = self._registry.gauge(
             "configuration_version", "Configuration in force."
         )
-        self._targets = self._gauge("targets", "Targets known.")
-        self._totals = self._gauge(
+        self._targets = self._registry.gauge("targets", "Targets known.")
+        self._totals = self._registry.gauge(
             "totals", "Peer bytes sent and target connections opened so far."
         )
-        self._repeats_left = self._gauge(
+        self._repeats_left = self._registry.gauge(
             "repeats_left", "Repeats that the budget allows now."
         )
-        self._waiting = self._gauge("requests_waiting", "Requests without a target.")
-        self._home_requests = self._gauge(
+        self._waiting = self._registry.gauge(
+            "requests_waiting", "Requests without a target."
+        )
+        self._home_requests = self._registry.gauge(
             "home_requests", "Prompts at the engines homed here."
         )
-        self._store_age = self._gauge(
+        self._store_age = self._registry.gauge(
             "store_age_seconds", "Time since the store last answered."
         )
-        self._log_lines_dropped = self._gauge(
+        self._log_lines_dropped = self._registry.gauge(
             "log_lines_dropped", "Lines dropped and not yet told of in the log."
         )
-        self._first_answer = self._histogram(
+        self._first_answer = self._registry.histogram(
             "first_answer_seconds", "Arrival to first bytes.", _DELAY_BUCKETS_S
         )
-        self._loop_lag = self._histogram(
+        self._loop_lag = self._registry.histogram(
             "loop_lag_seconds", "Lateness of timers.", _LAG_BUCKETS_S
         )
-        self._prediction = self._histogram(
+        self._prediction = self._registry.histogram(
             "prediction_error_seconds", "First answer less predicted.", _ERROR_BUCKETS_S
         )
 
-    def count_request(self, service: str, outcome: Outcome) -> None:
-        """Count a request that ended."""
+    def count_request(self, service: str, account: str, outcome: Outcome) -> None:
+        """Count a request that ended, by its cause and for its account."""
         reason = outcome.reason.partition(":")[0]
         labels = {"service": service, "status": str(outcome.status), "reason": reason}
         self._requests.inc(labels)
-
-    def count_account(self, account: str, service: str, outcome: Outcome) -> None:
-        """Count a request for its account."""
-        if account not in self._accounts:
-            if len(self._accounts) >= MAX_ACCOUNT_LABELS:
-                account = OTHER_ACCOUNTS
-            else:
-                self._accounts.add(account)
-        word = (
-            "served"
-            if outcome.is_whole
-            else "refused"
-            if _is_refusal(outcome)
-            else "failed"
-        )
-        labels = {"account": account, "service": service, "outcome": word}
+        word = "failed"
+        if outcome.is_whole:
+            word = "served"
+        elif outcome.is_refusal:
+            word = "refused"
+        shown = self._account_label(account)
+        labels = {"account": shown, "service": service, "outcome": word}
         self._account_requests.inc(labels)
 
     def count_rejected(self, reason: str) -> None:
@@ -160,23 +159,11 @@
 
     def render(self) -> bytes:
         """Return all metrics as text."""
-        content, _ = render(self._registry, _TEXT)
-        return content
-
-    def _counter(self, name: str, text: str) -> Counter:
-        return Counter(f"citrondock_{name}_total", text, registry=self._registry)
-
-    def _gauge(self, name: str, text: str) -> Gauge:
-        return Gauge(f"citrondock_{name}", text, registry=self._registry)
-
-    def _histogram(self, name: str, text: str, buckets: tuple[float, ...]) -> Histogram:
-        return Histogram(
-            f"citrondock_{name}",
-            text,
-            registry=self._registry,
-            buckets=(*buckets, float("inf")),
-        )
-
+        return self._registry.render()
 
-def _is_refusal(outcome: Outcome) -> bool:
-    return outcome.status == HTTPStatus.SERVICE_UNAVAILABLE
+    def _account_label(self, account: str) -> str:
+        if account not in self._accounts:
+            if len(self._accounts) >= MAX_ACCOUNT_LABELS:
+                return OTHER_ACCOUNTS
+            self._accounts.add(account)
+        return account
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -116,13 +116,17 @@
         """Serve until told to stop."""
         self._install_signals()
         operations = OperationsHandler(self._pages)
-        tasks = [asyncio.ensure_future(part) for part in background]
-        tasks += [asyncio.ensure_future(one.run()) for one in self._followers]
-        tasks.append(asyncio.ensure_future(self._tick()))
-        tasks.append(asyncio.ensure_future(self._check_silence()))
-        tasks.append(asyncio.ensure_future(self._tell_usage()))
-        tasks.append(asyncio.ensure_future(self._keep_house()))
-        tasks.append(asyncio.ensure_future(self._drain_log()))
+        periodic: list[Awaitable[None]] = [
+            self._every(TICK_S, self._tick),
+            self._every(SILENCE_CHECK_S, self.gateway.scheduler.check_silence),
+            self._every(HOUSEKEEPING_S, self._keep_house),
+            self._every(LOG_DRAIN_S, self._log_writer.drain),
+            self._tell_usage(),
+        ]
+        followed = [follower.run() for follower in self._followers]
+        tasks = [
+            asyncio.ensure_future(part) for part in (*background, *followed, *periodic)
+        ]
         for task in tasks:
             task.add_done_callback(self._task_ended)
         peer_address = self.settings.peer_address
@@ -178,42 +182,33 @@
         if self._reload is not None:
             self._reload()
 
-    async def _tick(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_S)
-            self.metrics.observe_loop_lag(self.gateway.overload.timer_ran())
-            self.broker.tick()
-            self.gateway.scheduler.tick()
-
-    async def _check_silence(self) -> None:
+    async def _every(self, period_s: float, action: Callable[[], None]) -> None:
         while True:
-            await asyncio.sleep(SILENCE_CHECK_S)
-            self.gateway.scheduler.check_silence()
+            await asyncio.sleep(period_s)
+            action()
 
     async def _tell_usage(self) -> None:
         while True:
             await asyncio.sleep(self.broker.tell_usage())
 
-    async def _keep_house(self) -> None:
-        while True:
-            await asyncio.sleep(HOUSEKEEPING_S)
-            self.gateway.close_idle_clients()
-            self._connections.close_expired()
-            self.broker.expire()
-            self._share_budget()
-            change = self.directory.expire(now_s=self.loop.time())
-            if change.removed:
-                self.gateway.targets_changed(change)
+    def _tick(self) -> None:
+        self.metrics.observe_loop_lag(self.gateway.overload.timer_ran())
+        self.broker.tick()
+        self.gateway.scheduler.tick()
+
+    def _keep_house(self) -> None:
+        self.gateway.close_idle_clients()
+        self._connections.close_expired()
+        self.broker.expire()
+        self._share_budget()
+        change = self.directory.expire(now_s=self.loop.time())
+        if change.removed:
+            self.gateway.targets_changed(change)
 
     def _share_budget(self) -> None:
         router_count = len(self.broker.peers) + 1
         self.gateway.scheduler.set_budget(self.settings.budget(router_count))
 
-    async def _drain_log(self) -> None:
-        while True:
-            await asyncio.sleep(LOG_DRAIN_S)
-            self._log_writer.drain()
-
     def _readiness(self) -> tuple[HTTPStatus, bytes]:
         if self.gateway.is_ready:
             return HTTPStatus.OK, b"ready\n"
--- a/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
@@ -6,10 +6,10 @@
 
 import attrs
 
+from citrondock_core.backoff import backoff_s
 from citrondock_router.gateway.watched_store import (
     HistoryGoneError,
     ObjectSink,
-    Snapshot,
     StoreOutError,
     WatchedStore,
 )
@@ -95,6 +95,7 @@
                 await self._pause(error)
 
     async def _step(self) -> None:
+        pause_s = 0.0
         if self._revision is None:
             snapshot = await self._store.list(self._kind)
             self._answered()
@@ -105,13 +106,11 @@
             )
             if snapshot.objects:
                 self._sink.changed(snapshot)
-                self._noted(snapshot)
-                await asyncio.sleep(self._options.settle_s)
-        self._noted(snapshot)
-
-    def _noted(self, snapshot: Snapshot) -> None:
+                pause_s = self._options.settle_s
         self._revision = snapshot.revision
         self._answered_at_s = asyncio.get_running_loop().time()
+        if pause_s:
+            await asyncio.sleep(pause_s)
 
     def _answered(self) -> None:
         if self._failure_count:
@@ -124,7 +123,11 @@
             log_event("store_lost", level="WARNING", kind=self._kind, detail=str(error))
             self._sink.store_lost()
         self._revision = None
-        longest_s = self._options.min_backoff_s * 2.0 ** min(self._failure_count, 8)
+        pause_s = backoff_s(
+            self._failure_count,
+            min_s=self._options.min_backoff_s,
+            max_s=self._options.max_backoff_s,
+            rng=self._rng,
+        )
         self._failure_count += 1
-        longest_s = min(longest_s, self._options.max_backoff_s)
-        await asyncio.sleep(self._rng.uniform(longest_s / 2, longest_s))
+        await asyncio.sleep(pause_s)
--- a/packages/citrondock-router/src/citrondock_router/gateway/outcome.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/outcome.py
@@ -1,5 +1,7 @@
 """How requests end."""
 
+from http import HTTPStatus
+
 import attrs
 
 
@@ -20,3 +22,8 @@
     status: int
     reason: str
     is_whole: bool = False
+
+    @property
+    def is_refusal(self) -> bool:
+        """Whether the client was told that the request did not run."""
+        return self.status == HTTPStatus.SERVICE_UNAVAILABLE
--- a/packages/citrondock-router/src/citrondock_router/gateway/peer_registry.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/peer_registry.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Sequence
 
+from citrondock_core.backoff import backoff_s
 from citrondock_router.gateway.gateway_settings import Address
 from citrondock_router.gateway.watched_store import StoreOutError
 from citrondock_router.log import log_event
@@ -70,6 +71,8 @@
         except StoreOutError as error:
             if failure_count == 0:
                 log_event("peers_unknown", level="WARNING", detail=str(error))
-            longest_s = min(RETRY_S * 2.0 ** min(failure_count, 8), MAX_RETRY_S)
+            pause_s = backoff_s(
+                failure_count, min_s=RETRY_S, max_s=MAX_RETRY_S, rng=rng
+            )
             failure_count += 1
-            await asyncio.sleep(rng.uniform(longest_s / 2, longest_s))
+            await asyncio.sleep(pause_s)
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Sequence
-from http import HTTPStatus
 
 from typing_extensions import override
 
@@ -205,9 +204,8 @@
         self._sent.pop(id(exchange), None)
         arrived_at_s = exchange.arrived_at_s
         first_s = exchange.first_answer_at_s
-        self._metrics.count_request(exchange.service, outcome)
-        self._metrics.count_account(exchange.account, exchange.service, outcome)
-        if outcome.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        self._metrics.count_request(exchange.service, exchange.account, outcome)
+        if outcome.is_refusal:
             first_arrived_at_s = exchange.first_arrived_at_s
             self._refused.note(
                 exchange.account, exchange.facts, arrived_at_s=first_arrived_at_s
--- a/packages/citrondock-router/src/citrondock_router/metrics.py
+++ b/packages/citrondock-router/src/citrondock_router/metrics.py
@@ -5,51 +5,64 @@
 import time
 from collections.abc import Mapping
 
-from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from aioprometheus import Gauge
 
 from citrondock_core.dispatch_statistics import DispatchStatistics
+from citrondock_router.metric_registry import MetricRegistry
 from citrondock_wire.http_object_store import StoreCallKind
 
 _FIRST_BYTE_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.39, 0.8, 1.6, 5.0, 20.0)
 _KIB_BYTES = 1024
-_TEXT = ("text/plain",)
 
 
 class RouterMetrics:
     """Counters and gauges in the form that Prometheus reads."""
 
     def __init__(self) -> None:
-        self._registry = Registry()
+        self._registry = MetricRegistry()
         self._lock = threading.Lock()
-        self._calls = self._counter("calls", "Calls that ended, by outcome.")
-        self._refusals = self._counter("refusals", "Refused calls, by reason and ran.")
-        self._peer_bytes = self._counter(
+        self._calls = self._registry.counter("calls", "Calls that ended, by outcome.")
+        self._refusals = self._registry.counter(
+            "refusals", "Refused calls, by reason and ran."
+        )
+        self._peer_bytes = self._registry.counter(
             "peer_bytes", "Control bytes by direction and message kind."
         )
-        self._peer_failures = self._counter("peer_failures", "Failed deliveries.")
-        self._peer_drops = self._counter("peer_drops", "Messages dropped unsent.")
-        self._store_calls = self._gauge(
+        self._peer_failures = self._registry.counter(
+            "peer_failures", "Failed deliveries."
+        )
+        self._peer_drops = self._registry.counter(
+            "peer_drops", "Messages dropped unsent."
+        )
+        self._store_calls = self._registry.gauge(
             "store_calls_total", "Calls to the object API, by kind."
         )
-        self._slots = self._gauge("slots", "Slots homed here, by state.")
-        self._idle_slot_s = self._gauge(
+        self._slots = self._registry.gauge("slots", "Slots homed here, by state.")
+        self._idle_slot_s = self._registry.gauge(
             "idle_slot_seconds_total", "Slot time idle while work was known."
         )
-        self._waiting = self._gauge("waiting_requests", "Waiting requests, by account.")
-        self._service = self._gauge(
+        self._waiting = self._registry.gauge(
+            "waiting_requests", "Waiting requests, by account."
+        )
+        self._service = self._registry.gauge(
             "service_tokens", "Service charged fleet-wide, by account."
         )
-        self._limits = self._gauge("target_limit", "Learned limits, by target.")
-        self._live_calls = self._gauge("live_calls", "Calls waiting or running.")
-        self._revision = self._gauge("configuration_revision", "Revision in force.")
-        self._process = self._gauge(
+        self._limits = self._registry.gauge(
+            "target_limit", "Learned limits, by target."
+        )
+        self._live_calls = self._registry.gauge(
+            "live_calls", "Calls waiting or running."
+        )
+        self._revision = self._registry.gauge(
+            "configuration_revision", "Revision in force."
+        )
+        self._process = self._registry.gauge(
             "process_usage", "Processor seconds and peak memory in bytes."
         )
-        self._first_byte = Histogram(
-            "citrondock_first_byte_seconds",
+        self._first_byte = self._registry.histogram(
+            "first_byte_seconds",
             "From arrival to the first byte for the caller.",
-            registry=self._registry,
-            buckets=(*_FIRST_BYTE_BUCKETS_S, float("inf")),
+            _FIRST_BYTE_BUCKETS_S,
         )
         self._started_at_s = time.monotonic()
 
@@ -128,14 +141,7 @@
     def render(self) -> bytes:
         """Return all metrics as text."""
         with self._lock:
-            content, _ = render(self._registry, _TEXT)
-        return content
-
-    def _counter(self, name: str, text: str) -> Counter:
-        return Counter(f"citrondock_{name}_total", text, registry=self._registry)
-
-    def _gauge(self, name: str, text: str) -> Gauge:
-        return Gauge(f"citrondock_{name}", text, registry=self._registry)
+            return self._registry.render()
 
     @staticmethod
     def _replace(gauge: Gauge, label: str, values: Mapping[str, float]) -> None:
--- a/tests/features/test_cut_off_zones.py
+++ b/tests/features/test_cut_off_zones.py
@@ -77,13 +77,6 @@
         yield Scene(fleet)
 
 
-@pytest.fixture
-def scene(shared_scene):
-    shared_scene.begin()
-    yield shared_scene
-    shared_scene.end()
-
-
 @given("two zones with two routers each")
 def _(scene):
     assert len(scene.names) == 4
--- a/tests/features/test_leaving_targets.py
+++ b/tests/features/test_leaving_targets.py
@@ -94,13 +94,6 @@
         yield Scene(fleet)
 
 
-@pytest.fixture
-def scene(shared_scene):
-    shared_scene.begin()
-    yield shared_scene
-    shared_scene.end()
-
-
 @given("two routers before two engines")
 def _(scene):
     assert len(scene.fleet.routers) == len(scene.fleet.engines) == 2
--- a/tests/features/test_whole_answers.py
+++ b/tests/features/test_whole_answers.py
@@ -127,13 +127,6 @@
         yield Scene(fleet)
 
 
-@pytest.fixture
-def scene(shared_scene):
-    shared_scene.begin()
-    yield shared_scene
-    shared_scene.end()
-
-
 @given("a router before two engines and two application servers")
 def _(scene):
     assert len(scene.fleet.engines) == len(scene.fleet.applications) == 2
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -49,6 +49,16 @@
 Script = Callable[[Received, asyncio.StreamWriter], Awaitable[None]]
 
 
+def headers_of(lines):
+    """Return the headers of a head's lines, by name in lower case."""
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        if name:
+            headers[name.lower()] = value.strip()
+    return headers
+
+
 class ScriptedTarget:
     """Answers each request as its script says, and keeps what it received."""
 
@@ -86,11 +96,7 @@
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 lines = head.decode("latin-1").split("\r\n")
-                headers = {}
-                for line in lines[1:]:
-                    name, _, value = line.partition(":")
-                    if name:
-                        headers[name.lower()] = value.strip()
+                headers = headers_of(lines)
                 length = int(headers.get("content-length", 0))
                 body = await reader.readexactly(length)
                 got = Received(lines[0], headers, body)
@@ -281,11 +287,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             return Reply(0, {}, b"", False)
         lines = head.decode("latin-1").split("\r\n")
-        headers = {}
-        for line in lines[1:]:
-            name, _, value = line.partition(":")
-            if name:
-                headers[name.lower()] = value.strip()
+        headers = headers_of(lines)
         status = int(lines[0].split()[1])
         body = b""
         try:
