Log late answers, expired grants and the lateness behind a silent home

The log could not tell whether home routers were silent or the accusing router read their answers late, nor what became of grants that nobody used.

`home_silent` gets timeout_s and since_tick_s, `grant_expired` is new, and the metric citrondock_grant_faults counts silent homes, late answers and expired grants. No decision changes.

--- a/packages/citrondock-core/src/citrondock_core/routing/engine_admission.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_admission.py
@@ -208,15 +208,24 @@
         if not grant.started:
             self._unstarted_tokens -= grant.prefill_tokens
 
-    def expire(self, *, now_s: float) -> None:
-        """Release grants whose start or end was not reported in time."""
+    def expire(self, *, now_s: float) -> list[GrantKey]:
+        """Release grants whose start or end was not reported in time.
+
+        Returns
+        -------
+        list of GrantKey
+            Grants whose end was not reported.
+        """
+        expired: list[GrantKey] = []
         for key, grant in list(self._grants.items()):
             age_s = now_s - grant.granted_at_s
             if age_s > self.options.max_grant_s:
                 self.record_progress(key, Stage.ENDED, now_s=now_s)
+                expired.append(key)
             elif age_s > self.options.max_unstarted_s and not grant.started:
                 grant.started = True
                 self._unstarted_tokens -= grant.prefill_tokens
+        return expired
 
     def forget_router(self, incarnation: int, *, now_s: float) -> None:
         """Drop all requests and grants of a former incarnation of a router."""
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_metrics.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_metrics.py
@@ -35,6 +35,11 @@
     home_waiting_count, home_granted_count : int
         Prompts of all routers that wait for, or were granted for, engines whose home is
         this router.
+    silent_home_count, late_answer_count : int
+        Home routers that were taken for silent, and answers to grant requests that came
+        after these had ended, since the start.
+    expired_grant_count : int
+        Grants of this router whose end was not reported, since the start.
     dropped_log_line_count : int
         Log lines that were dropped since the log last reported drops.
     waiting_by_service : mapping of str to int
@@ -51,6 +56,9 @@
     opened_connections: int
     home_waiting_count: int
     home_granted_count: int
+    silent_home_count: int
+    late_answer_count: int
+    expired_grant_count: int
     dropped_log_line_count: int
     waiting_by_service: Mapping[str, int]
     retries_left_by_service: Mapping[str, float]
@@ -94,6 +102,9 @@
         self._home_requests = self._registry.gauge(
             "home_requests", "Prompts at the engines homed here."
         )
+        self._grant_faults = self._registry.gauge(
+            "grant_faults", "Silent homes, late answers and expired grants so far."
+        )
         self._store_age = self._registry.gauge(
             "store_age_seconds", "Time since the store last answered."
         )
@@ -157,6 +168,9 @@
         self._targets.set({}, state.target_count)
         self._home_requests.set({"state": "waiting"}, state.home_waiting_count)
         self._home_requests.set({"state": "granted"}, state.home_granted_count)
+        self._grant_faults.set({"kind": "home_silent"}, state.silent_home_count)
+        self._grant_faults.set({"kind": "answer_late"}, state.late_answer_count)
+        self._grant_faults.set({"kind": "grant_expired"}, state.expired_grant_count)
         self._log_lines_dropped.set({}, state.dropped_log_line_count)
         for service, count in state.waiting_by_service.items():
             self._waiting.set({"service": service}, count)
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
@@ -146,6 +146,10 @@
         self._usage = FleetUsage(half_life_s=USAGE_HALF_LIFE_S)
         self._incarnations: dict[str, int] = {}
         self._is_leaving = False
+        self._ticked_at_s: float | None = None
+        self.silent_home_count = 0
+        self.late_answer_count = 0
+        self.expired_grant_count = 0
 
     # Called by the scheduler and by `GrantRequester`.
 
@@ -213,6 +217,7 @@
         for pending in list(self._pending.values()):
             if now_s >= pending.due_at_s:
                 self._handle_overdue(pending, now_s)
+        self._ticked_at_s = now_s
         for admission in list(self._admissions.values()):
             if admission.waiting_count:
                 self._deliver(admission, admission.process_queue(now_s=now_s))
@@ -221,7 +226,14 @@
         """Drop grants whose end was never reported."""
         now_s = self._loop.time()
         for admission in self._admissions.values():
-            admission.expire(now_s=now_s)
+            for key in admission.expire(now_s=now_s):
+                self.expired_grant_count += 1
+                log_event(
+                    "grant_expired",
+                    level="WARNING",
+                    target=admission.target_id,
+                    requester=self._requesters.get(key, ""),
+                )
         known = {
             key for admission in self._admissions.values() for key in admission.keys()
         }
@@ -333,11 +345,15 @@
         else:
             self.peers.mark_silent(pending.home, now_s=now_s)
             entry = pending.entry
+            self.silent_home_count += 1
+            last_tick_s = self._ticked_at_s
             log_event(
                 "home_silent",
                 level="WARNING",
                 peer=pending.home,
                 target=entry.target_id,
+                timeout_s=pending.timeout_s,
+                since_tick_s=now_s - last_tick_s if last_tick_s is not None else None,
             )
             zone = entry.availability_zone
             pending.home = self.peers.home_router_of(entry.target_id, zone, now_s=now_s)
@@ -358,6 +374,7 @@
         pending = self._pending.get(answer.key)
         if pending is None:
             # Answered before, or withdrawn; a withdrawal was reported to the home.
+            self.late_answer_count += 1
             return
         if answer.verdict is Verdict.QUEUED:
             pending.is_queued = True
--- a/tests/routing/test_engine_admission.py
+++ b/tests/routing/test_engine_admission.py
@@ -128,7 +128,8 @@
     def test_a_grant_without_a_reported_end_expires(self):
         admission = new_admission(max_grant_s=5)
         admission.submit(grant_request(1), now_s=0)
-        admission.expire(now_s=5.1)
+        expired = admission.expire(now_s=5.1)
+        assert expired == [grant_request(1).key]
         assert admission.running_count == 0
         assert admission.submit(grant_request(2), now_s=5.2).verdict is Verdict.GRANTED
 
