Reproduce: late routers accuse their peers, and grants nobody uses stay

A scripted home router answers, and the router under test reads its answers late or has given the request up.

--- a/tests/gateway/test_grant_broker.py
+++ b/tests/gateway/test_grant_broker.py
@@ -6,7 +6,12 @@
 from harness import run
 
 from citrondock_core.routing.engine_load_view import EngineLoadView
-from citrondock_core.routing.grant import GrantRequest, Stage, Verdict
+from citrondock_core.routing.grant import (
+    GrantAnswer,
+    GrantRequest,
+    Stage,
+    Verdict,
+)
 from citrondock_core.routing.peer_table import Peer, PeerTable
 from citrondock_core.routing.request_facts import PromptPart
 from citrondock_core.routing.route import ModelEngineOptions
@@ -19,7 +24,7 @@
     GrantBroker,
     KnownEngine,
 )
-from citrondock_wire.grant_codec import GrantCodec, PeerDatagram
+from citrondock_wire.grant_codec import GrantCodec, PeerDatagram, Presence
 
 HOST = "127.0.0.1"
 ENGINE = ModelEngineOptions(max_batch_size=8, memory_tokens=100_000)
@@ -75,6 +80,60 @@
         return [answer.verdict for answer in self.answers]
 
 
+class ScriptedHome(asyncio.DatagramProtocol):
+    """A peer that records what it receives and answers only when told to."""
+
+    def __init__(self, name, zone):
+        self.name, self.zone = name, zone
+        self.codec = GrantCodec()
+        self.received = []
+
+    @classmethod
+    async def start(cls, name, zone, router):
+        """Return a home router of ``zone`` that ``router`` knows."""
+        loop = asyncio.get_running_loop()
+        home = cls(name, zone)
+        home.router = router
+        home.transport, _ = await loop.create_datagram_endpoint(
+            lambda: home, local_addr=(HOST, 0)
+        )
+        home.send(
+            presence=Presence(
+                availability_zone=zone, is_leaving=False, wants_reply=False
+            )
+        )
+        await asyncio.sleep(0.02)
+        return home
+
+    def datagram_received(self, data, addr):
+        now_s = asyncio.get_running_loop().time()
+        self.received.append(self.codec.decode(data, now_s=now_s, own_incarnation=1))
+
+    def send(self, **contents):
+        datagram = PeerDatagram(vm_name=self.name, incarnation=7, **contents)
+        now_s = asyncio.get_running_loop().time()
+        address = (self.router.address.host, self.router.address.port)
+        self.transport.sendto(self.codec.encode(datagram, now_s=now_s), address)
+
+    async def answer(self, key, verdict):
+        """Answer a grant request, and wait until the answer was read."""
+        self.send(
+            answers=[GrantAnswer(key=key, verdict=verdict, first_answer_s=0.1)],
+        )
+        await asyncio.sleep(0.02)
+
+    def request_count(self):
+        return sum(len(datagram.grant_requests) for datagram in self.received)
+
+    def stages(self, key):
+        return [
+            progress.stage
+            for datagram in self.received
+            for progress in datagram.progress
+            if progress.key.number == key.number
+        ]
+
+
 async def router_pair():
     """Return a router of zone z1 and one of z2 that know each other."""
     routers = [Router("v1", "z1"), Router("v2", "z2")]
@@ -257,6 +316,122 @@
         run(check())
 
 
+class TestLateRouter:
+    """A router that is short of processor time reads answers late."""
+
+    def test_a_late_router_does_not_take_its_peers_for_silent(self):
+        async def check():
+            first = Router("v1", "z1")
+            await first.start()
+            home = await ScriptedHome.start("v2", "z2", first)
+            keys = [first.request_grant("z2") for _ in range(100)]
+            await asyncio.sleep(0.005)
+            for key in keys:
+                answer = GrantAnswer(
+                    key=key, verdict=Verdict.GRANTED, first_answer_s=0.1
+                )
+                home.send(answers=[answer])
+            for _ in range(3):
+                time.sleep(2 * ANSWER_TIMEOUT_S)
+                first.broker.tick()
+            assert first.broker.silent_home_count == 0
+            assert first.verdicts() == [Verdict.GRANTED] * len(keys)
+            await asyncio.sleep(0.02)
+            assert home.request_count() == len(keys)
+
+        run(check())
+
+    def test_a_home_router_that_answers_other_requests_is_not_taken_for_silent(self):
+        async def check():
+            first = Router("v1", "z1")
+            await first.start()
+            home = await ScriptedHome.start("v2", "z2", first)
+            lost = first.request_grant("z2")
+            for _ in range(6):
+                key = first.request_grant("z2")
+                await asyncio.sleep(ANSWER_TIMEOUT_S / 2)
+                await home.answer(key, Verdict.GRANTED)
+                first.broker.tick()
+            assert first.broker.silent_home_count == 0
+            await home.answer(lost, Verdict.GRANTED)
+            assert first.verdicts() == [Verdict.GRANTED] * 7
+
+        run(check())
+
+
+class TestUnusedGrants:
+    """A grant that its router does not use takes up no place at the engine."""
+
+    def test_a_grant_that_comes_after_the_request_was_given_up_is_returned(self):
+        async def check():
+            first = Router("v1", "z1")
+            await first.start()
+            home = await ScriptedHome.start("v2", "z2", first)
+            key = first.request_grant("z2", wait_s=0.1)
+            await asyncio.sleep(0.01)
+            await home.answer(key, Verdict.QUEUED)
+            await tick_for([first], 0.3)
+            assert first.verdicts() == [Verdict.QUEUED, Verdict.REFUSED]
+            home.received.clear()
+            await home.answer(key, Verdict.GRANTED)
+            assert home.stages(key) == [Stage.WITHDRAWN]
+
+        run(check())
+
+    def test_a_request_that_is_given_up_leaves_the_queue_of_its_home(self):
+        async def check():
+            first = Router("v1", "z1")
+            await first.start()
+            home = await ScriptedHome.start("v2", "z2", first)
+            key = first.request_grant("z2", wait_s=0.1)
+            await asyncio.sleep(0.01)
+            await home.answer(key, Verdict.QUEUED)
+            await tick_for([first], 0.3)
+            assert home.stages(key) == [Stage.WITHDRAWN]
+
+        run(check())
+
+    def test_a_request_that_moves_to_another_home_is_withdrawn_from_the_former(self):
+        async def check():
+            first = Router("v1", "z1")
+            await first.start()
+            homes = [
+                await ScriptedHome.start(f"v{number}", "z2", first)
+                for number in range(2, 5)
+            ]
+            key = first.request_grant("z2")
+            await tick_for([first], 4 * ANSWER_TIMEOUT_S)
+            [former, current] = [home for home in homes if home.request_count()]
+            if not former.stages(key):
+                former, current = current, former
+            assert former.stages(key) == [Stage.WITHDRAWN]
+            await current.answer(key, Verdict.GRANTED)
+            assert first.verdicts() == [Verdict.GRANTED]
+            former.received.clear()
+            await former.answer(key, Verdict.GRANTED)
+            assert former.stages(key) == [Stage.WITHDRAWN]
+            first.broker.report_progress(key, Stage.ENDED)
+            await asyncio.sleep(0.02)
+            assert current.stages(key) == [Stage.ENDED]
+
+        run(check())
+
+    def test_a_repeated_answer_does_not_return_a_grant_in_use(self):
+        async def check():
+            first = Router("v1", "z1")
+            await first.start()
+            home = await ScriptedHome.start("v2", "z2", first)
+            key = first.request_grant("z2")
+            for _ in range(2):
+                await home.answer(key, Verdict.GRANTED)
+            first.broker.report_progress(key, Stage.STARTED)
+            await home.answer(key, Verdict.GRANTED)
+            assert home.stages(key) == [Stage.STARTED]
+            assert first.verdicts() == [Verdict.GRANTED]
+
+        run(check())
+
+
 class TestCodec:
     def test_times_are_sent_relative_to_the_clock_of_each_router(self):
         async def check():
