Read what has arrived before a home router is taken for silent

Cause: a router that is short of processor time runs its timers before it reads its socket, and uvloop reads at most 32 datagrams an iteration. Answers that had arrived counted as missing, so the router took one home router after the other for silent, resent its requests, and waited for other homes, whose answers it read late as well. Class of fault: a deadline is judged before the input that may meet it is read.

Other routers heard the accused peers, which rules out silent homes and lost datagrams.

The broker has a socket of its own, reads all that has arrived before it judges, and suspects a home router only if none of its answers was read since the request was sent. Resent requests back off.

--- a/packages/citrondock-core/src/citrondock_core/routing/peer_table.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/peer_table.py
@@ -26,6 +26,8 @@
         Until then it is not chosen as home router, as it did not answer.
     suspicion_count : int
         Suspicions in a row.
+    answered_at_s : float or None
+        When its last answer to a grant request was read.
     """
 
     vm_name: str
@@ -34,6 +36,7 @@
     availability_zone: str
     suspected_until_s: float = 0.0
     suspicion_count: int = 0
+    answered_at_s: float | None = None
 
 
 class PeerTable:
@@ -82,6 +85,19 @@
             peer.suspected_until_s = 0.0
             peer.suspicion_count = 0
 
+    def record_answer(self, vm_name: str, *, now_s: float) -> None:
+        """Record that an answer of a peer to a grant request was read."""
+        peer = self._peers.get(vm_name)
+        if peer is not None:
+            peer.answered_at_s = now_s
+
+    def has_answered(self, vm_name: str, *, since_s: float) -> bool:
+        """Return whether an answer of a peer was read at ``since_s`` or later."""
+        peer = self._peers.get(vm_name)
+        if peer is None or peer.answered_at_s is None:
+            return False
+        return peer.answered_at_s >= since_s
+
     def mark_silent(self, vm_name: str, *, now_s: float) -> None:
         """Suspect a peer that did not answer, for longer each time in a row."""
         peer = self._peers.get(vm_name)
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -136,11 +136,8 @@
         ]
         for task in tasks:
             task.add_done_callback(self._on_task_ended)
-        peer_address = self.settings.peer_address
-        await self.loop.create_datagram_endpoint(
-            lambda: self.broker, local_addr=(peer_address.host, peer_address.port)
-        )
         settings = self.settings
+        self.broker.open(settings.peer_address)
         self.client_port = self._listen(
             settings.client_address, self.gateway.create_client_connection
         )
@@ -166,6 +163,7 @@
             task.cancel()
         for listener in self._listeners:
             listener.close()
+        self.broker.close()
         self._log_writer.drain()
 
     def _on_task_ended(self, task: "asyncio.Future[None]") -> None:
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
@@ -9,10 +9,8 @@
 import itertools
 import random
 from collections.abc import Callable, Iterable
-from typing import cast
 
 import attrs
-from typing_extensions import override
 
 from citrondock_core.routing.engine_admission import EngineAdmission
 from citrondock_core.routing.engine_load_view import EngineLoadView
@@ -29,6 +27,7 @@
 from citrondock_core.routing.peer_table import Peer, PeerTable
 from citrondock_core.routing.route import ModelEngineOptions
 from citrondock_core.routing.target_entry import TargetEntry
+from citrondock_router.gateway.datagram_socket import DatagramSocket
 from citrondock_router.gateway.gateway_settings import Address
 from citrondock_router.log import log_event
 from citrondock_wire.grant_codec import (
@@ -40,12 +39,13 @@
 
 ANSWER_TIMEOUT_S = 0.025
 """First timeout of a grant request; a home router in another zone answers within a few
-milliseconds. The timeout doubles with each home router that did not answer, because
-this router may be the slow one."""
+milliseconds. After `MAX_TRIES` it doubles with each further datagram, so that resent
+requests do not add to the load of a slow router."""
 
 MAX_TRIES = 2
-"""Datagrams sent to a home router without an answer before another router becomes the
-home; more than one, as single datagrams get lost."""
+"""Datagrams sent to a home router before another router becomes the home if it has
+answered none of this router's requests meanwhile; more than one, as single datagrams
+get lost."""
 
 USAGE_HALF_LIFE_S = 2.0
 """Half-life of the usage of each account. Usage older than a few seconds hardly counts,
@@ -86,6 +86,8 @@
         VM name of the router that it was sent to.
     on_answer : callable
         Called with each answer.
+    asked_at_s : float
+        Loop time at which ``home`` was sent the first datagram.
     due_at_s : float
         Loop time at which it is sent again or given up.
     timeout_s : float
@@ -100,13 +102,14 @@
     entry: TargetEntry
     home: str
     on_answer: AnswerCallback
+    asked_at_s: float
     due_at_s: float
     timeout_s: float = ANSWER_TIMEOUT_S
     tries: int = 1
     is_queued: bool = False
 
 
-class GrantBroker(asyncio.DatagramProtocol):
+class GrantBroker:
     """Sends grant requests to home routers, and answers those sent to this router.
 
     Requests of this router for engines whose home it is itself need no datagrams.
@@ -133,7 +136,7 @@
         self._engine_loads = engine_loads
         self._loop = loop
         self._codec = GrantCodec()
-        self._transport: asyncio.DatagramTransport | None = None
+        self._socket: DatagramSocket | None = None
         self._numbers = itertools.count(1)
         self._pending: dict[GrantKey, _PendingRequest] = {}
         # Home router and engine of each grant that this router holds.
@@ -185,7 +188,7 @@
         zone = entry.availability_zone
         home = self.peers.home_router_of(entry.target_id, zone, now_s=now_s)
         due_s = now_s + ANSWER_TIMEOUT_S
-        pending = _PendingRequest(request, entry, home, on_answer, due_s)
+        pending = _PendingRequest(request, entry, home, on_answer, now_s, due_s)
         self._pending[request.key] = pending
         self._send_request(pending)
 
@@ -212,11 +215,17 @@
     # Called periodically, and at start and shutdown.
 
     def tick(self) -> None:
-        """Resend grant requests without an answer, and grant queued prompts in turn."""
+        """Resend grant requests without an answer, and grant queued prompts in turn.
+
+        A router that is late may have answers that it has not read. Those are read
+        first, so that no peer is taken for silent because of them.
+        """
+        is_all_read = self._socket is None or self._socket.read_waiting()
         now_s = self._loop.time()
-        for pending in list(self._pending.values()):
-            if now_s >= pending.due_at_s:
-                self._handle_overdue(pending, now_s)
+        if is_all_read:
+            for pending in list(self._pending.values()):
+                if now_s >= pending.due_at_s:
+                    self._handle_overdue(pending, now_s)
         self._ticked_at_s = now_s
         for admission in list(self._admissions.values()):
             if admission.waiting_count:
@@ -286,20 +295,21 @@
         for peer in self.peers.peers():
             self._send_presence((peer.host, peer.port), wants_reply=False)
 
-    # Called by asyncio.
+    # Called at start, and with each datagram.
 
-    @override
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self._transport = cast(asyncio.DatagramTransport, transport)
+    def open(self, address: Address) -> Address:
+        """Start to exchange datagrams; return the address bound to."""
+        self._socket = DatagramSocket(address, self.datagram_received, self._loop)
+        return self._socket.address
 
-    @override
-    def error_received(self, exc: Exception) -> None:
-        # The peer is unreachable. Grant requests sent to it time out and go to another
-        # home.
-        log_event("peer_unreachable", level="DEBUG", detail=str(exc))
+    def close(self) -> None:
+        """Stop exchanging datagrams."""
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
 
-    @override
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Handle a datagram of a peer."""
         now_s = self._loop.time()
         try:
             datagram = self._codec.decode(
@@ -319,6 +329,8 @@
             self._handle_progress(progress)
         for request in datagram.grant_requests:
             self._handle_request(request, datagram.vm_name)
+        if datagram.answers:
+            self.peers.record_answer(datagram.vm_name, now_s=now_s)
         for answer in datagram.answers:
             self._handle_answer(answer)
 
@@ -340,28 +352,33 @@
         if pending.home == self.peers.vm_name:
             pending.due_at_s = now_s + pending.timeout_s
             return
-        if pending.tries < MAX_TRIES:
-            pending.tries += 1
-        else:
-            self.peers.mark_silent(pending.home, now_s=now_s)
-            entry = pending.entry
-            self.silent_home_count += 1
-            last_tick_s = self._ticked_at_s
-            log_event(
-                "home_silent",
-                level="WARNING",
-                peer=pending.home,
-                target=entry.target_id,
-                timeout_s=pending.timeout_s,
-                since_tick_s=now_s - last_tick_s if last_tick_s is not None else None,
-            )
-            zone = entry.availability_zone
-            pending.home = self.peers.home_router_of(entry.target_id, zone, now_s=now_s)
-            pending.tries = 1
+        pending.tries += 1
+        if pending.tries > MAX_TRIES:
+            if not self.peers.has_answered(pending.home, since_s=pending.asked_at_s):
+                self._replace_home(pending, now_s)
             pending.timeout_s *= 2
         pending.due_at_s = now_s + pending.timeout_s
         self._send_request(pending)
 
+    def _replace_home(self, pending: _PendingRequest, now_s: float) -> None:
+        """Suspect the home router that does not answer, and choose another one."""
+        self.peers.mark_silent(pending.home, now_s=now_s)
+        self.silent_home_count += 1
+        entry = pending.entry
+        last_tick_s = self._ticked_at_s
+        log_event(
+            "home_silent",
+            level="WARNING",
+            peer=pending.home,
+            target=entry.target_id,
+            timeout_s=pending.timeout_s,
+            since_tick_s=now_s - last_tick_s if last_tick_s is not None else None,
+        )
+        zone = entry.availability_zone
+        pending.home = self.peers.home_router_of(entry.target_id, zone, now_s=now_s)
+        pending.asked_at_s = now_s
+        pending.tries = 1
+
     def _give_up(self, pending: _PendingRequest) -> None:
         self._pending.pop(pending.request.key, None)
         pending.on_answer(
@@ -516,8 +533,8 @@
             self._send_to((peer.host, peer.port), datagram)
 
     def _send_to(self, addr: tuple[str, int], datagram: PeerDatagram) -> None:
-        if self._transport is None:
+        if self._socket is None:
             return
         data = self._codec.encode(datagram, now_s=self._loop.time())
         self.sent_bytes += len(data)
-        self._transport.sendto(data, addr)
+        self._socket.send(data, *addr)
--- a/tests/gateway/test_grant_broker.py
+++ b/tests/gateway/test_grant_broker.py
@@ -53,11 +53,7 @@
         self.answers = []
 
     async def start(self):
-        loop = asyncio.get_running_loop()
-        self.transport, _ = await loop.create_datagram_endpoint(
-            lambda: self.broker, local_addr=(HOST, 0)
-        )
-        self.address = Address(*self.transport.get_extra_info("sockname"))
+        self.address = self.broker.open(Address(HOST, 0))
         self.broker.set_engines({"e1": KnownEngine(ENGINE, "z2")})
 
     def request_grant(self, zone, *, prompt=2000, wait_s=1.0):
@@ -232,7 +228,7 @@
         # The event loop is so late that each timeout has expired at the next tick.
         async def check():
             first, second = await router_pair()
-            second.transport.close()
+            second.broker.close()
             first.request_grant("z2")
             for _ in range(5):
                 time.sleep(2 * ANSWER_TIMEOUT_S)
@@ -246,7 +242,6 @@
         async def check():
             first, _ = await router_pair()
             sent = []
-            first.broker._transport = None
             first.broker._send = lambda vm_name, datagram: sent.append(vm_name)
             for number in range(40):
                 first.table.put(
@@ -277,7 +272,7 @@
     def test_a_silent_home_router_is_replaced(self):
         async def check():
             first, second = await router_pair()
-            second.transport.close()
+            second.broker.close()
             first.request_grant("z2")
             await tick_for([first], 0.2)
             assert first.verdicts() == [Verdict.GRANTED]
@@ -290,7 +285,7 @@
             for _ in range(4):
                 first.request_grant("z2", prompt=20_000, wait_s=0.1)
             await tick_for([first, second], 0.05)
-            second.transport.close()
+            second.broker.close()
             await tick_for([first], 0.4)
             final = len(first.answers) - first.verdicts().count(Verdict.QUEUED)
             assert final == 4
