Return grants that their router does not use

Callers saw engines with room refuse prompts: the home routers counted grants that no router used, and each took a place and memory for 20 s.

Cause: a router dropped the answer to a request that it had given up, moved to another home router or ended, and told nobody. It also booked a grant under the home it had asked last, not the one that gave it, so that start and end were reported to the wrong router. Class of fault: an acknowledgement that nobody claims leaves both sides with different books.

A router now takes answers only from the home that it asked last, and reports all other grants as withdrawn. Requests that are given up while queued are withdrawn. Home routers confirm grants without a reported start after a second, and others each 5 s, so that a lost datagram no longer leaks one.

--- a/packages/citrondock-core/src/citrondock_core/routing/engine_admission.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_admission.py
@@ -44,6 +44,10 @@
     max_unstarted_s : float
         Time after which a grant without a reported start no longer counts as backlog:
         the requesting router may be gone, or its report lost.
+    confirm_period_s : float
+        Period in which routers are reminded of their grants; they return those that
+        they do not use. A grant without a reported start is first confirmed after
+        ``max_unstarted_s``.
     max_grant_s : float
         Time after which a grant without a reported end is dropped.
     """
@@ -52,6 +56,7 @@
     max_account_queue_s: float = 0.5
     prefill_share: float = 0.97
     max_unstarted_s: float = 1.0
+    confirm_period_s: float = 5.0
     max_grant_s: float = 20.0
 
 
@@ -61,6 +66,7 @@
     prefill_tokens: int
     backlog_tokens: float
     granted_at_s: float
+    confirm_at_s: float
     started: bool = False
 
 
@@ -208,6 +214,15 @@
         if not grant.started:
             self._unstarted_tokens -= grant.prefill_tokens
 
+    def unconfirmed_grants(self, *, now_s: float) -> list[GrantAnswer]:
+        """Return an answer for each grant that its router may no longer use."""
+        answers = []
+        for key, grant in self._grants.items():
+            if now_s >= grant.confirm_at_s:
+                grant.confirm_at_s = now_s + self.options.confirm_period_s
+                answers.append(self._answer(key, Verdict.GRANTED, now_s))
+        return answers
+
     def expire(self, *, now_s: float) -> list[GrantKey]:
         """Release grants whose start or end was not reported in time.
 
@@ -267,7 +282,10 @@
         backlog_tokens = max(self._busy_until_s - now_s, 0.0) * self._prefill_rate
         start_s = max(self._busy_until_s, now_s)
         self._busy_until_s = start_s + self._prefill_s(tokens)
-        self._grants[request.key] = _Grant(request, tokens, backlog_tokens, now_s)
+        confirm_at_s = now_s + self.options.max_unstarted_s
+        self._grants[request.key] = _Grant(
+            request, tokens, backlog_tokens, now_s, confirm_at_s
+        )
         self._unstarted_tokens += tokens
         self._ratios.record_served(request.kind, now_s=now_s)
         self._memory_tokens += request.memory_tokens
@@ -277,6 +295,7 @@
 
     def _record_start(self, grant: _Grant, now_s: float) -> None:
         grant.started = True
+        grant.confirm_at_s = now_s + self.options.confirm_period_s
         self._unstarted_tokens -= grant.prefill_tokens
         read_tokens = grant.prefill_tokens + grant.backlog_tokens
         self.speed.learn(read_tokens, now_s - grant.granted_at_s)
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
@@ -8,7 +8,7 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import attrs
 
@@ -196,21 +196,15 @@
         """Report the progress of a request to its home router."""
         pending = self._pending.pop(key, None)
         if pending is not None:
-            home, target_id = pending.home, pending.entry.target_id
-        elif stage is Stage.STARTED:
-            if key not in self._granted:
-                return
-            home, target_id = self._granted[key]
-        else:
-            found = self._granted.pop(key, None)
-            if found is None:
-                return
-            home, target_id = found
-        progress = GrantProgress(key=key, target_id=target_id, stage=stage)
-        if home == self.peers.vm_name:
-            self._handle_progress(progress)
-        else:
-            self._send(home, self._datagram(progress=[progress]))
+            self._report(pending.home, key, pending.entry.target_id, stage)
+            return
+        location = self._granted.get(key)
+        if location is None:
+            return
+        if stage is not Stage.STARTED:
+            del self._granted[key]
+        home, target_id = location
+        self._report(home, key, target_id, stage)
 
     # Called periodically, and at start and shutdown.
 
@@ -232,9 +226,11 @@
                 self._deliver(admission, admission.process_queue(now_s=now_s))
 
     def expire(self) -> None:
-        """Drop grants whose end was never reported."""
+        """Drop grants whose end was never reported, and confirm those that are old."""
         now_s = self._loop.time()
         for admission in self._admissions.values():
+            # A router that does not use such a grant returns it.
+            self._deliver(admission, admission.unconfirmed_grants(now_s=now_s))
             for key in admission.expire(now_s=now_s):
                 self.expired_grant_count += 1
                 log_event(
@@ -332,7 +328,7 @@
         if datagram.answers:
             self.peers.record_answer(datagram.vm_name, now_s=now_s)
         for answer in datagram.answers:
-            self._handle_answer(answer)
+            self._handle_answer(answer, datagram.vm_name, datagram.backlogs)
 
     # Grant requests that this router sends.
 
@@ -380,18 +376,21 @@
         pending.tries = 1
 
     def _give_up(self, pending: _PendingRequest) -> None:
-        self._pending.pop(pending.request.key, None)
+        key = pending.request.key
+        if pending.is_queued:
+            self.report_progress(key, Stage.WITHDRAWN)
+        else:
+            del self._pending[key]
         pending.on_answer(
-            GrantAnswer(
-                key=pending.request.key, verdict=Verdict.REFUSED, first_answer_s=0.0
-            )
+            GrantAnswer(key=key, verdict=Verdict.REFUSED, first_answer_s=0.0)
         )
 
-    def _handle_answer(self, answer: GrantAnswer) -> None:
+    def _handle_answer(
+        self, answer: GrantAnswer, home: str, backlogs: Sequence[EngineBacklog]
+    ) -> None:
         pending = self._pending.get(answer.key)
-        if pending is None:
-            # Answered before, or withdrawn; a withdrawal was reported to the home.
-            self.late_answer_count += 1
+        if pending is None or pending.home != home:
+            self._handle_late_answer(answer, home, backlogs)
             return
         if answer.verdict is Verdict.QUEUED:
             pending.is_queued = True
@@ -403,6 +402,28 @@
                 self._granted[answer.key] = location
         pending.on_answer(answer)
 
+    def _handle_late_answer(
+        self, answer: GrantAnswer, home: str, backlogs: Sequence[EngineBacklog]
+    ) -> None:
+        """Withdraw a request from a home router that still queues or grants it.
+
+        The answers in one datagram are about the engine of its backlog.
+        """
+        if self._granted.get(answer.key, ("", ""))[0] == home:
+            # A repeated answer.
+            return
+        self.late_answer_count += 1
+        if answer.verdict is not Verdict.REFUSED:
+            for backlog in backlogs:
+                self._report(home, answer.key, backlog.target_id, Stage.WITHDRAWN)
+
+    def _report(self, home: str, key: GrantKey, target_id: str, stage: Stage) -> None:
+        progress = GrantProgress(key=key, target_id=target_id, stage=stage)
+        if home == self.peers.vm_name:
+            self._handle_progress(progress)
+        else:
+            self._send(home, self._datagram(progress=[progress]))
+
     # Grant requests that this router answers as the home of an engine.
 
     def _handle_request(self, request: GrantRequest, requester: str) -> None:
@@ -461,7 +482,7 @@
         for engine_backlog in backlogs:
             self._engine_loads.update(engine_backlog, now_s=self._loop.time())
         for answer in answers:
-            self._loop.call_soon(self._handle_answer, answer)
+            self._loop.call_soon(self._handle_answer, answer, requester, backlogs)
 
     def _other_homes(self, now_s: float) -> set[str]:
         homes = {
--- a/packages/citrondock-wire/grants.thrift
+++ b/packages/citrondock-wire/grants.thrift
@@ -23,6 +23,8 @@
   REFUSED = 3
 }
 
+// Answers are sent along with the backlog of the engine that they are about. A grant is
+// sent again to confirm it; a router that does not use it reports it as withdrawn.
 struct Answer {
   1: i64 number
   2: Verdict verdict
--- a/tests/gateway/test_grant_broker.py
+++ b/tests/gateway/test_grant_broker.py
@@ -3,10 +3,12 @@
 import asyncio
 import time
 
+import pytest
 from harness import run
 
 from citrondock_core.routing.engine_load_view import EngineLoadView
 from citrondock_core.routing.grant import (
+    EngineBacklog,
     GrantAnswer,
     GrantRequest,
     Stage,
@@ -115,6 +117,7 @@
         """Answer a grant request, and wait until the answer was read."""
         self.send(
             answers=[GrantAnswer(key=key, verdict=verdict, first_answer_s=0.1)],
+            backlogs=[EngineBacklog(target_id="e1", backlog_s=0.0, speed_percent=100)],
         )
         await asyncio.sleep(0.02)
 
@@ -373,6 +376,19 @@
 
         run(check())
 
+    def test_a_router_returns_grants_to_itself(self):
+        async def check():
+            router = Router("v1", "z1")
+            await router.start()
+            key = router.request_grant("z1")
+            # Given up before the answer, as by a client that leaves.
+            await asyncio.sleep(0)
+            router.broker._pending.pop(key, None)
+            await tick_for([router], 0.05)
+            assert router.broker.granted_count == 0
+
+        run(check())
+
     def test_a_request_that_is_given_up_leaves_the_queue_of_its_home(self):
         async def check():
             first = Router("v1", "z1")
@@ -386,7 +402,10 @@
 
         run(check())
 
-    def test_a_request_that_moves_to_another_home_is_withdrawn_from_the_former(self):
+    @pytest.mark.parametrize("verdict", [Verdict.GRANTED, Verdict.QUEUED])
+    def test_a_request_that_moves_to_another_home_is_withdrawn_from_the_former(
+        self, verdict
+    ):
         async def check():
             first = Router("v1", "z1")
             await first.start()
@@ -396,10 +415,14 @@
             ]
             key = first.request_grant("z2")
             await tick_for([first], 4 * ANSWER_TIMEOUT_S)
-            [former, current] = [home for home in homes if home.request_count()]
-            if not former.stages(key):
-                former, current = current, former
+            current_name = first.broker._pending[key].home
+            [current] = [home for home in homes if home.name == current_name]
+            [former] = [
+                home for home in homes if home.request_count() and home is not current
+            ]
+            await former.answer(key, verdict)
             assert former.stages(key) == [Stage.WITHDRAWN]
+            assert first.verdicts() == []
             await current.answer(key, Verdict.GRANTED)
             assert first.verdicts() == [Verdict.GRANTED]
             former.received.clear()
@@ -411,6 +434,21 @@
 
         run(check())
 
+    def test_a_grant_whose_return_was_lost_is_returned_when_it_is_confirmed(self):
+        async def check():
+            first, second = await router_pair()
+            key = first.request_grant("z2")
+            await wait_for_answers(first, [first, second], 1)
+            # The report never reaches the home router.
+            del first.broker._granted[key]
+            assert second.broker.granted_count == 1
+            second.broker._admissions["e1"]._grants[key].confirm_at_s = 0.0
+            second.broker.expire()
+            await asyncio.sleep(0.05)
+            assert second.broker.granted_count == 0
+
+        run(check())
+
     def test_a_repeated_answer_does_not_return_a_grant_in_use(self):
         async def check():
             first = Router("v1", "z1")
--- a/tests/routing/test_engine_admission.py
+++ b/tests/routing/test_engine_admission.py
@@ -133,6 +133,18 @@
         assert admission.running_count == 0
         assert admission.submit(grant_request(2), now_s=5.2).verdict is Verdict.GRANTED
 
+    def test_grants_are_confirmed_periodically_until_they_end(self):
+        admission = new_admission(max_unstarted_s=1, confirm_period_s=5)
+        answer = admission.submit(grant_request(1), now_s=0)
+        assert admission.unconfirmed_grants(now_s=0.9) == []
+        [again] = admission.unconfirmed_grants(now_s=1.1)
+        assert (again.key, again.verdict) == (answer.key, Verdict.GRANTED)
+        admission.record_progress(answer.key, Stage.STARTED, now_s=1.2)
+        assert admission.unconfirmed_grants(now_s=6.1) == []
+        assert len(admission.unconfirmed_grants(now_s=6.3)) == 1
+        admission.record_progress(answer.key, Stage.ENDED, now_s=6.4)
+        assert admission.unconfirmed_grants(now_s=20.0) == []
+
     def test_grants_of_a_dead_router_do_not_block_the_engine(self):
         admission = new_admission()
         fill_backlog(admission, count=12)
