Close idle clients when no file descriptor is free

Cause: under load clients open connections faster than they use them and keep them; a router with 1,638 descriptors keeps idle ones for 15 s and then accepts nobody, nor connects to targets.

When accept or connect finds no descriptor, the connections that were idle longest are closed, 64 at a time. A router that still cannot accept says that it is not ready, so that the load balancer sends clients elsewhere.

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -307,6 +307,17 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def may_close(self) -> bool:
+        """Whether the connection is idle and not closing yet."""
+        return self.is_idle and not self._is_discarding
+
+    def close_idle(self) -> None:
+        """Close an idle connection; its descriptor is free at once."""
+        self._is_discarding = True
+        if self._transport is not None:
+            self._transport.close()
+
     def close_when_written(self) -> None:
         """Close once all data is written, without resetting the connection."""
         self._is_discarding = True
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -1,6 +1,7 @@
 """Accepts client requests, checks them and passes them on to the scheduler."""
 
 import asyncio
+import heapq
 from http import HTTPStatus
 
 from typing_extensions import override
@@ -44,6 +45,11 @@
 clients stop using them before the gateway closes them."""
 
 
+RELEASED_CLIENTS = 64
+"""Idle connections closed at once when no file descriptor is free; some for new clients
+and some for connections to targets."""
+
+
 class Gateway(RequestHandler):
     """Routes each request by the configuration that is active at its arrival.
 
@@ -232,6 +238,22 @@
                 if idle_s > limits.idle_timeout_s + IDLE_GRACE_S:
                     client.close_when_written()
 
+    def close_longest_idle(self) -> int:
+        """Close the connections that were idle longest, to free their descriptors.
+
+        Returns
+        -------
+        int
+            Number of connections closed.
+        """
+        idle = [client for client in self._clients if client.may_close]
+        chosen = heapq.nsmallest(
+            RELEASED_CLIENTS, idle, key=lambda client: client.idle_since_s
+        )
+        for client in chosen:
+            client.close_idle()
+        return len(chosen)
+
     def close_clients(self) -> None:
         """Close all client connections, when the process is about to end."""
         for client in list(self._clients):
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -97,6 +97,7 @@
         self.is_listening = asyncio.Event()
         self._stop = asyncio.Event()
         self._listeners: list[Listener] = []
+        self._connections.release_descriptors = self.gateway.close_longest_idle
         self._reload: Callable[[], None] | None = None
         self._followers: Sequence[ObjectFollower] = ()
         self._pages: Mapping[bytes, Page] = {
@@ -176,7 +177,8 @@
     def _listen(
         self, address: Address, protocol: Callable[[], asyncio.Protocol]
     ) -> int:
-        listener = Listener(address, protocol, self.loop)
+        release = self.gateway.close_longest_idle
+        listener = Listener(address, protocol, self.loop, release)
         self._listeners.append(listener)
         return listener.port
 
@@ -219,7 +221,8 @@
         )
 
     def _readiness(self) -> tuple[HTTPStatus, bytes]:
-        if self.gateway.is_ready:
+        is_accepting = all(listener.is_accepting for listener in self._listeners)
+        if self.gateway.is_ready and is_accepting:
             return HTTPStatus.OK, b"ready\n"
         return HTTPStatus.SERVICE_UNAVAILABLE, b"not ready\n"
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/listener.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/listener.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from citrondock_router.gateway.gateway_settings import Address
+from citrondock_router.gateway.socket_options import is_descriptor_exhaustion
 from citrondock_router.log import log_event
 
 BACKLOG = 1024
@@ -17,6 +18,10 @@
 ACCEPT_RETRY_S = 0.1
 """Pause in accepting after an error, such as a lack of file descriptors."""
 
+RELEASE_S = 0.005
+"""Pause in accepting after idle connections were closed; the event loop releases their
+descriptors meanwhile."""
+
 
 class Listener:
     """A listening socket that creates a protocol for each accepted connection.
@@ -32,6 +37,8 @@
         Returns the protocol of a new connection.
     loop : asyncio.AbstractEventLoop
         Event loop of the gateway.
+    release_descriptors : callable, optional
+        Closes idle connections when no file descriptor is free, and returns how many.
     """
 
     def __init__(
@@ -39,7 +46,10 @@
         address: Address,
         protocol_factory: Callable[[], asyncio.Protocol],
         loop: asyncio.AbstractEventLoop,
+        release_descriptors: Callable[[], int] | None = None,
     ) -> None:
+        self.is_accepting = True
+        self._release_descriptors = release_descriptors
         self._protocol_factory = protocol_factory
         self._loop = loop
         self._accept_tasks: set[asyncio.Task[None]] = set()
@@ -63,17 +73,28 @@
         for _ in range(MAX_ACCEPTS):
             try:
                 connection, _ = self._socket.accept()
+                self.is_accepting = True
             except (BlockingIOError, ConnectionAbortedError):
                 return
             except OSError as error:
-                log_event("accept_failed", level="WARNING", detail=str(error))
-                self._loop.remove_reader(self._socket)
-                self._loop.call_later(ACCEPT_RETRY_S, self._resume_accepting)
+                self._pause_accepting(error)
                 return
             task = self._loop.create_task(self._open(connection))
             self._accept_tasks.add(task)
             task.add_done_callback(self._accept_tasks.discard)
 
+    def _pause_accepting(self, error: OSError) -> None:
+        released = 0
+        if self._release_descriptors is not None and is_descriptor_exhaustion(error):
+            released = self._release_descriptors()
+        log_event(
+            "accept_failed", level="WARNING", detail=str(error), released=released
+        )
+        self.is_accepting = released > 0
+        self._loop.remove_reader(self._socket)
+        pause_s = RELEASE_S if released else ACCEPT_RETRY_S
+        self._loop.call_later(pause_s, self._resume_accepting)
+
     def _resume_accepting(self) -> None:
         if self._socket.fileno() >= 0:
             self._loop.add_reader(self._socket, self._accept)
--- a/packages/citrondock-router/src/citrondock_router/gateway/socket_options.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/socket_options.py
@@ -1,5 +1,6 @@
-"""Socket options that detect dead peers and control how connections close."""
+"""Socket options and errors: dead peers, closing, a lack of descriptors."""
 
+import errno
 import socket
 import struct
 
@@ -12,6 +13,14 @@
 """Longest time that sent bytes stay unacknowledged before the connection ends."""
 
 
+_EXHAUSTION_ERRORS = frozenset({errno.EMFILE, errno.ENFILE})
+
+
+def is_descriptor_exhaustion(error: OSError) -> bool:
+    """Return whether an error says that no file descriptor is free."""
+    return error.errno in _EXHAUSTION_ERRORS
+
+
 def enable_dead_peer_detection(sock: socket.socket) -> None:
     """Make the kernel probe idle connections and close those to dead peers.
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/target_connection_pool.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/target_connection_pool.py
@@ -1,8 +1,10 @@
 """Pool of idle connections to targets."""
 
 import asyncio
+from collections.abc import Callable
 
 from citrondock_core.routing.target_entry import TargetEntry
+from citrondock_router.gateway.socket_options import is_descriptor_exhaustion
 from citrondock_router.gateway.target_connection import TargetConnection
 
 CONNECT_TIMEOUT_S = 0.4
@@ -32,6 +34,8 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
+        # Closes idle connections of clients and returns how many.
+        self.release_descriptors: Callable[[], int] | None = None
         self._idle: dict[str, list[TargetConnection]] = {}
         self.opened_count = 0
 
@@ -64,11 +68,24 @@
     async def open(self, entry: TargetEntry) -> TargetConnection:
         """Open a connection to a target.
 
+        If no file descriptor is free, idle connections of clients are closed for it.
+
         Raises
         ------
         OSError, TimeoutError
             If it cannot be opened; nothing of a request was sent then.
         """
+        try:
+            return await self._connect(entry)
+        except OSError as error:
+            release = self.release_descriptors
+            if release is None or not is_descriptor_exhaustion(error) or not release():
+                raise
+        # The event loop releases the descriptors in its next iteration.
+        await asyncio.sleep(0)
+        return await self._connect(entry)
+
+    async def _connect(self, entry: TargetEntry) -> TargetConnection:
         self.opened_count += 1
 
         def keep(connection: TargetConnection) -> None:
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -15,6 +15,7 @@
     send_complete_response,
 )
 
+from citrondock_router.gateway.gateway import RELEASED_CLIENTS
 from citrondock_router.gateway.gateway_settings import Address
 from citrondock_router.gateway.listener import ACCEPT_RETRY_S, Listener
 
@@ -132,3 +133,87 @@
                     client.writer.close()
 
         run(check())
+
+    def test_the_longest_idle_client_is_closed_first(self):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target]) as harness:
+                clients = []
+                for number in range(RELEASED_CLIENTS + 2):
+                    if number == RELEASED_CLIENTS:
+                        await asyncio.sleep(0.02)
+                    client = await Client.connect(harness.port)
+                    client.writer.write(request("/safe/x", f"r{number}"))
+                    assert (await client.read()).status == 200
+                    clients.append(client)
+                assert harness.gateway.close_longest_idle() == RELEASED_CLIENTS
+                for client in clients[:-2]:
+                    assert await asyncio.wait_for(client.reader.read(), 2) == b""
+                for client in clients[-2:]:
+                    client.writer.write(request("/safe/x", "again"))
+                    assert (await client.read()).status == 200
+                    client.writer.close()
+
+        run(check())
+
+    def test_clients_with_a_request_are_not_closed(self):
+        async def check():
+            async def never_answer(_got, _writer):
+                await asyncio.sleep(5)
+
+            target = ScriptedTarget("t0", never_answer)
+            async with Harness([target]) as harness:
+                client = await Client.connect(harness.port)
+                client.writer.write(request("/safe/x", "r1"))
+                while not target.received:
+                    await asyncio.sleep(0.01)
+                assert harness.gateway.close_longest_idle() == 0
+                client.writer.close()
+
+        run(check())
+
+    def test_a_router_that_cannot_accept_clients_is_not_ready(self, monkeypatch):
+        async def check():
+            async with Harness(
+                [ScriptedTarget("t0", send_complete_response)]
+            ) as harness:
+                assert harness.process._readiness()[0] == 200
+                real = socket.socket.accept
+
+                def accept(sock):
+                    raise OSError(errno.EMFILE, "no descriptors")
+
+                monkeypatch.setattr(socket.socket, "accept", accept)
+                waiting = await Client.connect(harness.port)
+                await asyncio.sleep(0.05)
+                assert harness.process._readiness()[0] == 503
+                monkeypatch.setattr(socket.socket, "accept", real)
+                await asyncio.sleep(2 * ACCEPT_RETRY_S)
+                assert harness.process._readiness()[0] == 200
+                waiting.writer.close()
+
+        run(check())
+
+    def test_idle_clients_make_room_for_a_connection_to_a_target(self, monkeypatch):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target]) as harness:
+                idle = await Client.connect(harness.port)
+                client = await Client.connect(harness.port)
+                await asyncio.sleep(0.05)
+                connect = harness.process._connections._connect
+
+                async def fail_at_limit(entry):
+                    if len(harness.gateway._clients) > 1:
+                        raise OSError(errno.EMFILE, "no descriptors")
+                    return await connect(entry)
+
+                monkeypatch.setattr(
+                    harness.process._connections, "_connect", fail_at_limit
+                )
+                client.writer.write(request("/unsafe/x", "r1", method="POST"))
+                assert (await asyncio.wait_for(client.read(), 2)).status == 200
+                assert await asyncio.wait_for(idle.reader.read(), 2) == b""
+                client.writer.close()
+
+        run(check())
