Drop requests whose client has left before they are read

Cause: a request can wait unread in a connection that its client has closed meanwhile. The event loop reads the bytes in one iteration and the end of the connection in a later one, and the request was sent in between; the log of edge-qc-est-c-9 shows read, grant, send and client_left within 8 ms.

A complete request is passed on only if its client has not closed the connection, which costs one poll of the socket.

The test failed before: the target received a request of a closed connection.

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -15,6 +15,7 @@
 from citrondock_router.gateway.header_codec import Header, RequestHead
 from citrondock_router.gateway.socket_options import (
     enable_dead_peer_detection,
+    has_peer_closed,
     reset_on_close,
 )
 
@@ -307,6 +308,13 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the client has closed the connection."""
+        if self._transport is None or self._transport.is_closing():
+            return True
+        return has_peer_closed(self._transport.get_extra_info("socket"))
+
     @property
     def may_close(self) -> bool:
         """Whether the connection is idle and not closing yet."""
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -197,6 +197,10 @@
         if self.is_refusing:
             self._refuse_unavailable(client, request_id, "leaving", RETRY_ELSEWHERE_S)
             return None
+        if client.has_left:
+            log_event("request_dropped", request_id=request_id, reason="client_left")
+            client.close_at_once()
+            return None
         exchange = Exchange(
             request,
             facts,
--- a/packages/citrondock-router/src/citrondock_router/gateway/socket_options.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/socket_options.py
@@ -1,6 +1,7 @@
 """Socket options and errors: dead peers, closing, a lack of descriptors."""
 
 import errno
+import select
 import socket
 import struct
 
@@ -21,6 +22,17 @@
     return error.errno in _EXHAUSTION_ERRORS
 
 
+def has_peer_closed(sock: socket.socket) -> bool:
+    """Return whether the peer has closed or reset a connection.
+
+    An event loop that is late reads the last bytes of a connection before it notices
+    the end.
+    """
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
 def enable_dead_peer_detection(sock: socket.socket) -> None:
     """Make the kernel probe idle connections and close those to dead peers.
 
--- a/tests/gateway/test_intake.py
+++ b/tests/gateway/test_intake.py
@@ -1,9 +1,11 @@
 """Checks of client requests: framing, headers, accounts and operations pages."""
 
 import asyncio
+import socket
 
 import pytest
 from harness import (
+    HOST,
     Client,
     Harness,
     ScriptedTarget,
@@ -292,3 +294,20 @@
                 assert await asyncio.wait_for(client.reader.read(10), 3) == b""
 
         run(check())
+
+
+class TestLateReading:
+    def test_a_request_whose_client_has_left_is_not_sent_on(self):
+        # The router reads the request only after the client has closed.
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target]) as harness:
+                # The target's idle connection makes the next request go out at once.
+                assert (await harness.get("/safe/x", "r0")).status == 200
+                with socket.create_connection((HOST, harness.port)) as client:
+                    client.sendall(request("/safe/x", "r1"))
+                await asyncio.sleep(0.1)
+                assert [got.request_id for got in target.received] == ["r0"]
+                assert harness.gateway.live_count == 0
+
+        run(check())
