Bound responses that never end

A target in trouble may send bytes without end, in a head or a body. The router held an endless head, header or event in memory (50 MB within the test's second) until the deadline of the request, and gave at-most-once callers 504 only then.

Cause: only buffered plain bodies had a limit. Class of fault: input without a bound on what is held for it.

A response fails as too_long once 256 KB in a row are not passed on: heads, framing, interim responses, responses to other requests. Events and bodies of failures are limited to 256 KB, and responses of the store to 8 MB.

Streams of many small chunks stay whole.

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_response.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_response.py
@@ -40,14 +40,19 @@
         self._buffer = []
         self._buffered_bytes = 0
 
+    def fits(self, data: bytes) -> bool:
+        """Return whether more of a plain response can be buffered."""
+        return self._buffered_bytes + len(data) <= MAX_BUFFERED_BYTES
+
     def write_plain(self, head: ResponseHead, data: bytes) -> None:
         """Buffer part of a plain response, or stream it once it is too large."""
         if self.is_buffer_exceeded:
             self.write_stream(head, data)
             return
+        fits = self.fits(data)
         self._buffer.append(data)
         self._buffered_bytes += len(data)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES:
+        if not fits:
             self.is_buffer_exceeded = True
             buffered = b"".join(self._buffer)
             self.discard_buffer()
--- a/packages/citrondock-router/src/citrondock_router/gateway/event_stream_filter.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/event_stream_filter.py
@@ -6,6 +6,9 @@
 
 from citrondock_core.errors import CitrondockError
 
+MAX_EVENT_BYTES = 262_144
+"""Largest event that is buffered until it is whole."""
+
 _EVENT_ID = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 
@@ -15,6 +18,11 @@
     """An event id does not follow the id of the previous event."""
 
 
+@attrs.define(eq=False)
+class EventTooLongError(CitrondockError):
+    """An event is larger than `MAX_EVENT_BYTES`."""
+
+
 @attrs.define
 class EventStreamFilter:
     r"""Returns whole events in order, without those that were returned before.
@@ -55,6 +63,8 @@
         ------
         EventOrderError
             If an event is missing.
+        EventTooLongError
+            If an event does not end within the limit.
         """
         buffered = self._partial + data if self._partial else data
         new_events = []
@@ -65,6 +75,12 @@
             if self._is_new(event):
                 new_events.append(event)
         self._partial = buffered[start:]
+        if len(self._partial) > MAX_EVENT_BYTES:
+            raise EventTooLongError(
+                f"event after id {self.last_event_id} is larger than "
+                f"{MAX_EVENT_BYTES} bytes",
+                step="relay",
+            )
         return b"".join(new_events)
 
     def _is_new(self, event: bytes) -> bool:
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -21,6 +21,7 @@
 from citrondock_router.gateway.event_stream_filter import (
     EventOrderError,
     EventStreamFilter,
+    EventTooLongError,
 )
 from citrondock_router.gateway.header_codec import Header, HeaderCodec, ResponseHead
 from citrondock_router.gateway.outcome import Outcome
@@ -278,8 +279,10 @@
             self._scheduler.first_byte_received(self)
         if self._head.is_success and self.route.kind.is_stream:
             self._forward_events(data)
-        else:
+        elif self._head.is_success or self._response.fits(data):
             self._response.write_plain(self._head, data)
+        else:
+            self._fail_response("failure_too_long")
 
     @override
     def response_ended(self) -> None:
@@ -370,7 +373,7 @@
         if self._event_filter is not None:
             try:
                 data = self._event_filter.feed(data)
-            except EventOrderError as error:
+            except (EventOrderError, EventTooLongError) as error:
                 self._fail_response(str(error))
                 return
         if data and self._head is not None:
--- a/packages/citrondock-router/src/citrondock_router/gateway/http_client.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/http_client.py
@@ -11,6 +11,13 @@
     TargetConnection,
 )
 
+MAX_BODY_BYTES = 8_388_608
+"""Largest body of a response; pages of the store hold some megabytes at most."""
+
+
+class ResponseTooLargeError(ConnectionError):
+    """The body of a response exceeds `MAX_BODY_BYTES`."""
+
 
 @attrs.frozen(kw_only=True)
 class HttpResponse:
@@ -27,13 +34,20 @@
         self.response: asyncio.Future[HttpResponse] = loop.create_future()
         self._status = 0
         self._body: list[bytes] = []
+        self._body_bytes = 0
 
     def response_started(self, head: ResponseHead) -> bool:
         self._status = head.status
         return True
 
     def response_data(self, data: bytes) -> None:
-        self._body.append(data)
+        self._body_bytes += len(data)
+        if self._body_bytes <= MAX_BODY_BYTES:
+            self._body.append(data)
+        elif not self.response.done():
+            self.response.set_exception(
+                ResponseTooLargeError(f"body of more than {MAX_BODY_BYTES} bytes")
+            )
 
     def response_ended(self) -> None:
         if not self.response.done():
--- a/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
@@ -13,6 +13,10 @@
 from citrondock_router.gateway.header_codec import Header, ResponseHead
 from citrondock_router.gateway.socket_options import enable_dead_peer_detection
 
+MAX_OVERHEAD_BYTES = 262_144
+"""Most bytes received in a row that are not passed on: heads, framing, and responses to
+other requests. A target in trouble may send such bytes without end."""
+
 _NO_BODY_STATUSES = frozenset({204, 304})
 _INTERIM_STATUSES = range(100, 200)
 
@@ -23,6 +27,7 @@
     CLOSED = "closed"
     RESET = "reset"
     NOT_HTTP = "not_http"
+    TOO_LONG = "too_long"
 
 
 class ResponseListener(ABC):
@@ -80,6 +85,7 @@
         self._is_close_delimited = False
         self._is_complete = False
         self._has_extra_bytes = False
+        self._overhead_bytes = 0
         self._is_head_request = False
         self._is_reusable = True
         self._has_received_eof = False
@@ -149,8 +155,11 @@
                 self._fail(ResponseFailure.NOT_HTTP)
                 return
             self._has_extra_bytes = True
+        self._overhead_bytes += len(data)
         if self._is_complete:
             self._finish_response()
+        elif self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self._fail(ResponseFailure.TOO_LONG)
 
     @override
     def eof_received(self) -> bool:
@@ -205,6 +214,7 @@
     def on_body(self, data: bytes) -> None:
         """Pass part of the body on, unless the response is skipped."""
         if self._listener is not None and not (self._is_complete or self._is_skipped):
+            self._overhead_bytes = 0
             self._listener.response_data(data)
 
     def on_message_complete(self) -> None:
@@ -222,6 +232,7 @@
         self._is_skipped = self._is_interim = False
         self._is_close_delimited = False
         self._is_complete = self._has_extra_bytes = False
+        self._overhead_bytes = 0
 
     def _read_connection_headers(self, status: int) -> None:
         is_framed = status in _NO_BODY_STATUSES or self._is_head_request
