Let a late router read sockets before it times others out

Callers got a second run of a request whose answer lay unread (it spends the fleet's retry budget), engines were suspended after connects that had succeeded, and the store was taken for lost.

The check and the timeouts now decide after the loop has handled what has arrived.

--- a/packages/citrondock-router/src/citrondock_router/gateway/event_loop.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/event_loop.py
@@ -1,7 +1,8 @@
-"""Runs a coroutine on the event loop that gateways use."""
+"""Runs a coroutine on the event loop that gateways use; timeouts on a late loop."""
 
 import asyncio
-from collections.abc import Coroutine
+import contextlib
+from collections.abc import AsyncIterator, Callable, Coroutine
 
 import uvloop
 
@@ -13,3 +14,40 @@
     """
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(main)
+
+
+def call_after_poll(
+    loop: asyncio.AbstractEventLoop, action: Callable[[], None]
+) -> None:
+    """Call ``action`` once the loop has handled what has arrived at its sockets.
+
+    A loop that is late runs timers that are due before it reads its sockets, so a timer
+    alone must not decide that nothing arrived in time.
+    """
+    loop.call_soon(loop.call_soon, action)
+
+
+@contextlib.asynccontextmanager
+async def arrival_timeout(
+    loop: asyncio.AbstractEventLoop, timeout_s: float
+) -> AsyncIterator[None]:
+    """Limit the time to wait for a peer; what arrived in time counts if read late.
+
+    Raises
+    ------
+    TimeoutError
+        If the time is over.
+    """
+    async with asyncio.timeout(None) as scope:
+        is_waiting = True
+
+        def expire() -> None:
+            if is_waiting:
+                scope.reschedule(loop.time())
+
+        timer = loop.call_later(timeout_s, call_after_poll, loop, expire)
+        try:
+            yield
+        finally:
+            is_waiting = False
+            timer.cancel()
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -11,6 +11,7 @@
 from citrondock_core.routing.placement import Placement
 from citrondock_core.routing.target_directory import TargetDirectory
 from citrondock_router.gateway.client_connection import ClientConnection
+from citrondock_router.gateway.event_loop import call_after_poll
 from citrondock_router.gateway.gateway import Gateway
 from citrondock_router.gateway.gateway_metrics import GatewayMetrics, RouterState
 from citrondock_router.gateway.gateway_settings import Address, GatewaySettings
@@ -125,7 +126,7 @@
         operations = OperationsHandler(self._pages)
         periodic: list[Awaitable[None]] = [
             self._run_every(TICK_S, self._tick),
-            self._run_every(STALL_CHECK_S, self.gateway.scheduler.check_stalls),
+            self._run_every(STALL_CHECK_S, self._check_stalls),
             self._run_every(HOUSEKEEPING_S, self._housekeep),
             self._run_every(LOG_DRAIN_S, self._log_writer.drain),
             self._report_usage(),
@@ -205,6 +206,9 @@
         self.broker.tick()
         self.gateway.scheduler.tick()
 
+    def _check_stalls(self) -> None:
+        call_after_poll(self.loop, self.gateway.scheduler.check_stalls)
+
     def _housekeep(self) -> None:
         self.gateway.close_idle_clients()
         self._connections.close_expired()
--- a/packages/citrondock-router/src/citrondock_router/gateway/http_client.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/http_client.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from citrondock_router.gateway.event_loop import arrival_timeout
 from citrondock_router.gateway.header_codec import ResponseHead
 from citrondock_router.gateway.target_connection import (
     ResponseFailure,
@@ -92,7 +93,7 @@
         collector = _ResponseCollector(self._loop)
         connection: TargetConnection | None = None
         try:
-            async with asyncio.timeout(timeout_s):
+            async with arrival_timeout(self._loop, timeout_s):
                 connection = await self._connect()
                 connection.send(
                     self._encode_request(method, path, body), collector, is_head=False
--- a/packages/citrondock-router/src/citrondock_router/gateway/target_connection_pool.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/target_connection_pool.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from citrondock_core.routing.target_entry import TargetEntry
+from citrondock_router.gateway.event_loop import arrival_timeout
 from citrondock_router.gateway.socket_options import is_descriptor_exhaustion
 from citrondock_router.gateway.target_connection import TargetConnection
 
@@ -96,7 +97,7 @@
             if idle and connection in idle:
                 idle.remove(connection)
 
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        async with arrival_timeout(self._loop, CONNECT_TIMEOUT_S):
             _, connection = await self._loop.create_connection(
                 lambda: TargetConnection(keep, forget, self._loop.time),
                 entry.host,
