--- a/tests/gateway/test_late_router.py
+++ b/tests/gateway/test_late_router.py
@@ -34,7 +34,7 @@
 
 
 class ThreadTarget(ScriptedTarget):
-    """A target with a thread of its own, so that it answers while the router is busy."""
+    """A target with a thread of its own, which answers while the router is busy."""
 
     def __init__(self, target_id):
         super().__init__(target_id, script=None)
