--- /dev/null
+++ b/tests/gateway/test_fair_fleet.py
@@ -0,0 +1,61 @@
+"""Fair shares of whole fleets on a simulated clock, by the users' rule on fairness."""
+
+import pytest
+from simulated_gateways import SimulatedFleet
+
+from citrondock_router.gateway import grant_broker, grant_requester
+
+LENGTH_S = 14
+DRAIN_S = 3
+"""Time in which all requests end after the last one has arrived."""
+
+TOKENS_PER_REQUEST = 3000
+
+SLOW_FACTOR = 7.0
+"""The late router is busy for 0.93 of the time. One that is busy all the time has to
+turn clients away, which is not simulated."""
+
+
+@pytest.fixture(autouse=True)
+def _quiet_log(monkeypatch):
+    for module in (grant_broker, grant_requester):
+        monkeypatch.setattr(module, "log_event", lambda *_, **__: None)
+
+
+def play_one_router_account(seed):
+    """Return a fleet after a flood, with an account that has one late router only."""
+    fleet = SimulatedFleet(24, 12, seed=seed, slow_factor=SLOW_FACTOR)
+    late, others = fleet.routers[0], fleet.routers[1:]
+    capacity_per_s = fleet.tokens_per_s / TOKENS_PER_REQUEST
+    load = {"from_s": 0.5, "until_s": LENGTH_S}
+    fleet.add_load("flood", capacity_per_s, others, **load)
+    fleet.add_load("small", 10, others, **load)
+    fleet.add_load("one_router", 40, [late], **load)
+    fleet.run(LENGTH_S)
+    return fleet
+
+
+class TestFairShares:
+    @pytest.mark.parametrize("seed", [3, 4])
+    def test_an_account_that_depends_on_one_late_router_gets_its_share(self, seed):
+        fleet = play_one_router_account(seed)
+        assert fleet.record.violations(1, LENGTH_S) == []
+
+    def test_accounts_with_few_routers_get_their_share_in_a_large_fleet(self):
+        fleet = SimulatedFleet(66, 30, seed=1)
+        capacity_per_s = fleet.tokens_per_s / TOKENS_PER_REQUEST
+        load = {"from_s": 0.5, "until_s": LENGTH_S}
+        fleet.add_load("flood", 0.9 * capacity_per_s, fleet.routers, **load)
+        for number in range(4):
+            routers = fleet.routers[2 * number : 2 * number + 2]
+            fleet.add_load(f"mid{number}", 0.12 * capacity_per_s, routers, **load)
+        fleet.run(LENGTH_S)
+        assert fleet.record.violations(1, LENGTH_S) == []
+
+
+class TestGrants:
+    @pytest.mark.parametrize("seed", [3, 4])
+    def test_a_late_router_leaves_no_grants_behind(self, seed):
+        fleet = play_one_router_account(seed)
+        fleet.run(LENGTH_S + DRAIN_S)
+        assert fleet.granted_count == 0
