Send clients elsewhere while a router is overloaded for long

Cause: shedding refuses requests, but neither the load balancer nor the clients learned that they should leave; kept connections came back to the same router.

A router whose overload lasts for a second says that it is not ready, and closes the connections on which it refuses, until its event loop was in time for a second. If a whole zone does so, the load balancer uses all of it.

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -267,6 +267,10 @@
         self._write(head + body)
         self._finish_response()
 
+    def close_after_response(self) -> None:
+        """Announce with the current response that the connection closes after it."""
+        self._current_keeps_alive = False
+
     def begin_stream(
         self, status: int, reason: bytes, headers: Sequence[Header], data: bytes
     ) -> None:
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -110,9 +110,10 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the gateway can serve requests and is not draining."""
+        """Whether the gateway can serve requests and new clients should come."""
         has_configuration = self.configuration.active is not None
-        return has_configuration and self._has_targets and not self._is_draining
+        is_serving = has_configuration and self._has_targets and not self._is_draining
+        return is_serving and not self.overload.is_sustained
 
     @property
     def live_count(self) -> int:
@@ -177,6 +178,8 @@
             )
             return None
         if self.overload.must_shed():
+            if self.overload.is_sustained:
+                client.close_after_response()
             self._refuse_unavailable(
                 client, request_id, "overloaded", RETRY_ELSEWHERE_S
             )
--- a/packages/citrondock-router/src/citrondock_router/gateway/overload_guard.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/overload_guard.py
@@ -11,6 +11,9 @@
 RECOVERY_S = 1.0
 """An overload has ended when the event loop was never late for this long."""
 
+SUSTAINED_S = 1.0
+"""An overload that lasts longer than this is sustained."""
+
 
 class OverloadGuard:
     """Measures how late the event loop runs a timer, and decides whether to shed load.
@@ -23,6 +26,11 @@
         Period of the timer that calls `timer_fired`.
     shed_lag_s : float
         Event loop lag above which requests are refused.
+
+    Attributes
+    ----------
+    is_sustained : bool
+        Whether an overload has lasted so long that clients should go elsewhere.
     """
 
     def __init__(
@@ -38,6 +46,8 @@
         self._fired_at_s: float | None = None
         self._shed_until_s = 0.0
         self._recovered_at_s: float | None = None
+        self._sustained_at_s = 0.0
+        self.is_sustained = False
 
     def must_shed(self) -> bool:
         """Return whether a request that is read now waited too long for the loop."""
@@ -54,9 +64,14 @@
             self._shed_until_s = now_s + self._shed_lag_s / 2
             if self._recovered_at_s is None:
                 log_event("overloaded", level="WARNING", lag_s=lag_s)
+                self._sustained_at_s = now_s + SUSTAINED_S
+            elif now_s >= self._sustained_at_s and not self.is_sustained:
+                self.is_sustained = True
+                log_event("overload_sustained", level="WARNING", lag_s=lag_s)
             self._recovered_at_s = now_s + RECOVERY_S
         elif self._recovered_at_s is not None and now_s >= self._recovered_at_s:
             self._recovered_at_s = None
+            self.is_sustained = False
             log_event("overload_ended")
         return lag_s
 
--- a/tests/gateway/test_overload_guard.py
+++ b/tests/gateway/test_overload_guard.py
@@ -3,10 +3,19 @@
 import asyncio
 import time
 
-from harness import Harness, ScriptedTarget, run, send_complete_response
+from harness import (
+    Client,
+    Harness,
+    ScriptedTarget,
+    request,
+    run,
+    send_complete_response,
+)
 
 from citrondock_router.gateway.overload_guard import (
+    RECOVERY_S,
     SHED_LAG_S,
+    SUSTAINED_S,
     OverloadGuard,
 )
 
@@ -52,6 +61,28 @@
         assert not loop.guard.must_shed()
 
 
+class TestSustainedOverload:
+    def test_a_short_overload_is_not_sustained(self):
+        loop = FakeLoop()
+        loop.run_iteration(SHED_LAG_S + 2 * PERIOD_S)
+        assert not loop.guard.is_sustained
+        for _ in range(round(2 * RECOVERY_S / PERIOD_S)):
+            loop.run_iteration(PERIOD_S)
+            assert not loop.guard.is_sustained
+
+    def test_an_overload_is_sustained_until_the_loop_was_in_time_for_a_while(self):
+        loop = FakeLoop()
+        while loop.now_s < 100 + 2 * SUSTAINED_S:
+            loop.run_iteration(SHED_LAG_S + 2 * PERIOD_S)
+        assert loop.guard.is_sustained
+        recovered_at_s = loop.now_s + RECOVERY_S
+        while loop.now_s < recovered_at_s - PERIOD_S:
+            loop.run_iteration(PERIOD_S)
+            assert loop.guard.is_sustained
+        loop.run_iteration(2 * PERIOD_S)
+        assert not loop.guard.is_sustained
+
+
 def delay_timer(harness):
     """Make the timer of the router's overload guard run late."""
     time.sleep(LAG_S + 0.1)
@@ -73,6 +104,27 @@
 
         run(check())
 
+    def test_a_router_in_a_sustained_overload_sends_clients_elsewhere(self):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target], shed_lag_s=LAG_S) as harness:
+                await asyncio.sleep(0.05)
+                client = await Client.connect(harness.port)
+                delay_timer(harness)
+                time.sleep(SUSTAINED_S)
+                delay_timer(harness)
+                assert not harness.gateway.is_ready
+                client.writer.write(request("/unsafe/x", method="POST"))
+                reply = await client.read()
+                assert reply.status == 503
+                assert reply.headers["connection"] == "close"
+                assert await asyncio.wait_for(client.reader.read(), 2) == b""
+                while not harness.gateway.is_ready:
+                    await asyncio.sleep(0.05)
+                assert (await harness.get("/safe/x")).status == 200
+
+        run(check())
+
     def test_it_serves_again_after_the_overload(self):
         async def check():
             target = ScriptedTarget("t0", send_complete_response)
