Check for answers of a home router again with each pair of datagrams

Found on reading, not by a play: a request that had waited while its home router answered others stayed with that router for as long as its client waited, even if the router died meanwhile. The answer from before its death counted for ever.

Answers now count only if they were read after the last pair of datagrams was begun. The test failed before: no home router was suspected in 0.4 s.

--- a/packages/citrondock-core/src/citrondock_core/routing/peer_table.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/peer_table.py
@@ -92,11 +92,11 @@
             peer.answered_at_s = now_s
 
     def has_answered(self, vm_name: str, *, since_s: float) -> bool:
-        """Return whether an answer of a peer was read at ``since_s`` or later."""
+        """Return whether an answer of a peer was read after ``since_s``."""
         peer = self._peers.get(vm_name)
         if peer is None or peer.answered_at_s is None:
             return False
-        return peer.answered_at_s >= since_s
+        return peer.answered_at_s > since_s
 
     def mark_silent(self, vm_name: str, *, now_s: float) -> None:
         """Suspect a peer that did not answer, for longer each time in a row."""
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
@@ -87,13 +87,13 @@
     on_answer : callable
         Called with each answer.
     asked_at_s : float
-        Loop time at which ``home`` was sent the first datagram.
+        Loop time of the first of the last ``tries`` datagrams.
     due_at_s : float
         Loop time at which it is sent again or given up.
     timeout_s : float
         Time that the home router has to answer one datagram.
     tries : int
-        Datagrams sent to ``home`` so far.
+        Datagrams sent to ``home`` since it was last checked for answers.
     is_queued : bool
         Whether ``home`` answered that the prompt is queued.
     """
@@ -348,10 +348,13 @@
         if pending.home == self.peers.vm_name:
             pending.due_at_s = now_s + pending.timeout_s
             return
-        pending.tries += 1
-        if pending.tries > MAX_TRIES:
+        if pending.tries < MAX_TRIES:
+            pending.tries += 1
+        else:
             if not self.peers.has_answered(pending.home, since_s=pending.asked_at_s):
                 self._replace_home(pending, now_s)
+            pending.asked_at_s = now_s
+            pending.tries = 1
             pending.timeout_s *= 2
         pending.due_at_s = now_s + pending.timeout_s
         self._send_request(pending)
@@ -372,8 +375,6 @@
         )
         zone = entry.availability_zone
         pending.home = self.peers.home_router_of(entry.target_id, zone, now_s=now_s)
-        pending.asked_at_s = now_s
-        pending.tries = 1
 
     def _give_up(self, pending: _PendingRequest) -> None:
         key = pending.request.key
--- a/tests/gateway/test_grant_broker.py
+++ b/tests/gateway/test_grant_broker.py
@@ -356,6 +356,20 @@
 
         run(check())
 
+    def test_a_home_router_that_stops_answering_is_replaced(self):
+        async def check():
+            first = Router("v1", "z1")
+            await first.start()
+            home = await ScriptedHome.start("v2", "z2", first)
+            waiting = first.request_grant("z2", wait_s=2.0)
+            answered = first.request_grant("z2", wait_s=2.0)
+            await home.answer(answered, Verdict.GRANTED)
+            await tick_for([first], 0.4)
+            assert first.broker.silent_home_count == 1
+            assert [answer.key for answer in first.answers] == [answered, waiting]
+
+        run(check())
+
 
 class TestUnusedGrants:
     """A grant that its router does not use takes up no place at the engine."""
