Let a late router read sockets before its housekeeping

A client whose request had arrived was cut off, and after a freeze live targets could be removed.

Found by reading. The periodic checks wait for a poll now. The test failed before: a client got no answer to a request sent while the router was late.

--- a/packages/citrondock-router/src/citrondock_router/gateway/event_loop.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/event_loop.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Coroutine
 
 import uvloop
 
@@ -16,15 +16,14 @@
         runner.run(main)
 
 
-def call_after_poll(
-    loop: asyncio.AbstractEventLoop, action: Callable[[], None]
-) -> None:
-    """Call ``action`` once the loop has handled what has arrived at its sockets.
+async def wait_for_poll() -> None:
+    """Wait until the loop has handled what has arrived at its sockets.
 
     A loop that is late runs timers that are due before it reads its sockets, so a timer
     alone must not decide that nothing arrived in time.
     """
-    loop.call_soon(loop.call_soon, action)
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
 
 
 @contextlib.asynccontextmanager
@@ -45,7 +44,8 @@
             if is_waiting:
                 scope.reschedule(loop.time())
 
-        timer = loop.call_later(timeout_s, call_after_poll, loop, expire)
+        # Expires after the poll that follows the timer, as in `wait_for_poll`.
+        timer = loop.call_later(timeout_s, loop.call_soon, loop.call_soon, expire)
         try:
             yield
         finally:
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -11,7 +11,7 @@
 from citrondock_core.routing.placement import Placement
 from citrondock_core.routing.target_directory import TargetDirectory
 from citrondock_router.gateway.client_connection import ClientConnection
-from citrondock_router.gateway.event_loop import call_after_poll
+from citrondock_router.gateway.event_loop import wait_for_poll
 from citrondock_router.gateway.gateway import Gateway
 from citrondock_router.gateway.gateway_metrics import GatewayMetrics, RouterState
 from citrondock_router.gateway.gateway_settings import Address, GatewaySettings
@@ -126,8 +126,8 @@
         operations = OperationsHandler(self._pages)
         periodic: list[Awaitable[None]] = [
             self._run_every(TICK_S, self._tick),
-            self._run_every(STALL_CHECK_S, self._check_stalls),
-            self._run_every(HOUSEKEEPING_S, self._housekeep),
+            self._check_every(STALL_CHECK_S, self.gateway.scheduler.check_stalls),
+            self._check_every(HOUSEKEEPING_S, self._housekeep),
             self._run_every(LOG_DRAIN_S, self._log_writer.drain),
             self._report_usage(),
         ]
@@ -197,6 +197,13 @@
             await asyncio.sleep(period_s)
             action()
 
+    async def _check_every(self, period_s: float, check: Callable[[], None]) -> None:
+        """Run a check that depends on what has arrived since the last one."""
+        while True:
+            await asyncio.sleep(period_s)
+            await wait_for_poll()
+            check()
+
     async def _report_usage(self) -> None:
         while True:
             await asyncio.sleep(self.broker.report_usage())
@@ -206,9 +213,6 @@
         self.broker.tick()
         self.gateway.scheduler.tick()
 
-    def _check_stalls(self) -> None:
-        call_after_poll(self.loop, self.gateway.scheduler.check_stalls)
-
     def _housekeep(self) -> None:
         self.gateway.close_idle_clients()
         self._connections.close_expired()
--- a/tests/gateway/test_late_router.py
+++ b/tests/gateway/test_late_router.py
@@ -5,9 +5,19 @@
 import threading
 import time
 
-from harness import HOST, Harness, ScriptedTarget, run
+import attrs
+from harness import (
+    HOST,
+    Harness,
+    ScriptedTarget,
+    configuration,
+    request,
+    run,
+    send_complete_response,
+)
 
 from citrondock_router.gateway import target_connection_pool
+from citrondock_router.gateway.gateway import IDLE_GRACE_S
 from citrondock_router.gateway.http_client import HttpClient
 
 ANSWER_S = 0.1
@@ -85,6 +95,25 @@
 
         run(check())
 
+    def test_an_idle_client_whose_request_has_arrived_is_served(self):
+        async def check():
+            limits = attrs.evolve(configuration().limits, idle_timeout_s=0.1)
+            configured = attrs.evolve(configuration(), limits=limits)
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target], configured=configured) as harness:
+                address = (HOST, harness.port)
+                with socket.create_connection(address, timeout=2) as client:
+                    await asyncio.sleep(IDLE_GRACE_S)
+                    keep_busy()
+                    sending = threading.Timer(
+                        LATE_S / 2, client.sendall, [request("/safe/x")]
+                    )
+                    sending.start()
+                    reply = await asyncio.to_thread(client.recv, 1000)
+                    assert reply.startswith(b"HTTP/1.1 200 ")
+
+        run(check())
+
     def test_a_connection_that_was_accepted_in_time_is_used(self, monkeypatch):
         async def check():
             monkeypatch.setattr(target_connection_pool, "CONNECT_TIMEOUT_S", 0.05)
