Skip overdue requests that another request's end has withdrawn

Requests that are no longer pending are skipped. The test failed before with KeyError. The socket is read by the tick only when a request is overdue, so that a router at rest makes no such call.

--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -44,7 +44,6 @@
 """How much longer than the configured idle timeout idle connections are kept, so that
 clients stop using them before the gateway closes them."""
 
-
 RELEASED_CLIENTS = 64
 """Idle connections closed at once when no file descriptor is free; some for new clients
 and some for connections to targets."""
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
@@ -214,11 +214,12 @@
         A router that is late may have answers that it has not read. Those are read
         first, so that no peer is taken for silent because of them.
         """
-        is_all_read = self._socket is None or self._socket.read_waiting()
         now_s = self._loop.time()
-        if is_all_read:
-            for pending in list(self._pending.values()):
-                if now_s >= pending.due_at_s:
+        if self._overdue(now_s) and self._read_waiting():
+            now_s = self._loop.time()
+            for pending in self._overdue(now_s):
+                # The end of one request may withdraw another.
+                if pending.request.key in self._pending:
                     self._handle_overdue(pending, now_s)
         self._ticked_at_s = now_s
         for admission in list(self._admissions.values()):
@@ -332,6 +333,15 @@
 
     # Grant requests that this router sends.
 
+    def _overdue(self, now_s: float) -> list[_PendingRequest]:
+        return [
+            pending for pending in self._pending.values() if now_s >= pending.due_at_s
+        ]
+
+    def _read_waiting(self) -> bool:
+        """Read the datagrams that have arrived; return whether all were read."""
+        return self._socket is None or self._socket.read_waiting()
+
     def _send_request(self, pending: _PendingRequest) -> None:
         if pending.home == self.peers.vm_name:
             self._loop.call_soon(self._handle_request, pending.request, pending.home)
--- a/tests/gateway/test_grant_broker.py
+++ b/tests/gateway/test_grant_broker.py
@@ -58,7 +58,7 @@
         self.address = self.broker.open(Address(HOST, 0))
         self.broker.set_engines({"e1": KnownEngine(ENGINE, "z2")})
 
-    def request_grant(self, zone, *, prompt=2000, wait_s=1.0):
+    def request_grant(self, zone, *, prompt=2000, wait_s=1.0, on_answer=None):
         now_s = asyncio.get_running_loop().time()
         request = GrantRequest(
             key=self.broker.new_key(),
@@ -71,7 +71,8 @@
             on_time_until_s=now_s + wait_s,
             wait_until_s=now_s + wait_s,
         )
-        self.broker.request_grant(request, entry("e1", zone), self.answers.append)
+        on_answer = on_answer or self.answers.append
+        self.broker.request_grant(request, entry("e1", zone), on_answer)
         return request.key
 
     def verdicts(self):
@@ -356,6 +357,30 @@
 
         run(check())
 
+    def test_a_request_withdrawn_by_the_end_of_another_is_not_handled_again(self):
+        # Both become overdue in one tick, as a prompt's queue place and its trial do.
+        async def check():
+            first = Router("v1", "z1")
+            await first.start()
+            await ScriptedHome.start("v2", "z2", first)
+            keys = []
+
+            def withdraw_others(answer):
+                first.answers.append(answer)
+                for key in keys:
+                    first.broker.report_progress(key, Stage.WITHDRAWN)
+
+            for _ in range(2):
+                keys.append(
+                    first.request_grant("z2", wait_s=0.0, on_answer=withdraw_others)
+                )
+            for _ in range(4):
+                await asyncio.sleep(2 * ANSWER_TIMEOUT_S)
+                first.broker.tick()
+            assert first.verdicts() == [Verdict.REFUSED]
+
+        run(check())
+
     def test_a_home_router_that_stops_answering_is_replaced(self):
         async def check():
             first = Router("v1", "z1")
