Share the set-up of broker tests and the harness's answers

Change: router_and_home() starts both; the thread's target uses parse_headers and complete_response. Tests only; every assertion stays as it was.

--- a/tests/gateway/test_grant_broker.py
+++ b/tests/gateway/test_grant_broker.py
@@ -144,6 +144,13 @@
     return routers
 
 
+async def router_and_home():
+    """Return a router of zone z1 and a scripted home router of z2 that it knows."""
+    router = Router("v1", "z1")
+    await router.start()
+    return router, await ScriptedHome.start("v2", "z2", router)
+
+
 async def tick_for(routers, seconds):
     """Tick all brokers every few milliseconds for a time."""
     end_s = asyncio.get_running_loop().time() + seconds
@@ -320,9 +327,7 @@
 
     def test_a_late_router_does_not_take_its_peers_for_silent(self):
         async def check():
-            first = Router("v1", "z1")
-            await first.start()
-            home = await ScriptedHome.start("v2", "z2", first)
+            first, home = await router_and_home()
             keys = [first.request_grant("z2") for _ in range(100)]
             await asyncio.sleep(0.005)
             for key in keys:
@@ -342,9 +347,7 @@
 
     def test_a_home_router_that_answers_other_requests_is_not_taken_for_silent(self):
         async def check():
-            first = Router("v1", "z1")
-            await first.start()
-            home = await ScriptedHome.start("v2", "z2", first)
+            first, home = await router_and_home()
             lost = first.request_grant("z2")
             for _ in range(6):
                 key = first.request_grant("z2")
@@ -360,9 +363,7 @@
     def test_a_request_withdrawn_by_the_end_of_another_is_not_handled_again(self):
         # Both become overdue in one tick, as a prompt's queue place and its trial do.
         async def check():
-            first = Router("v1", "z1")
-            await first.start()
-            await ScriptedHome.start("v2", "z2", first)
+            first, _home = await router_and_home()
             keys = []
 
             def withdraw_others(answer):
@@ -383,9 +384,7 @@
 
     def test_a_home_router_that_stops_answering_is_replaced(self):
         async def check():
-            first = Router("v1", "z1")
-            await first.start()
-            home = await ScriptedHome.start("v2", "z2", first)
+            first, home = await router_and_home()
             waiting = first.request_grant("z2", wait_s=10.0)
             answered = first.request_grant("z2", wait_s=10.0)
             await home.answer(answered, Verdict.GRANTED)
@@ -401,9 +400,7 @@
 
     def test_a_grant_that_comes_after_the_request_was_given_up_is_returned(self):
         async def check():
-            first = Router("v1", "z1")
-            await first.start()
-            home = await ScriptedHome.start("v2", "z2", first)
+            first, home = await router_and_home()
             key = first.request_grant("z2", wait_s=0.1)
             await asyncio.sleep(0.01)
             await home.answer(key, Verdict.QUEUED)
@@ -430,9 +427,7 @@
 
     def test_a_request_that_is_given_up_leaves_the_queue_of_its_home(self):
         async def check():
-            first = Router("v1", "z1")
-            await first.start()
-            home = await ScriptedHome.start("v2", "z2", first)
+            first, home = await router_and_home()
             key = first.request_grant("z2", wait_s=0.1)
             await asyncio.sleep(0.01)
             await home.answer(key, Verdict.QUEUED)
@@ -493,9 +488,7 @@
 
     def test_a_repeated_answer_does_not_return_a_grant_in_use(self):
         async def check():
-            first = Router("v1", "z1")
-            await first.start()
-            home = await ScriptedHome.start("v2", "z2", first)
+            first, home = await router_and_home()
             key = first.request_grant("z2")
             for _ in range(2):
                 await home.answer(key, Verdict.GRANTED)
--- a/tests/gateway/test_late_router.py
+++ b/tests/gateway/test_late_router.py
@@ -9,8 +9,11 @@
 from harness import (
     HOST,
     Harness,
+    ReceivedRequest,
     ScriptedTarget,
+    complete_response,
     configuration,
+    parse_headers,
     request,
     run,
     send_complete_response,
@@ -72,13 +75,10 @@
         with connection:
             while data := connection.recv(65_536):
                 self.requests.append(data)
-                head = data.decode().lower()
-                request_id = head.partition("request-id: ")[2].partition("\r")[0]
+                lines = data.decode().split("\r\n")
+                got = ReceivedRequest(lines[0], parse_headers(lines), b"")
                 time.sleep(ANSWER_S)
-                connection.sendall(
-                    f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\n"
-                    "Response-Signature: s\r\nContent-Length: 2\r\n\r\nok".encode()
-                )
+                connection.sendall(complete_response(got, b"ok"))
 
 
 class TestLateRouter:
