Log the parts and progress of failed attempts

From the log nobody could tell which part of the prompts crashed engines, whether an attempt had begun, or whether repeats or new requests carried the crash on. attempt_failed now has attempt, begun and parts; no logic changes.

--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -464,10 +464,24 @@
         """Record the end of an attempt; ``status`` is None unless it failed."""
         if status is not None:
             self.history.record_ended(status)
-            self._log("attempt_failed", reason=reason, proof=status.value)
+            self._log(
+                "attempt_failed",
+                reason=reason,
+                proof=status.value,
+                attempt=self.history.sent_count,
+                begun=self.state is ExchangeState.RECEIVING,
+                parts=self._shared_part_ids(),
+            )
         if self.choice is not None:
             self._scheduler.attempt_ended(self, failed=status is not None)
 
+    def _shared_part_ids(self) -> str | None:
+        """Return the ids of the prompt's shared parts, as routers exchange them."""
+        prompt = self.facts.prompt
+        if prompt is None:
+            return None
+        return ",".join(part.part_id for part in prompt.hashed_shared_parts)
+
     def _close_connection(self) -> None:
         if self._connect_task is not None:
             self._connect_task.cancel()
