Split the grant broker into peer link, home and requests

PeerLink exchanges datagrams and tracks presence, GrantHome answers as a home router, GrantBroker keeps the requests of its own router. Behaviour is as it was: tests change only in the names through which they reach the parts, and those of tests/gateway, tests/routing and tests/platform pass.

--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -206,7 +206,7 @@
 
     async def _report_usage(self) -> None:
         while True:
-            await asyncio.sleep(self.broker.report_usage())
+            await asyncio.sleep(self.broker.home.report_usage())
 
     def _tick(self) -> None:
         self.metrics.observe_loop_lag(self.gateway.overload.timer_fired())
@@ -216,7 +216,7 @@
     def _housekeep(self) -> None:
         self.gateway.close_idle_clients()
         self._connections.close_expired()
-        self.broker.expire()
+        self.broker.home.expire()
         self._update_retry_budgets()
         change = self.directory.expire(now_s=self.loop.time())
         if change.removed:
@@ -240,13 +240,13 @@
         state = RouterState(
             configuration_version=self.gateway.configuration.version,
             target_count=len(self.directory),
-            peer_bytes=self.broker.sent_bytes,
+            peer_bytes=self.broker.link.sent_bytes,
             opened_connections=self._connections.opened_count,
-            home_waiting_count=self.broker.waiting_count,
-            home_granted_count=self.broker.granted_count,
+            home_waiting_count=self.broker.home.waiting_count,
+            home_granted_count=self.broker.home.granted_count,
             silent_home_count=self.broker.silent_home_count,
             late_answer_count=self.broker.late_answer_count,
-            expired_grant_count=self.broker.expired_grant_count,
+            expired_grant_count=self.broker.home.expired_grant_count,
             dropped_log_line_count=self._log_writer.dropped_count,
             waiting_by_service=scheduler.waiting_by_service(),
             retries_left_by_service=scheduler.retries_left_by_service(),
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
@@ -1,20 +1,18 @@
-"""Exchanges grant requests with other routers, and grants as a home router.
+"""Requests grants for this router's prompts from the home routers of engines.
 
 Each engine has one home router, chosen by rendezvous hashing. It queues the prompts
-of all routers for that engine and grants them one by one. The messages are UDP
-datagrams.
+of all routers for that engine and grants them one by one, see `GrantHome`. The messages
+are UDP datagrams.
 """
 
 import asyncio
 import itertools
-import random
 from collections.abc import Callable, Iterable, Sequence
 
 import attrs
+from typing_extensions import override
 
-from citrondock_core.routing.engine_admission import EngineAdmission
 from citrondock_core.routing.engine_load_view import EngineLoadView
-from citrondock_core.routing.fleet_usage import FleetUsage, ReportedUsage
 from citrondock_core.routing.grant import (
     EngineBacklog,
     GrantAnswer,
@@ -24,18 +22,13 @@
     Stage,
     Verdict,
 )
-from citrondock_core.routing.peer_table import Peer, PeerTable
-from citrondock_core.routing.route import ModelEngineOptions
+from citrondock_core.routing.peer_table import PeerTable
 from citrondock_core.routing.target_entry import TargetEntry
-from citrondock_router.gateway.datagram_socket import DatagramSocket
 from citrondock_router.gateway.gateway_settings import Address
+from citrondock_router.gateway.grant_home import GrantHome, KnownEngine, LocalRequester
+from citrondock_router.gateway.peer_link import DatagramHandler, PeerLink
 from citrondock_router.log import log_event
-from citrondock_wire.grant_codec import (
-    BadDatagramError,
-    GrantCodec,
-    PeerDatagram,
-    Presence,
-)
+from citrondock_wire.grant_codec import PeerDatagram
 
 ANSWER_TIMEOUT_S = 0.025
 """First timeout of a grant request; a home router in another zone answers within a few
@@ -47,33 +40,13 @@
 answered none of this router's requests meanwhile; more than one, as single datagrams
 get lost."""
 
-USAGE_HALF_LIFE_S = 2.0
-"""Half-life of the usage of each account. Usage older than a few seconds hardly counts,
-as users judge fairness over six seconds."""
-
 QUEUED_MARGIN_S = 0.1
 """A queued grant request that is not answered within this time after its deadline is
 taken for lost, and refused."""
 
-MIN_USAGE_PERIOD_S = 0.5
-"""Home routers report account usage to each other at most four times in
-`USAGE_HALF_LIFE_S`."""
-
-MAX_USAGE_BYTES_PER_S = 1000.0
-"""Rate limit of usage reports: a third of a router's control traffic. In a large fleet
-routers report less often to stay below it."""
-
 AnswerCallback = Callable[[GrantAnswer], None]
 
 
-@attrs.frozen
-class KnownEngine:
-    """Capacity and zone of an engine that prompts may be sent to."""
-
-    options: ModelEngineOptions
-    availability_zone: str
-
-
 @attrs.define(eq=False)
 class _PendingRequest:
     """Grant request of this router that was not granted or refused yet.
@@ -109,8 +82,8 @@
     is_queued: bool = False
 
 
-class GrantBroker:
-    """Sends grant requests to home routers, and answers those sent to this router.
+class GrantBroker(DatagramHandler, LocalRequester):
+    """Sends grant requests to home routers, and passes on their answers.
 
     Requests of this router for engines whose home it is itself need no datagrams.
 
@@ -131,51 +104,28 @@
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         self.peers = peers
-        self.incarnation = random.getrandbits(62)
-        self.sent_bytes = 0
+        self.link = PeerLink(peers, self, loop)
+        self.home = GrantHome(self.link, self, loop)
         self._engine_loads = engine_loads
         self._loop = loop
-        self._codec = GrantCodec()
-        self._socket: DatagramSocket | None = None
         self._numbers = itertools.count(1)
         self._pending: dict[GrantKey, _PendingRequest] = {}
         # Home router and engine of each grant that this router holds.
         self._granted: dict[GrantKey, tuple[str, str]] = {}
-        # Engines whose home is this router.
-        self._admissions: dict[str, EngineAdmission] = {}
-        # VM names of the routers that sent the requests for those engines.
-        self._requesters: dict[GrantKey, str] = {}
-        self._engines: dict[str, KnownEngine] = {}
-        self._usage = FleetUsage(half_life_s=USAGE_HALF_LIFE_S)
-        self._incarnations: dict[str, int] = {}
-        self._is_leaving = False
         self._ticked_at_s: float | None = None
         self.silent_home_count = 0
         self.late_answer_count = 0
-        self.expired_grant_count = 0
 
     # Called by the scheduler and by `GrantRequester`.
 
     def new_key(self) -> GrantKey:
         """Return a unique key for a grant request."""
-        return GrantKey(incarnation=self.incarnation, number=next(self._numbers))
+        return GrantKey(incarnation=self.link.incarnation, number=next(self._numbers))
 
     def set_engines(self, engines: dict[str, KnownEngine]) -> None:
-        """Replace the engines that prompts may be sent to.
-
-        Prompts that wait for an engine that is no longer among them are refused.
-        """
-        self._engines = engines
+        """Replace the engines that prompts may be sent to."""
         self._engine_loads.keep_only(set(engines))
-        for target_id in set(self._admissions) - set(engines):
-            admission = self._admissions.pop(target_id)
-            self._deliver(admission, admission.refuse_waiting(now_s=self._loop.time()))
-
-    def engine_restarted(self, target_id: str) -> None:
-        """Drop the queue, grants and cache contents of an engine that restarted."""
-        admission = self._admissions.pop(target_id, None)
-        if admission is not None:
-            self._deliver(admission, admission.refuse_waiting(now_s=self._loop.time()))
+        self.home.set_engines(engines)
 
     def request_grant(
         self, request: GrantRequest, entry: TargetEntry, on_answer: AnswerCallback
@@ -215,121 +165,61 @@
         first, so that no peer is taken for silent because of them.
         """
         now_s = self._loop.time()
-        if self._overdue(now_s) and self._read_waiting():
+        if self._overdue(now_s) and self.link.read_waiting():
             now_s = self._loop.time()
             for pending in self._overdue(now_s):
                 # The end of one request may withdraw another.
                 if pending.request.key in self._pending:
                     self._handle_overdue(pending, now_s)
         self._ticked_at_s = now_s
-        for admission in list(self._admissions.values()):
-            if admission.waiting_count:
-                self._deliver(admission, admission.process_queue(now_s=now_s))
-
-    def expire(self) -> None:
-        """Drop grants whose end was never reported, and confirm those that are old."""
-        now_s = self._loop.time()
-        for admission in self._admissions.values():
-            # A router that does not use such a grant returns it.
-            self._deliver(admission, admission.unconfirmed_grants(now_s=now_s))
-            for key in admission.expire(now_s=now_s):
-                self.expired_grant_count += 1
-                log_event(
-                    "grant_expired",
-                    level="WARNING",
-                    target=admission.target_id,
-                    requester=self._requesters.get(key, ""),
-                )
-        known = {
-            key for admission in self._admissions.values() for key in admission.keys()
-        }
-        self._requesters = {
-            request_key: requester
-            for request_key, requester in self._requesters.items()
-            if request_key in known
-        }
-
-    def report_usage(self) -> float:
-        """Report local account usage to the other home routers.
-
-        Returns
-        -------
-        float
-            Time in seconds until the next report is due.
-        """
-        now_s = self._loop.time()
-        usage = self._usage.top_accounts(now_s=now_s) if self._admissions else []
-        homes = self._other_homes(now_s) if usage else set()
-        before_bytes = self.sent_bytes
-        datagram = self._datagram(usage=usage)
-        for vm_name in homes:
-            self._send(vm_name, datagram)
-        report_bytes = self.sent_bytes - before_bytes
-        return max(report_bytes / MAX_USAGE_BYTES_PER_S, MIN_USAGE_PERIOD_S)
-
-    @property
-    def waiting_count(self) -> int:
-        """Prompts that wait for engines whose home is this router."""
-        return sum(admission.waiting_count for admission in self._admissions.values())
-
-    @property
-    def granted_count(self) -> int:
-        """Prompts granted and not ended at engines whose home is this router."""
-        return sum(admission.running_count for admission in self._admissions.values())
-
-    def received_tokens(self, account: str, *, now_s: float) -> float:
-        """Return the recent usage of an account, as far as it is known here."""
-        return self._usage.received_tokens(account, now_s=now_s)
-
-    def announce(self, addresses: Iterable[Address]) -> None:
-        """Send this router's presence to other routers, and request theirs."""
-        for address in addresses:
-            self._send_presence((address.host, address.port), wants_reply=True)
-
-    def leave(self) -> None:
-        """Announce to all peers that this router is leaving and no longer a home."""
-        self._is_leaving = True
-        for peer in self.peers.peers():
-            self._send_presence((peer.host, peer.port), wants_reply=False)
+        self.home.process_queues()
 
     # Called at start, and with each datagram.
 
     def open(self, address: Address) -> Address:
         """Start to exchange datagrams; return the address bound to."""
-        self._socket = DatagramSocket(address, self.datagram_received, self._loop)
-        return self._socket.address
+        return self.link.open(address)
 
     def close(self) -> None:
         """Stop exchanging datagrams."""
-        if self._socket is not None:
-            self._socket.close()
-            self._socket = None
+        self.link.close()
+
+    def announce(self, addresses: Iterable[Address]) -> None:
+        """Send this router's presence to other routers, and request theirs."""
+        self.link.announce(addresses)
+
+    def leave(self) -> None:
+        """Announce to all peers that this router is leaving and no longer a home."""
+        self.link.leave()
 
-    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Handle a datagram of a peer."""
+    @override
+    def handle_datagram(self, datagram: PeerDatagram) -> None:
         now_s = self._loop.time()
-        try:
-            datagram = self._codec.decode(
-                data, now_s=now_s, own_incarnation=self.incarnation
-            )
-        except BadDatagramError as error:
-            log_event("datagram_unreadable", peer=addr[0], detail=str(error))
-            return
-        self._check_incarnation(datagram.vm_name, datagram.incarnation, now_s)
-        if datagram.presence is not None:
-            self._handle_presence(datagram, addr)
-        self.peers.mark_alive(datagram.vm_name)
+        sender = datagram.vm_name
         for backlog in datagram.backlogs:
             self._engine_loads.update(backlog, now_s=now_s)
-        self._usage.update(datagram.vm_name, datagram.usage, now_s=now_s)
+        self.home.update_usage(sender, datagram.usage)
         for progress in datagram.progress:
-            self._handle_progress(progress)
+            self.home.handle_progress(progress)
         for request in datagram.grant_requests:
-            self._handle_request(request, datagram.vm_name)
+            self.home.handle_request(request, sender)
         if datagram.answers:
-            self.peers.record_answer(datagram.vm_name, now_s=now_s)
+            self.peers.record_answer(sender, now_s=now_s)
         for answer in datagram.answers:
-            self._handle_answer(answer, datagram.vm_name, datagram.backlogs)
+            self._handle_answer(answer, sender, datagram.backlogs)
+
+    @override
+    def peer_restarted(self, former_incarnation: int) -> None:
+        self.home.forget_router(former_incarnation)
+
+    @override
+    def handle_answers(
+        self, answers: list[GrantAnswer], home: str, backlogs: list[EngineBacklog]
+    ) -> None:
+        for backlog in backlogs:
+            self._engine_loads.update(backlog, now_s=self._loop.time())
+        for answer in answers:
+            self._loop.call_soon(self._handle_answer, answer, home, backlogs)
 
     # Grant requests that this router sends.
 
@@ -338,15 +228,15 @@
             pending for pending in self._pending.values() if now_s >= pending.due_at_s
         ]
 
-    def _read_waiting(self) -> bool:
-        """Read the datagrams that have arrived; return whether all were read."""
-        return self._socket is None or self._socket.read_waiting()
-
     def _send_request(self, pending: _PendingRequest) -> None:
         if pending.home == self.peers.vm_name:
-            self._loop.call_soon(self._handle_request, pending.request, pending.home)
-        else:
-            self._send(pending.home, self._datagram(grant_requests=[pending.request]))
+            self._loop.call_soon(
+                self.home.handle_request, pending.request, pending.home
+            )
+            return
+        datagram = self.link.datagram()
+        datagram.grant_requests = [pending.request]
+        self.link.send(pending.home, datagram)
 
     def _handle_overdue(self, pending: _PendingRequest, now_s: float) -> None:
         is_expired = (
@@ -431,142 +321,8 @@
     def _report(self, home: str, key: GrantKey, target_id: str, stage: Stage) -> None:
         progress = GrantProgress(key=key, target_id=target_id, stage=stage)
         if home == self.peers.vm_name:
-            self._handle_progress(progress)
-        else:
-            self._send(home, self._datagram(progress=[progress]))
-
-    # Grant requests that this router answers as the home of an engine.
-
-    def _handle_request(self, request: GrantRequest, requester: str) -> None:
-        now_s = self._loop.time()
-        engine = self._engines.get(request.target_id)
-        if engine is None:
-            answer = GrantAnswer(
-                key=request.key, verdict=Verdict.REFUSED, first_answer_s=0.0
-            )
-            self._send_answers(requester, [answer], None)
-            return
-        admission = self._admissions.get(request.target_id)
-        if admission is None:
-            admission = EngineAdmission(request.target_id, engine.options, self._usage)
-            self._admissions[request.target_id] = admission
-        self._requesters[request.key] = requester
-        answer = admission.submit(request, now_s=now_s)
-        self._send_answers(requester, [answer], admission.backlog(now_s=now_s))
-        if answer.verdict is Verdict.REFUSED:
-            self._requesters.pop(request.key, None)
-
-    def _handle_progress(self, progress: GrantProgress) -> None:
-        if progress.stage is not Stage.STARTED:
-            self._requesters.pop(progress.key, None)
-        admission = self._admissions.get(progress.target_id)
-        if admission is None:
-            return
-        now_s = self._loop.time()
-        admission.record_progress(progress.key, progress.stage, now_s=now_s)
-        if admission.waiting_count:
-            self._deliver(admission, admission.process_queue(now_s=now_s))
-
-    def _deliver(
-        self, admission: EngineAdmission, answers: Iterable[GrantAnswer]
-    ) -> None:
-        by_requester: dict[str, list[GrantAnswer]] = {}
-        for answer in answers:
-            requester = self._requesters.get(answer.key)
-            if answer.verdict is Verdict.REFUSED:
-                self._requesters.pop(answer.key, None)
-            if requester is not None:
-                by_requester.setdefault(requester, []).append(answer)
-        if not by_requester:
-            return
-        backlog = admission.backlog(now_s=self._loop.time())
-        for requester, requester_answers in by_requester.items():
-            self._send_answers(requester, requester_answers, backlog)
-
-    def _send_answers(
-        self, requester: str, answers: list[GrantAnswer], backlog: EngineBacklog | None
-    ) -> None:
-        backlogs = [backlog] if backlog else []
-        if requester != self.peers.vm_name:
-            self._send(requester, self._datagram(answers=answers, backlogs=backlogs))
-            return
-        for engine_backlog in backlogs:
-            self._engine_loads.update(engine_backlog, now_s=self._loop.time())
-        for answer in answers:
-            self._loop.call_soon(self._handle_answer, answer, requester, backlogs)
-
-    def _other_homes(self, now_s: float) -> set[str]:
-        homes = {
-            self.peers.home_router_of(target_id, engine.availability_zone, now_s=now_s)
-            for target_id, engine in self._engines.items()
-        }
-        return homes - {self.peers.vm_name}
-
-    # Presence of peers, and datagrams.
-
-    def _check_incarnation(self, vm_name: str, incarnation: int, now_s: float) -> None:
-        former = self._incarnations.get(vm_name)
-        self._incarnations[vm_name] = incarnation
-        if former is None or former == incarnation:
-            return
-        log_event("peer_restarted", peer=vm_name, incarnation=incarnation)
-        for admission in self._admissions.values():
-            admission.forget_router(former, now_s=now_s)
-
-    def _handle_presence(self, datagram: PeerDatagram, addr: tuple[str, int]) -> None:
-        presence = datagram.presence
-        assert presence is not None
-        if presence.is_leaving:
-            self.peers.remove(datagram.vm_name)
-            log_event("peer_leaving", peer=datagram.vm_name)
-            return
-        peer = Peer(
-            vm_name=datagram.vm_name,
-            host=addr[0],
-            port=addr[1],
-            availability_zone=presence.availability_zone,
-        )
-        if self.peers.put(peer):
-            log_event("peer_known", peer=peer.vm_name, address=f"{addr[0]}:{addr[1]}")
-        known = self.peers.get(datagram.vm_name)
-        if presence.wants_reply and known is not None and not self._is_leaving:
-            self._send_presence(addr, wants_reply=False)
-
-    def _send_presence(self, addr: tuple[str, int], *, wants_reply: bool) -> None:
-        datagram = self._datagram()
-        datagram.presence = Presence(
-            availability_zone=self.peers.availability_zone,
-            is_leaving=self._is_leaving,
-            wants_reply=wants_reply,
-        )
-        self._send_to(addr, datagram)
-
-    def _datagram(
-        self,
-        grant_requests: list[GrantRequest] | None = None,
-        answers: list[GrantAnswer] | None = None,
-        progress: list[GrantProgress] | None = None,
-        backlogs: list[EngineBacklog] | None = None,
-        usage: list[ReportedUsage] | None = None,
-    ) -> PeerDatagram:
-        return PeerDatagram(
-            vm_name=self.peers.vm_name,
-            incarnation=self.incarnation,
-            grant_requests=grant_requests or [],
-            answers=answers or [],
-            progress=progress or [],
-            backlogs=backlogs or [],
-            usage=usage or [],
-        )
-
-    def _send(self, vm_name: str, datagram: PeerDatagram) -> None:
-        peer = self.peers.get(vm_name)
-        if peer is not None:
-            self._send_to((peer.host, peer.port), datagram)
-
-    def _send_to(self, addr: tuple[str, int], datagram: PeerDatagram) -> None:
-        if self._socket is None:
+            self.home.handle_progress(progress)
             return
-        data = self._codec.encode(datagram, now_s=self._loop.time())
-        self.sent_bytes += len(data)
-        self._socket.send(data, *addr)
+        datagram = self.link.datagram()
+        datagram.progress = [progress]
+        self.link.send(home, datagram)
--- /dev/null
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_home.py
@@ -0,0 +1,241 @@
+"""Grants the prompts of all routers to the engines that this router is the home of."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Iterable
+
+import attrs
+
+from citrondock_core.routing.engine_admission import EngineAdmission
+from citrondock_core.routing.fleet_usage import FleetUsage, ReportedUsage
+from citrondock_core.routing.grant import (
+    EngineBacklog,
+    GrantAnswer,
+    GrantKey,
+    GrantProgress,
+    GrantRequest,
+    Stage,
+    Verdict,
+)
+from citrondock_core.routing.route import ModelEngineOptions
+from citrondock_router.gateway.peer_link import PeerLink
+from citrondock_router.log import log_event
+
+USAGE_HALF_LIFE_S = 2.0
+"""Half-life of the usage of each account. Usage older than a few seconds hardly counts,
+as users judge fairness over six seconds."""
+
+MIN_USAGE_PERIOD_S = 0.5
+"""Home routers report account usage to each other at most four times in
+`USAGE_HALF_LIFE_S`."""
+
+MAX_USAGE_BYTES_PER_S = 1000.0
+"""Rate limit of usage reports: a third of a router's control traffic. In a large fleet
+routers report less often to stay below it."""
+
+
+@attrs.frozen
+class KnownEngine:
+    """Capacity and zone of an engine that prompts may be sent to."""
+
+    options: ModelEngineOptions
+    availability_zone: str
+
+
+class LocalRequester(ABC):
+    """Receives the answers to this router's own grant requests."""
+
+    @abstractmethod
+    def handle_answers(
+        self, answers: list[GrantAnswer], home: str, backlogs: list[EngineBacklog]
+    ) -> None:
+        """Handle answers and engine backlogs from a home router."""
+
+
+class GrantHome:
+    """Queues and answers grant requests for the engines homed at this router.
+
+    Parameters
+    ----------
+    link : PeerLink
+        Sends answers to the routers that sent the requests.
+    requester : LocalRequester
+        Receives answers to this router's own requests.
+    loop : asyncio.AbstractEventLoop
+        Event loop whose clock all times are on.
+    """
+
+    def __init__(
+        self,
+        link: PeerLink,
+        requester: LocalRequester,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        self._link = link
+        self._requester = requester
+        self._loop = loop
+        self._admissions: dict[str, EngineAdmission] = {}
+        # VM names of the routers that sent the requests.
+        self._requesters: dict[GrantKey, str] = {}
+        self._engines: dict[str, KnownEngine] = {}
+        self._usage = FleetUsage(half_life_s=USAGE_HALF_LIFE_S)
+        self.expired_grant_count = 0
+
+    @property
+    def waiting_count(self) -> int:
+        """Prompts that wait for engines whose home is this router."""
+        return sum(admission.waiting_count for admission in self._admissions.values())
+
+    @property
+    def granted_count(self) -> int:
+        """Prompts granted and not ended at engines whose home is this router."""
+        return sum(admission.running_count for admission in self._admissions.values())
+
+    def admission_of(self, target_id: str) -> EngineAdmission | None:
+        """Return the admission control of an engine; None before its first request."""
+        return self._admissions.get(target_id)
+
+    def received_tokens(self, account: str, *, now_s: float) -> float:
+        """Return the recent usage of an account, as far as it is known here."""
+        return self._usage.received_tokens(account, now_s=now_s)
+
+    def update_usage(self, vm_name: str, usage: Iterable[ReportedUsage]) -> None:
+        """Apply another home router's report of account usage."""
+        self._usage.update(vm_name, usage, now_s=self._loop.time())
+
+    def set_engines(self, engines: dict[str, KnownEngine]) -> None:
+        """Replace the engines that prompts may be sent to.
+
+        Prompts that wait for an engine that is no longer among them are refused.
+        """
+        self._engines = engines
+        for target_id in set(self._admissions) - set(engines):
+            self.drop(target_id)
+
+    def drop(self, target_id: str) -> None:
+        """Drop queue, grants and cache contents of an engine; refuse what waits."""
+        admission = self._admissions.pop(target_id, None)
+        if admission is not None:
+            self._deliver(admission, admission.refuse_waiting(now_s=self._loop.time()))
+
+    def handle_request(self, request: GrantRequest, requester: str) -> None:
+        """Answer a grant request of a router."""
+        now_s = self._loop.time()
+        engine = self._engines.get(request.target_id)
+        if engine is None:
+            answer = GrantAnswer(
+                key=request.key, verdict=Verdict.REFUSED, first_answer_s=0.0
+            )
+            self._send_answers(requester, [answer], None)
+            return
+        admission = self._admissions.get(request.target_id)
+        if admission is None:
+            admission = EngineAdmission(request.target_id, engine.options, self._usage)
+            self._admissions[request.target_id] = admission
+        self._requesters[request.key] = requester
+        answer = admission.submit(request, now_s=now_s)
+        self._send_answers(requester, [answer], admission.backlog(now_s=now_s))
+        if answer.verdict is Verdict.REFUSED:
+            self._requesters.pop(request.key, None)
+
+    def handle_progress(self, progress: GrantProgress) -> None:
+        """Apply a report about a request that this router granted or queued."""
+        if progress.stage is not Stage.STARTED:
+            self._requesters.pop(progress.key, None)
+        admission = self._admissions.get(progress.target_id)
+        if admission is None:
+            return
+        now_s = self._loop.time()
+        admission.record_progress(progress.key, progress.stage, now_s=now_s)
+        if admission.waiting_count:
+            self._deliver(admission, admission.process_queue(now_s=now_s))
+
+    def process_queues(self) -> None:
+        """Grant queued prompts in turn."""
+        now_s = self._loop.time()
+        for admission in list(self._admissions.values()):
+            if admission.waiting_count:
+                self._deliver(admission, admission.process_queue(now_s=now_s))
+
+    def expire(self) -> None:
+        """Drop grants whose end was never reported, and confirm those that are old."""
+        now_s = self._loop.time()
+        for admission in self._admissions.values():
+            # A router that does not use such a grant returns it.
+            self._deliver(admission, admission.unconfirmed_grants(now_s=now_s))
+            for key in admission.expire(now_s=now_s):
+                self.expired_grant_count += 1
+                log_event(
+                    "grant_expired",
+                    level="WARNING",
+                    target=admission.target_id,
+                    requester=self._requesters.get(key, ""),
+                )
+        known = {
+            key for admission in self._admissions.values() for key in admission.keys()
+        }
+        self._requesters = {
+            request_key: requester
+            for request_key, requester in self._requesters.items()
+            if request_key in known
+        }
+
+    def report_usage(self) -> float:
+        """Report local account usage to the other home routers.
+
+        Returns
+        -------
+        float
+            Time in seconds until the next report is due.
+        """
+        now_s = self._loop.time()
+        usage = self._usage.top_accounts(now_s=now_s) if self._admissions else []
+        homes = self._other_homes(now_s) if usage else set()
+        before_bytes = self._link.sent_bytes
+        datagram = self._link.datagram()
+        datagram.usage = usage
+        for vm_name in homes:
+            self._link.send(vm_name, datagram)
+        report_bytes = self._link.sent_bytes - before_bytes
+        return max(report_bytes / MAX_USAGE_BYTES_PER_S, MIN_USAGE_PERIOD_S)
+
+    def forget_router(self, former_incarnation: int) -> None:
+        """Drop all requests and grants of a former incarnation of a router."""
+        for admission in self._admissions.values():
+            admission.forget_router(former_incarnation, now_s=self._loop.time())
+
+    def _deliver(
+        self, admission: EngineAdmission, answers: Iterable[GrantAnswer]
+    ) -> None:
+        by_requester: dict[str, list[GrantAnswer]] = {}
+        for answer in answers:
+            requester = self._requesters.get(answer.key)
+            if answer.verdict is Verdict.REFUSED:
+                self._requesters.pop(answer.key, None)
+            if requester is not None:
+                by_requester.setdefault(requester, []).append(answer)
+        if not by_requester:
+            return
+        backlog = admission.backlog(now_s=self._loop.time())
+        for requester, requester_answers in by_requester.items():
+            self._send_answers(requester, requester_answers, backlog)
+
+    def _send_answers(
+        self, requester: str, answers: list[GrantAnswer], backlog: EngineBacklog | None
+    ) -> None:
+        backlogs = [backlog] if backlog else []
+        if requester == self._link.vm_name:
+            self._requester.handle_answers(answers, requester, backlogs)
+            return
+        datagram = self._link.datagram()
+        datagram.answers = answers
+        datagram.backlogs = backlogs
+        self._link.send(requester, datagram)
+
+    def _other_homes(self, now_s: float) -> set[str]:
+        peers = self._link.peers
+        homes = {
+            peers.home_router_of(target_id, engine.availability_zone, now_s=now_s)
+            for target_id, engine in self._engines.items()
+        }
+        return homes - {self._link.vm_name}
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -29,11 +29,8 @@
 from citrondock_core.routing.target_load import TargetLoad
 from citrondock_router.gateway.exchange import Exchange, ExchangeState, Scheduler
 from citrondock_router.gateway.gateway_metrics import GatewayMetrics
-from citrondock_router.gateway.grant_broker import (
-    USAGE_HALF_LIFE_S,
-    GrantBroker,
-    KnownEngine,
-)
+from citrondock_router.gateway.grant_broker import GrantBroker
+from citrondock_router.gateway.grant_home import USAGE_HALF_LIFE_S, KnownEngine
 from citrondock_router.gateway.grant_requester import EnginePool, GrantRequester
 from citrondock_router.gateway.outcome import Outcome
 from citrondock_router.gateway.stall_detection import StallOptions, is_stalled
@@ -361,7 +358,7 @@
             load = self._loads.get(entry.target_id)
             if load is None or load.entry.is_other_incarnation_of(entry):
                 load = TargetLoad(entry)
-                self._broker.engine_restarted(entry.target_id)
+                self._broker.home.drop(entry.target_id)
             load.entry = entry
             loads[entry.target_id] = load
             by_service.setdefault(entry.service, []).append(load)
--- a/tests/gateway/simulated_gateways.py
+++ b/tests/gateway/simulated_gateways.py
@@ -18,7 +18,8 @@
 from citrondock_core.routing.route import ModelEngineOptions
 from citrondock_core.routing.target_entry import TargetEntry
 from citrondock_core.routing.target_load import TargetLoad
-from citrondock_router.gateway.grant_broker import GrantBroker, KnownEngine
+from citrondock_router.gateway.grant_broker import GrantBroker
+from citrondock_router.gateway.grant_home import KnownEngine
 from citrondock_router.gateway.grant_requester import EnginePool, GrantRequester
 
 NETWORK_DELAY_S = 0.0005
@@ -189,7 +190,7 @@
         while self._waiting:
             data, sender = self._waiting.popleft()
             self._router.spend(self._router.costs.datagram_s)
-            self._router.broker.datagram_received(data, sender)
+            self._router.broker.link.datagram_received(data, sender)
         return True
 
     def send(self, data, host, _port):
@@ -221,7 +222,7 @@
         self.engine_loads = EngineLoadView()
         self.peers = PeerTable(self.name, zone)
         self.broker = GrantBroker(self.peers, self.engine_loads, self)
-        self.socket = self.broker._socket = SimulatedSocket(self)
+        self.socket = self.broker.link.socket = SimulatedSocket(self)
         self.requester = GrantRequester(
             self,
             placement=Placement(zone, self.engine_loads),
@@ -264,7 +265,7 @@
             self.broker.tick()
         if self.time() >= self._expire_at_s:
             self._expire_at_s = self.time() + HOUSEKEEPING_S
-            self.broker.expire()
+            self.broker.home.expire()
         for _ in range(len(self._ready)):
             action, args = self._ready.popleft()
             action(*args)
@@ -282,7 +283,7 @@
 
     def report_usage(self):
         self.spend(self.costs.datagram_s)
-        period_s = self.broker.report_usage()
+        period_s = self.broker.home.report_usage()
         self.fleet.simulation.call_at(self.time() + period_s, self.report_usage)
 
     # As a gateway.
@@ -402,4 +403,4 @@
     @property
     def granted_count(self):
         """Grants that home routers count as not ended."""
-        return sum(router.broker.granted_count for router in self.routers)
+        return sum(router.broker.home.granted_count for router in self.routers)
--- a/tests/gateway/test_fair_fleet.py
+++ b/tests/gateway/test_fair_fleet.py
@@ -3,7 +3,7 @@
 import pytest
 from simulated_gateways import SimulatedFleet
 
-from citrondock_router.gateway import grant_broker, grant_requester
+from citrondock_router.gateway import grant_broker, grant_home, grant_requester
 
 LENGTH_S = 14
 DRAIN_S = 3
@@ -18,7 +18,7 @@
 
 @pytest.fixture(autouse=True)
 def _quiet_log(monkeypatch):
-    for module in (grant_broker, grant_requester):
+    for module in (grant_broker, grant_home, grant_requester):
         monkeypatch.setattr(module, "log_event", lambda *_, **__: None)
 
 
--- a/tests/gateway/test_grant_broker.py
+++ b/tests/gateway/test_grant_broker.py
@@ -19,11 +19,10 @@
 from citrondock_core.routing.route import ModelEngineOptions
 from citrondock_core.routing.target_entry import TargetEntry
 from citrondock_router.gateway.gateway_settings import Address
-from citrondock_router.gateway.grant_broker import (
-    ANSWER_TIMEOUT_S,
+from citrondock_router.gateway.grant_broker import ANSWER_TIMEOUT_S, GrantBroker
+from citrondock_router.gateway.grant_home import (
     MAX_USAGE_BYTES_PER_S,
     MIN_USAGE_PERIOD_S,
-    GrantBroker,
     KnownEngine,
 )
 from citrondock_wire.grant_codec import GrantCodec, PeerDatagram, Presence
@@ -176,10 +175,10 @@
             for _ in range(3):
                 first.request_grant("z2")
                 await tick_for([first, second], 0.05)
-            second.broker.report_usage()
+            second.broker.home.report_usage()
             await asyncio.sleep(0.05)
             now_s = asyncio.get_running_loop().time()
-            received = first.broker.received_tokens("a", now_s=now_s)
+            received = first.broker.home.received_tokens("a", now_s=now_s)
             assert 0.8 * 3 * 2020 < received <= 3 * 2020
 
         run(check())
@@ -187,9 +186,9 @@
     def test_a_router_without_engines_reports_nothing(self):
         async def check():
             first, _ = await router_pair()
-            before_bytes = first.broker.sent_bytes
-            assert first.broker.report_usage() == MIN_USAGE_PERIOD_S
-            assert first.broker.sent_bytes == before_bytes
+            before_bytes = first.broker.link.sent_bytes
+            assert first.broker.home.report_usage() == MIN_USAGE_PERIOD_S
+            assert first.broker.link.sent_bytes == before_bytes
 
         run(check())
 
@@ -207,9 +206,9 @@
             first.broker.set_engines(engines)
             first.request_grant("z1")
             await tick_for([first], 0.05)
-            before_bytes = first.broker.sent_bytes
-            period_s = first.broker.report_usage()
-            report_bytes = first.broker.sent_bytes - before_bytes
+            before_bytes = first.broker.link.sent_bytes
+            period_s = first.broker.home.report_usage()
+            report_bytes = first.broker.link.sent_bytes - before_bytes
             assert report_bytes > 2000
             assert report_bytes / period_s <= MAX_USAGE_BYTES_PER_S
 
@@ -253,7 +252,7 @@
         async def check():
             first, _ = await router_pair()
             sent = []
-            first.broker._send = lambda vm_name, datagram: sent.append(vm_name)
+            first.broker.link.send = lambda vm_name, datagram: sent.append(vm_name)
             for number in range(40):
                 first.table.put(
                     Peer(
@@ -316,7 +315,7 @@
         async def check():
             first, _second = await router_pair()
             for data in (b"", b"\x00" * 40, b"\xff" * 200, b"GET / HTTP/1.1\r\n\r\n"):
-                first.broker.datagram_received(data, (HOST, 9))
+                first.broker.link.datagram_received(data, (HOST, 9))
             assert [peer.vm_name for peer in first.table.peers()] == ["v2"]
 
         run(check())
@@ -421,7 +420,7 @@
             await asyncio.sleep(0)
             router.broker._pending.pop(key, None)
             await tick_for([router], 0.05)
-            assert router.broker.granted_count == 0
+            assert router.broker.home.granted_count == 0
 
         run(check())
 
@@ -478,11 +477,11 @@
             await wait_for_answers(first, [first, second], 1)
             # The report never reaches the home router.
             del first.broker._granted[key]
-            assert second.broker.granted_count == 1
-            second.broker._admissions["e1"]._grants[key].confirm_at_s = 0.0
-            second.broker.expire()
+            assert second.broker.home.granted_count == 1
+            second.broker.home._admissions["e1"]._grants[key].confirm_at_s = 0.0
+            second.broker.home.expire()
             await asyncio.sleep(0.05)
-            assert second.broker.granted_count == 0
+            assert second.broker.home.granted_count == 0
 
         run(check())
 
