Reproduce: one prompt part crashes engine after engine

Two gateways in front of five engines, of which each crashes as it begins to answer a prompt with one part; 40 such requests reach engines 50 times where the users' rule allows eight.

--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -208,11 +208,20 @@
         Retries that the gateway may make without any earlier requests.
     shed_lag_s : float
         Event loop lag above which the gateway refuses requests.
+    vm_name : str
+        Name of the gateway's VM; the gateways of one test need different ones.
     """
 
     def __init__(
-        self, targets, *, configured=None, spare_retries=20.0, shed_lag_s=10.0
+        self,
+        targets,
+        *,
+        configured=None,
+        spare_retries=20.0,
+        shed_lag_s=10.0,
+        vm_name="v1",
     ) -> None:
+        self.vm_name = vm_name
         # A busy machine may delay tests for longer than a router would tolerate.
         self.shed_lag_s = shed_lag_s
         self.targets = targets
@@ -223,7 +232,7 @@
         for target in self.targets:
             await target.start()
         settings = GatewaySettings(
-            vm_name="v1",
+            vm_name=self.vm_name,
             availability_zone="z1",
             client_address=Address(HOST, 0),
             readiness_address=Address(HOST, 0),
