Withhold prompt parts that crash engines

Cause: new requests brought a part that crashes each engine that begins to respond to it, and no router knew more than its own lost connections. One request repeated at further engines was ruled out as the main carrier (2 of 90 unbegun attempts were repeats), and so was placement that prefers an engine that is back (15 and 18 crashes were of 15 and 18 engines).

Routers now report to each other which parts had not begun at an engine that crashed, which a refused connection proves. A part that is suspected in three crashes and never begins is withheld by all; its crashes no longer count against the other parts of its prompts.

--- a/packages/citrondock-core/src/citrondock_core/routing/target_load.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/target_load.py
@@ -58,6 +58,10 @@
         self.suspended_until_s = now_s + min(suspension_s, MAX_SUSPENSION_S)
         self._failure_count = min(self._failure_count + 1, 8)
 
+    def record_crash(self, *, now_s: float) -> None:
+        """Suspend a target that crashed; its next incarnation has a load of its own."""
+        self.suspended_until_s = now_s + MAX_SUSPENSION_S
+
     def record_success(self) -> None:
         """Reset the failures, which ends a suspension."""
         self._failure_count = 0
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -72,6 +72,18 @@
     def first_byte_received(self, exchange: "Exchange") -> None:
         """Record the arrival of the first bytes of a response."""
 
+    @abstractmethod
+    def response_begun(self, exchange: "Exchange") -> None:
+        """Record that the target has sent a whole event or a whole response."""
+
+    @abstractmethod
+    def connection_lost(self, exchange: "Exchange") -> None:
+        """Record that a connection ended before the response had begun."""
+
+    @abstractmethod
+    def connection_refused(self, exchange: "Exchange") -> None:
+        """Record that the target refused a connection."""
+
     @abstractmethod
     def attempt_ended(self, exchange: "Exchange", *, failed: bool) -> None:
         """Record that the target no longer works on the request."""
@@ -167,6 +179,7 @@
         self._connect_task: asyncio.Task[None] | None = None
         self._head: ResponseHead | None = None
         self._did_not_run = False
+        self._has_begun = False
         self._is_head_request = request.head.method == b"HEAD"
         self._response = ClientResponse(
             client, header_codec, is_head=self._is_head_request
@@ -231,6 +244,13 @@
         self._resubmit()
         return True
 
+    def give_up(self, reason: str) -> None:
+        """End the request, and its attempt unless the response has begun."""
+        if self.state is ExchangeState.DONE or self._has_begun:
+            return
+        self._cancel_attempt()
+        self.refuse(reason)
+
     # Called by the client's connection.
 
     @override
@@ -304,6 +324,9 @@
         if self._did_not_run:
             self._handle_not_run()
             return
+        is_lost = cause in (ResponseFailure.CLOSED, ResponseFailure.RESET)
+        if is_lost and not self._has_begun:
+            self._scheduler.connection_lost(self)
         self._retry_or_fail(cause.value)
 
     # Connecting and sending.
@@ -315,6 +338,8 @@
             connection = await self._connections.open(entry)
         except (OSError, TimeoutError) as error:
             self._connect_task = None
+            if isinstance(error, ConnectionRefusedError):
+                self._scheduler.connection_refused(self)
             self._connect_failed(str(error) or type(error).__name__)
             return
         self._connect_task = None
@@ -346,7 +371,7 @@
         self.state = ExchangeState.SENT
         self.sent_at_s = self.last_data_at_s = now_s
         self._head = None
-        self._did_not_run = False
+        self._did_not_run = self._has_begun = False
         self._response.discard_buffer()
         self._connection = connection
         self.history.record_sent(entry.target_id)
@@ -377,8 +402,14 @@
                 self._fail_response(str(error))
                 return
         if data and self._head is not None:
+            self._record_begun()
             self._response.write_stream(self._head, data)
 
+    def _record_begun(self) -> None:
+        if not self._has_begun:
+            self._has_begun = True
+            self._scheduler.response_begun(self)
+
     def _stream_ended(self) -> None:
         assert self._head is not None
         if self._event_filter is not None and self._event_filter.has_partial:
@@ -397,6 +428,8 @@
             self._end_attempt(ExecutionStatus.MAY_HAVE_RUN, f"status {head.status}")
             self._resubmit()
             return
+        if head.is_success:
+            self._record_begun()
         self._end_attempt(None, "")
         if self._response.has_begun and not self._response.is_buffer_exceeded:
             # The client already has events; another response cannot follow them.
@@ -469,7 +502,7 @@
                 reason=reason,
                 proof=status.value,
                 attempt=self.history.sent_count,
-                begun=self.state is ExchangeState.RECEIVING,
+                begun=self._has_begun,
                 parts=self._shared_part_ids(),
             )
         if self.choice is not None:
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_metrics.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_metrics.py
@@ -40,6 +40,10 @@
         after these had ended, since the start.
     expired_grant_count : int
         Grants of this router whose end was not reported, since the start.
+    engine_crash_count : int
+        Crashes of engines that this router found or was told of, since the start.
+    withheld_part_count : int
+        Prompt parts that are withheld from engines.
     dropped_log_line_count : int
         Log lines that were dropped since the log last reported drops.
     waiting_by_service : mapping of str to int
@@ -59,6 +63,8 @@
     silent_home_count: int
     late_answer_count: int
     expired_grant_count: int
+    engine_crash_count: int
+    withheld_part_count: int
     dropped_log_line_count: int
     waiting_by_service: Mapping[str, int]
     retries_left_by_service: Mapping[str, float]
@@ -105,6 +111,12 @@
         self._grant_faults = self._registry.gauge(
             "grant_faults", "Silent homes, late answers and expired grants so far."
         )
+        self._engine_crashes = self._registry.gauge(
+            "engine_crashes", "Crashes of engines known so far."
+        )
+        self._withheld_parts = self._registry.gauge(
+            "withheld_parts", "Prompt parts that are withheld from engines."
+        )
         self._store_age = self._registry.gauge(
             "store_age_seconds", "Time since the store last answered."
         )
@@ -171,6 +183,8 @@
         self._grant_faults.set({"kind": "home_silent"}, state.silent_home_count)
         self._grant_faults.set({"kind": "answer_late"}, state.late_answer_count)
         self._grant_faults.set({"kind": "grant_expired"}, state.expired_grant_count)
+        self._engine_crashes.set({}, state.engine_crash_count)
+        self._withheld_parts.set({}, state.withheld_part_count)
         self._log_lines_dropped.set({}, state.dropped_log_line_count)
         for service, count in state.waiting_by_service.items():
             self._waiting.set({"service": service}, count)
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -211,12 +211,14 @@
     def _tick(self) -> None:
         self.metrics.observe_loop_lag(self.gateway.overload.timer_fired())
         self.broker.tick()
+        self.gateway.scheduler.crashes.tick()
         self.gateway.scheduler.tick()
 
     def _housekeep(self) -> None:
         self.gateway.close_idle_clients()
         self._connections.close_expired()
         self.broker.home.expire()
+        self.gateway.scheduler.crashes.gossip()
         self._update_retry_budgets()
         change = self.directory.expire(now_s=self.loop.time())
         if change.removed:
@@ -247,6 +249,8 @@
             silent_home_count=self.broker.silent_home_count,
             late_answer_count=self.broker.late_answer_count,
             expired_grant_count=self.broker.home.expired_grant_count,
+            engine_crash_count=scheduler.crashes.crash_count,
+            withheld_part_count=scheduler.crashes.quarantine.withheld_count,
             dropped_log_line_count=self._log_writer.dropped_count,
             waiting_by_service=scheduler.waiting_by_service(),
             retries_left_by_service=scheduler.retries_left_by_service(),
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
@@ -104,7 +104,8 @@
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         self.peers = peers
-        self.link = PeerLink(peers, self, loop)
+        self.link = PeerLink(peers, loop)
+        self.link.add_handler(self)
         self.home = GrantHome(self.link, self, loop)
         self._engine_loads = engine_loads
         self._loop = loop
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from functools import partial
 
 import attrs
@@ -22,7 +22,9 @@
 from citrondock_core.routing.placement import Placement, PlacementChoice
 from citrondock_core.routing.request_facts import PromptFacts, PromptPart
 from citrondock_core.routing.route import ModelEngineOptions
+from citrondock_core.routing.target_entry import TargetEntry
 from citrondock_core.routing.target_load import TargetLoad
+from citrondock_router.gateway.crash_exchange import CrashExchange
 from citrondock_router.gateway.exchange import Exchange
 from citrondock_router.gateway.grant_broker import GrantBroker
 from citrondock_router.log import log_event
@@ -66,6 +68,11 @@
     trial_key: GrantKey | None = None
     asked: set[str] = attrs.field(factory=set)
 
+    @property
+    def part_ids(self) -> list[str]:
+        """Hashed ids of the shared parts."""
+        return [part.part_id for part in self.shared_parts]
+
     @property
     def may_ask_another(self) -> bool:
         """Whether one more engine may be asked."""
@@ -105,6 +112,8 @@
         Backlogs of engines as last reported by their home routers.
     broker : GrantBroker
         Sends grant requests to home routers and passes on their answers.
+    crashes : CrashExchange
+        Tells which prompts are withheld, as they crash engines.
     loop : asyncio.AbstractEventLoop
         Event loop whose clock all times are on.
     """
@@ -116,12 +125,14 @@
         placement: Placement,
         engine_loads: EngineLoadView,
         broker: GrantBroker,
+        crashes: CrashExchange,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         self._pool = pool
         self._placement = placement
         self._engine_loads = engine_loads
         self._broker = broker
+        self._crashes = crashes
         self._loop = loop
         self._searches: dict[int, _EngineSearch] = {}
 
@@ -135,6 +146,10 @@
             prompt.hashed_shared_parts,
             max(wait_until_s, self._loop.time()),
         )
+        request_id = exchange.facts.request_id
+        if not self._crashes.may_send(search.part_ids, request_id=request_id):
+            exchange.refuse("prompt_withheld")
+            return
         self._searches[id(exchange)] = search
         self._ask_best_engine(search)
 
@@ -148,6 +163,24 @@
         if search is not None and search.key is not None:
             self._broker.report_progress(search.key, Stage.STARTED)
 
+    def response_begun(self, exchange: Exchange) -> None:
+        """Clear the parts of a prompt whose response has begun."""
+        search = self._searches.get(id(exchange))
+        if search is not None:
+            self._crashes.response_begun(search.part_ids)
+
+    def connection_lost(self, exchange: Exchange, entry: TargetEntry) -> None:
+        """Suspect the parts of a prompt whose connection ended before it had begun."""
+        search = self._searches.get(id(exchange))
+        if search is not None:
+            self._crashes.connection_lost(entry, search.part_ids)
+
+    def give_up(self, part_ids: Collection[str]) -> None:
+        """End the unbegun requests whose prompts have one of these parts."""
+        for search in list(self._searches.values()):
+            if not set(part_ids).isdisjoint(search.part_ids):
+                search.exchange.give_up("prompt_withheld")
+
     def attempt_ended(self, exchange: Exchange, *, failed: bool) -> None:
         """Report to the home router that its engine no longer works on a request."""
         self._finish(exchange, Stage.FAILED if failed else Stage.ENDED)
--- a/packages/citrondock-router/src/citrondock_router/gateway/peer_link.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/peer_link.py
@@ -30,14 +30,12 @@
 
 
 class PeerLink:
-    """Sends datagrams to other routers and passes received ones to a handler.
+    """Sends datagrams to other routers and passes received ones to its handlers.
 
     Parameters
     ----------
     peers : PeerTable
         Other routers.
-    handler : DatagramHandler
-        Receives the contents of datagrams.
     loop : asyncio.AbstractEventLoop
         Event loop whose clock all times are on.
     """
@@ -45,13 +43,12 @@
     def __init__(
         self,
         peers: PeerTable,
-        handler: DatagramHandler,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         self.peers = peers
         self.incarnation = random.getrandbits(62)
         self.sent_bytes = 0
-        self._handler = handler
+        self._handlers: list[DatagramHandler] = []
         self._loop = loop
         self._codec = GrantCodec()
         self.socket: DatagramSocket | None = None
@@ -63,6 +60,10 @@
         """Name of this router's VM."""
         return self.peers.vm_name
 
+    def add_handler(self, handler: DatagramHandler) -> None:
+        """Pass received datagrams to one more handler."""
+        self._handlers.append(handler)
+
     def open(self, address: Address) -> Address:
         """Start to exchange datagrams; return the address bound to."""
         self.socket = DatagramSocket(address, self.datagram_received, self._loop)
@@ -99,6 +100,12 @@
         if peer is not None:
             self._send_to((peer.host, peer.port), datagram)
 
+    def broadcast(self, datagram: PeerDatagram) -> None:
+        """Send a datagram to all known peers."""
+        data = self._codec.encode(datagram, now_s=self._loop.time())
+        for peer in self.peers.peers():
+            self._send_bytes((peer.host, peer.port), data)
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Handle a datagram of a peer."""
         now_s = self._loop.time()
@@ -113,14 +120,16 @@
         if datagram.presence is not None:
             self._handle_presence(datagram, datagram.presence, addr)
         self.peers.mark_alive(datagram.vm_name)
-        self._handler.handle_datagram(datagram)
+        for handler in self._handlers:
+            handler.handle_datagram(datagram)
 
     def _check_incarnation(self, vm_name: str, incarnation: int) -> None:
         former = self._incarnations.get(vm_name)
         self._incarnations[vm_name] = incarnation
         if former is not None and former != incarnation:
             log_event("peer_restarted", peer=vm_name, incarnation=incarnation)
-            self._handler.peer_restarted(former)
+            for handler in self._handlers:
+                handler.peer_restarted(former)
 
     def _handle_presence(
         self, datagram: PeerDatagram, presence: Presence, addr: tuple[str, int]
@@ -151,8 +160,10 @@
         self._send_to(addr, datagram)
 
     def _send_to(self, addr: tuple[str, int], datagram: PeerDatagram) -> None:
-        if self.socket is None:
-            return
         data = self._codec.encode(datagram, now_s=self._loop.time())
-        self.sent_bytes += len(data)
-        self.socket.send(data, *addr)
+        self._send_bytes(addr, data)
+
+    def _send_bytes(self, addr: tuple[str, int], data: bytes) -> None:
+        if self.socket is not None:
+            self.sent_bytes += len(data)
+            self.socket.send(data, *addr)
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from typing_extensions import override
 
@@ -27,6 +27,7 @@
 from citrondock_core.routing.served_ratios import ServedRatios
 from citrondock_core.routing.target_directory import DirectoryChange, TargetDirectory
 from citrondock_core.routing.target_load import TargetLoad
+from citrondock_router.gateway.crash_exchange import CrashExchange, CrashListener
 from citrondock_router.gateway.exchange import Exchange, ExchangeState, Scheduler
 from citrondock_router.gateway.gateway_metrics import GatewayMetrics
 from citrondock_router.gateway.grant_broker import GrantBroker
@@ -52,7 +53,7 @@
 `MIN_RETRY_AFTER_S` and the smallest backlog, cut to `MAX_RETRY_BACKLOG_S`."""
 
 
-class RequestScheduler(Scheduler, EnginePool):
+class RequestScheduler(Scheduler, EnginePool, CrashListener):
     """Queues requests for all services of one router and sends them to targets.
 
     It also counts the load of each target and keeps a retry budget for each service.
@@ -98,11 +99,13 @@
         self._placement = placement
         self._engine_loads = engine_loads
         self._broker = broker
+        self.crashes = CrashExchange(broker.link, connections, self, loop)
         self._grant_requester = GrantRequester(
             self,
             placement=placement,
             engine_loads=engine_loads,
             broker=broker,
+            crashes=self.crashes,
             loop=loop,
         )
         self._metrics = metrics
@@ -196,6 +199,25 @@
             exchange.service, now_s - exchange.arrived_at_s
         )
 
+    @override
+    def response_begun(self, exchange: Exchange) -> None:
+        self._grant_requester.response_begun(exchange)
+
+    @override
+    def connection_lost(self, exchange: Exchange) -> None:
+        if exchange.choice is None:
+            return
+        entry = exchange.choice.load.entry
+        known = self._directory.get(entry.target_id)
+        # An engine that has left may close its connections.
+        if known is not None and not known.is_leaving:
+            self._grant_requester.connection_lost(exchange, entry)
+
+    @override
+    def connection_refused(self, exchange: Exchange) -> None:
+        if exchange.choice is not None:
+            self.crashes.connection_refused(exchange.choice.load.entry)
+
     @override
     def attempt_ended(self, exchange: Exchange, *, failed: bool) -> None:
         self._sent.pop(id(exchange), None)
@@ -212,6 +234,12 @@
 
     @override
     def retry_after_s(self, exchange: Exchange) -> float:
+        prompt = exchange.facts.prompt
+        if prompt is not None:
+            part_ids = [part.part_id for part in prompt.hashed_shared_parts]
+            withheld_for_s = self.crashes.withheld_for_s(part_ids)
+            if withheld_for_s is not None:
+                return round(withheld_for_s, 3)
         now_s = self._loop.time()
         loads = self.loads(exchange.service)
         backlogs_s = [
@@ -254,6 +282,19 @@
             directory_revision=self._directory.revision,
         )
 
+    # Called when engines crash.
+
+    @override
+    def engine_crashed(self, target_id: str) -> None:
+        load = self._loads.get(target_id)
+        if load is not None:
+            load.record_crash(now_s=self._loop.time())
+        self._broker.home.drop(target_id)
+
+    @override
+    def parts_withheld(self, part_ids: Collection[str]) -> None:
+        self._grant_requester.give_up(part_ids)
+
     # Called by the metrics page.
 
     def waiting_by_service(self) -> dict[str, int]:
--- a/packages/citrondock-wire/grants.thrift
+++ b/packages/citrondock-wire/grants.thrift
@@ -63,6 +63,20 @@
   3: bool wants_reply
 }
 
+// An engine that crashed, and the hashes of the prompt parts that may have caused it.
+struct Crash {
+  1: string target
+  2: string address
+  3: list<i64> suspected_parts
+}
+
+// State of a prompt part that was withheld from engines; withheld if generation is odd.
+struct PartState {
+  1: i64 part_id
+  2: i32 generation
+  3: i32 evidence_age_ms
+}
+
 struct Datagram {
   1: string vm_name
   2: i64 incarnation
@@ -72,4 +86,6 @@
   6: optional list<Backlog> backlogs
   7: optional Presence presence
   8: optional list<Usage> usage
+  9: optional list<Crash> crashes
+  10: optional list<PartState> part_states
 }
--- a/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
+++ b/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
@@ -611,6 +611,172 @@
         return not (self == other)
 
 
+class Crash(object):
+    """
+    Attributes:
+     - target
+     - address
+     - suspected_parts
+
+    """
+
+
+    def __init__(self, target=None, address=None, suspected_parts=None,):
+        self.target = target
+        self.address = address
+        self.suspected_parts = suspected_parts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.suspected_parts = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readI64()
+                        self.suspected_parts.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Crash')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 2)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.suspected_parts is not None:
+            oprot.writeFieldBegin('suspected_parts', TType.LIST, 3)
+            oprot.writeListBegin(TType.I64, len(self.suspected_parts))
+            for iter20 in self.suspected_parts:
+                oprot.writeI64(iter20)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PartState(object):
+    """
+    Attributes:
+     - part_id
+     - generation
+     - evidence_age_ms
+
+    """
+
+
+    def __init__(self, part_id=None, generation=None, evidence_age_ms=None,):
+        self.part_id = part_id
+        self.generation = generation
+        self.evidence_age_ms = evidence_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.part_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.generation = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.evidence_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartState')
+        if self.part_id is not None:
+            oprot.writeFieldBegin('part_id', TType.I64, 1)
+            oprot.writeI64(self.part_id)
+            oprot.writeFieldEnd()
+        if self.generation is not None:
+            oprot.writeFieldBegin('generation', TType.I32, 2)
+            oprot.writeI32(self.generation)
+            oprot.writeFieldEnd()
+        if self.evidence_age_ms is not None:
+            oprot.writeFieldBegin('evidence_age_ms', TType.I32, 3)
+            oprot.writeI32(self.evidence_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -622,11 +788,13 @@
      - backlogs
      - presence
      - usage
+     - crashes
+     - part_states
 
     """
 
 
-    def __init__(self, vm_name=None, incarnation=None, asks=None, answers=None, progress=None, backlogs=None, presence=None, usage=None,):
+    def __init__(self, vm_name=None, incarnation=None, asks=None, answers=None, progress=None, backlogs=None, presence=None, usage=None, crashes=None, part_states=None,):
         self.vm_name = vm_name
         self.incarnation = incarnation
         self.asks = asks
@@ -635,6 +803,8 @@
         self.backlogs = backlogs
         self.presence = presence
         self.usage = usage
+        self.crashes = crashes
+        self.part_states = part_states
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -658,44 +828,44 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.asks = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = Ask()
-                        _elem19.read(iprot)
-                        self.asks.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = Ask()
+                        _elem26.read(iprot)
+                        self.asks.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.answers = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = Answer()
-                        _elem25.read(iprot)
-                        self.answers.append(_elem25)
+                    (_etype30, _size27) = iprot.readListBegin()
+                    for _i31 in range(_size27):
+                        _elem32 = Answer()
+                        _elem32.read(iprot)
+                        self.answers.append(_elem32)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.progress = []
-                    (_etype29, _size26) = iprot.readListBegin()
-                    for _i30 in range(_size26):
-                        _elem31 = Progress()
-                        _elem31.read(iprot)
-                        self.progress.append(_elem31)
+                    (_etype36, _size33) = iprot.readListBegin()
+                    for _i37 in range(_size33):
+                        _elem38 = Progress()
+                        _elem38.read(iprot)
+                        self.progress.append(_elem38)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.backlogs = []
-                    (_etype35, _size32) = iprot.readListBegin()
-                    for _i36 in range(_size32):
-                        _elem37 = Backlog()
-                        _elem37.read(iprot)
-                        self.backlogs.append(_elem37)
+                    (_etype42, _size39) = iprot.readListBegin()
+                    for _i43 in range(_size39):
+                        _elem44 = Backlog()
+                        _elem44.read(iprot)
+                        self.backlogs.append(_elem44)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -708,11 +878,33 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.usage = []
-                    (_etype41, _size38) = iprot.readListBegin()
-                    for _i42 in range(_size38):
-                        _elem43 = Usage()
-                        _elem43.read(iprot)
-                        self.usage.append(_elem43)
+                    (_etype48, _size45) = iprot.readListBegin()
+                    for _i49 in range(_size45):
+                        _elem50 = Usage()
+                        _elem50.read(iprot)
+                        self.usage.append(_elem50)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = Crash()
+                        _elem56.read(iprot)
+                        self.crashes.append(_elem56)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.part_states = []
+                    (_etype60, _size57) = iprot.readListBegin()
+                    for _i61 in range(_size57):
+                        _elem62 = PartState()
+                        _elem62.read(iprot)
+                        self.part_states.append(_elem62)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -737,29 +929,29 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter44 in self.asks:
-                iter44.write(oprot)
+            for iter63 in self.asks:
+                iter63.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answers is not None:
             oprot.writeFieldBegin('answers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.answers))
-            for iter45 in self.answers:
-                iter45.write(oprot)
+            for iter64 in self.answers:
+                iter64.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.progress is not None:
             oprot.writeFieldBegin('progress', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.progress))
-            for iter46 in self.progress:
-                iter46.write(oprot)
+            for iter65 in self.progress:
+                iter65.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.backlogs is not None:
             oprot.writeFieldBegin('backlogs', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.backlogs))
-            for iter47 in self.backlogs:
-                iter47.write(oprot)
+            for iter66 in self.backlogs:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.presence is not None:
@@ -769,8 +961,22 @@
         if self.usage is not None:
             oprot.writeFieldBegin('usage', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.usage))
-            for iter48 in self.usage:
-                iter48.write(oprot)
+            for iter67 in self.usage:
+                iter67.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter68 in self.crashes:
+                iter68.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.part_states is not None:
+            oprot.writeFieldBegin('part_states', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.part_states))
+            for iter69 in self.part_states:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -837,6 +1043,20 @@
     (2, TType.BOOL, 'leaving', None, None, ),  # 2
     (3, TType.BOOL, 'wants_reply', None, None, ),  # 3
 )
+all_structs.append(Crash)
+Crash.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'address', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'suspected_parts', (TType.I64, None, False), None, ),  # 3
+)
+all_structs.append(PartState)
+PartState.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'part_id', None, None, ),  # 1
+    (2, TType.I32, 'generation', None, None, ),  # 2
+    (3, TType.I32, 'evidence_age_ms', None, None, ),  # 3
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -848,6 +1068,8 @@
     (6, TType.LIST, 'backlogs', (TType.STRUCT, [Backlog, None], False), None, ),  # 6
     (7, TType.STRUCT, 'presence', [Presence, None], None, ),  # 7
     (8, TType.LIST, 'usage', (TType.STRUCT, [Usage, None], False), None, ),  # 8
+    (9, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 9
+    (10, TType.LIST, 'part_states', (TType.STRUCT, [PartState, None], False), None, ),  # 10
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
+++ b/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
@@ -6,6 +6,7 @@
 from thrift.TSerialization import deserialize, serialize
 
 from citrondock_core.errors import CitrondockError
+from citrondock_core.routing.engine_crash import EngineCrash
 from citrondock_core.routing.fleet_usage import ReportedUsage
 from citrondock_core.routing.grant import (
     EngineBacklog,
@@ -16,6 +17,7 @@
     Stage,
     Verdict,
 )
+from citrondock_core.routing.part_quarantine import PartState
 from citrondock_core.routing.request_facts import PromptPart
 from citrondock_wire.gen.citrondock_grants import ttypes
 
@@ -67,6 +69,10 @@
         Announcement of the sender.
     usage : list of ReportedUsage
         Recent usage of accounts at the engines that the sender is the home of.
+    crashes : list of EngineCrash
+        Engines that the sender found to have crashed.
+    part_states : list of PartState
+        Prompt parts that the sender knows to be withheld or released.
     """
 
     vm_name: str
@@ -77,6 +83,8 @@
     backlogs: list[EngineBacklog] = attrs.field(factory=list)
     presence: Presence | None = None
     usage: list[ReportedUsage] = attrs.field(factory=list)
+    crashes: list[EngineCrash] = attrs.field(factory=list)
+    part_states: list[PartState] = attrs.field(factory=list)
 
 
 class GrantCodec:
@@ -115,6 +123,11 @@
                 if presence
                 else None,
                 usage=[_usage_to_thrift(item) for item in datagram.usage] or None,
+                crashes=[_crash_to_thrift(item) for item in datagram.crashes] or None,
+                part_states=[
+                    _part_state_to_thrift(item) for item in datagram.part_states
+                ]
+                or None,
             ),
             self._factory,
         )
@@ -166,6 +179,10 @@
             usage=[
                 ReportedUsage(item.account, item.tokens) for item in decoded.usage or ()
             ],
+            crashes=[_crash_from_thrift(item) for item in decoded.crashes or ()],
+            part_states=[
+                _part_state_from_thrift(item) for item in decoded.part_states or ()
+            ],
         )
 
 
@@ -255,3 +272,35 @@
         backlog_s=backlog.backlog_ms / MS_PER_S,
         speed_percent=backlog.speed_percent,
     )
+
+
+def _crash_to_thrift(crash: EngineCrash) -> ttypes.Crash:
+    return ttypes.Crash(
+        target=crash.target_id,
+        address=crash.address,
+        suspected_parts=[int(part_id) for part_id in crash.suspected_parts],
+    )
+
+
+def _crash_from_thrift(crash: ttypes.Crash) -> EngineCrash:
+    return EngineCrash(
+        target_id=crash.target,
+        address=crash.address,
+        suspected_parts=tuple(str(part_id) for part_id in crash.suspected_parts),
+    )
+
+
+def _part_state_to_thrift(state: PartState) -> ttypes.PartState:
+    return ttypes.PartState(
+        part_id=int(state.part_id),
+        generation=state.generation,
+        evidence_age_ms=_to_ms(state.evidence_age_s),
+    )
+
+
+def _part_state_from_thrift(state: ttypes.PartState) -> PartState:
+    return PartState(
+        part_id=str(state.part_id),
+        generation=state.generation,
+        evidence_age_s=state.evidence_age_ms / MS_PER_S,
+    )
--- a/tests/gateway/simulated_gateways.py
+++ b/tests/gateway/simulated_gateways.py
@@ -18,6 +18,7 @@
 from citrondock_core.routing.route import ModelEngineOptions
 from citrondock_core.routing.target_entry import TargetEntry
 from citrondock_core.routing.target_load import TargetLoad
+from citrondock_router.gateway.crash_exchange import CrashExchange
 from citrondock_router.gateway.grant_broker import GrantBroker
 from citrondock_router.gateway.grant_home import KnownEngine
 from citrondock_router.gateway.grant_requester import EnginePool, GrantRequester
@@ -228,6 +229,7 @@
             placement=Placement(zone, self.engine_loads),
             engine_loads=self.engine_loads,
             broker=self.broker,
+            crashes=CrashExchange(self.broker.link, None, None, self),
             loop=self,
         )
         self.broker.set_engines(
--- a/tests/gateway/test_grant_requester.py
+++ b/tests/gateway/test_grant_requester.py
@@ -85,6 +85,13 @@
         self.progress.append((key, stage))
 
 
+class StubCrashes:
+    """Withholds nothing."""
+
+    def may_send(self, part_ids, *, request_id):
+        return True
+
+
 class Scenario(EnginePool):
     """A grant requester that has submitted one prompt, with idle engines."""
 
@@ -99,6 +106,7 @@
             placement=Placement("z1", self.engine_loads),
             engine_loads=self.engine_loads,
             broker=self.broker,
+            crashes=StubCrashes(),
             loop=asyncio.get_running_loop(),
         )
         self.exchange = StubExchange(self.now_s, self.now_s + 1.0)
