--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -126,11 +126,11 @@
     ).encode() + body
 
 
-def stream_head(got: ReceivedRequest) -> bytes:
+def stream_head(got: ReceivedRequest, extra="") -> bytes:
     """Return the head of a chunked event stream."""
     return (
         f"HTTP/1.1 200 OK\r\nRequest-Id: {got.request_id}\r\n"
-        "Response-Signature: sig\r\nContent-Type: text/event-stream\r\n"
+        f"Response-Signature: sig\r\nContent-Type: text/event-stream\r\n{extra}"
         "Transfer-Encoding: chunked\r\n\r\n"
     ).encode()
 
