Move the gossip between routers out of the crash exchange

What routers must agree on gets lost in datagrams and cut zones; repeating it to two peers a second is not special to withheld parts. FactGossip does so for any source, and answers routers that announce themselves. Behaviour is as it was; the tests of the crash exchange pass through it.

--- a/packages/citrondock-router/src/citrondock_router/gateway/crash_exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/crash_exchange.py
@@ -14,17 +14,12 @@
     PartState,
 )
 from citrondock_core.routing.target_entry import TargetEntry
+from citrondock_router.gateway.fact_gossip import FactSource
 from citrondock_router.gateway.peer_link import DatagramHandler, PeerLink
 from citrondock_router.gateway.target_connection_pool import TargetConnectionPool
 from citrondock_router.log import log_event
 from citrondock_wire.grant_codec import PeerDatagram
 
-GOSSIP_PERIOD_S = 1.0
-GOSSIP_PEERS = 2
-"""How often, and to how many other routers, the states of parts are repeated: datagrams
-get lost, and zones are cut off from each other for a while. Each router sends the same
-number of bytes in fleets of any size."""
-
 MAX_REPORTED_PARTS = 64
 """Most suspected parts in one report of a crash."""
 
@@ -41,7 +36,7 @@
         """End the unbegun requests whose prompts have these parts."""
 
 
-class CrashExchange(DatagramHandler):
+class CrashExchange(DatagramHandler, FactSource):
     """Reports crashes of engines to the other routers, and theirs to the quarantine.
 
     A connection that ends before the response has begun may have other causes, so an
@@ -70,14 +65,12 @@
         self._connections = connections
         self._listener = listener
         self._loop = loop
-        self._rng = random.Random()
-        self.quarantine = PartQuarantine(self._rng)
+        self.quarantine = PartQuarantine(random.Random())
         # Parts of unbegun prompts at engines that are being checked.
         self._checks: dict[str, list[str]] = {}
         self._check_tasks: set[asyncio.Task[None]] = set()
         self._crashed_at_s: dict[str, float] = {}
         self._reported_at_s: float | None = None
-        self._gossip_at_s = 0.0
         self.crash_count = 0
         link.add_handler(self)
 
@@ -143,23 +136,11 @@
         if reported_at_s is not None and now_s - reported_at_s <= SAME_CRASH_S:
             self._broadcast(withheld)
 
-    def gossip(self) -> None:
-        """Repeat the states of parts to a few other routers, when it is time."""
-        now_s = self._loop.time()
-        if now_s < self._gossip_at_s:
-            return
-        self._gossip_at_s = now_s + GOSSIP_PERIOD_S
-        self._crashed_at_s = {
-            target_id: at_s
-            for target_id, at_s in self._crashed_at_s.items()
-            if now_s - at_s <= SAME_CRASH_S
-        }
-        states = self.quarantine.states(now_s=now_s)
-        if not states:
-            return
-        peers = self._link.peers.peers()
-        for peer in self._rng.sample(peers, min(GOSSIP_PEERS, len(peers))):
-            self._send(peer.vm_name, states)
+    @override
+    def add_facts(self, datagram: PeerDatagram) -> bool:
+        states = self.quarantine.states(now_s=self._loop.time())
+        datagram.part_states.extend(states)
+        return bool(states)
 
     @override
     def handle_datagram(self, datagram: PeerDatagram) -> None:
@@ -170,12 +151,6 @@
             merged = self.quarantine.merge(datagram.part_states, now_s=now_s)
             self._apply(merged.adopted, origin=datagram.vm_name)
             self._send(datagram.vm_name, merged.newer)
-        if datagram.presence is not None and datagram.presence.wants_reply:
-            self._send(datagram.vm_name, self.quarantine.states(now_s=now_s))
-
-    @override
-    def peer_restarted(self, former_incarnation: int) -> None:
-        pass
 
     async def _check(self, entry: TargetEntry) -> None:
         """Report an engine as crashed if it refuses a connection."""
@@ -224,6 +199,11 @@
         self.quarantine.record_crash(crash, now_s=now_s)
         if not self._is_known(crash.target_id):
             self.crash_count += 1
+            self._crashed_at_s = {
+                target_id: at_s
+                for target_id, at_s in self._crashed_at_s.items()
+                if now_s - at_s <= SAME_CRASH_S
+            }
             self._crashed_at_s[crash.target_id] = now_s
             self._listener.engine_crashed(crash.target_id)
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -218,7 +218,7 @@
         self.gateway.close_idle_clients()
         self._connections.close_expired()
         self.broker.home.expire()
-        self.gateway.scheduler.crashes.gossip()
+        self.gateway.scheduler.gossip.tick()
         self._update_retry_budgets()
         change = self.directory.expire(now_s=self.loop.time())
         if change.removed:
--- a/packages/citrondock-router/src/citrondock_router/gateway/peer_link.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/peer_link.py
@@ -24,9 +24,9 @@
     def handle_datagram(self, datagram: PeerDatagram) -> None:
         """Handle the contents of a datagram, other than the sender's presence."""
 
-    @abstractmethod
     def peer_restarted(self, former_incarnation: int) -> None:
-        """Drop what belonged to the former incarnation of a peer."""
+        """Drop what belonged to the former incarnation of a peer; nothing by default."""
+        return
 
 
 class PeerLink:
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -29,6 +29,7 @@
 from citrondock_core.routing.target_load import TargetLoad
 from citrondock_router.gateway.crash_exchange import CrashExchange, CrashListener
 from citrondock_router.gateway.exchange import Exchange, ExchangeState, Scheduler
+from citrondock_router.gateway.fact_gossip import FactGossip
 from citrondock_router.gateway.gateway_metrics import GatewayMetrics
 from citrondock_router.gateway.grant_broker import GrantBroker
 from citrondock_router.gateway.grant_home import USAGE_HALF_LIFE_S, KnownEngine
@@ -100,6 +101,7 @@
         self._engine_loads = engine_loads
         self._broker = broker
         self.crashes = CrashExchange(broker.link, connections, self, loop)
+        self.gossip = FactGossip(broker.link, [self.crashes], loop)
         self._grant_requester = GrantRequester(
             self,
             placement=placement,
--- a/tests/gateway/test_crash_exchange.py
+++ b/tests/gateway/test_crash_exchange.py
@@ -9,11 +9,8 @@
 from citrondock_core.routing.part_quarantine import FIRST_PROBE_S, MIN_CRASHES
 from citrondock_core.routing.peer_table import PeerTable
 from citrondock_core.routing.target_entry import TargetEntry
-from citrondock_router.gateway.crash_exchange import (
-    GOSSIP_PERIOD_S,
-    CrashExchange,
-    CrashListener,
-)
+from citrondock_router.gateway.crash_exchange import CrashExchange, CrashListener
+from citrondock_router.gateway.fact_gossip import GOSSIP_PERIOD_S, FactGossip
 from citrondock_router.gateway.gateway_settings import Address
 from citrondock_router.gateway.grant_broker import GrantBroker
 from citrondock_router.gateway.target_connection_pool import TargetConnectionPool
@@ -36,6 +33,7 @@
         pool = TargetConnectionPool(loop)
         self.link = broker.link
         self.exchange = CrashExchange(self.link, pool, self, loop)
+        self.gossip = FactGossip(self.link, [self.exchange], loop)
         self.address = self.link.open(Address(HOST, 0))
 
     def engine_crashed(self, target_id):
@@ -149,7 +147,7 @@
             loop = asyncio.get_running_loop()
             ends_s = loop.time() + 2 * GOSSIP_PERIOD_S
             while late.may_send("8") and loop.time() < ends_s:
-                fleet[0].exchange.gossip()
+                fleet[0].gossip.tick()
                 await asyncio.sleep(0.05)
             assert not late.may_send("8")
 
