Answer the grant requests of leaving routers

What callers saw: limited engines on the archive got 35 and 48 requests in 4 s where 34 and 46 are allowed while routers were stopped in turn.

Cause: a router that announces that it leaves was removed from the tables of its peers, and answers go to known peers only. Its own grant requests had no answer any more: it took each home router for silent (103 home_silent lines of one play, all after the first SIGTERM) and granted to itself, beside the home. That was so before limits: it sent prompts past the home's queue for the whole grace period.

Peers keep the address of a leaving router, and it is the home of no target itself while another router is there. Ruled out: lost limits (all routers logged them within 0.4 s) and repeats.

Both tests failed before.

--- a/packages/citrondock-core/src/citrondock_core/routing/peer_table.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/peer_table.py
@@ -9,6 +9,10 @@
 """Time for which a peer that did not answer is not chosen as home router. It doubles
 with each suspicion in a row, up to the maximum."""
 
+MAX_LEAVING_PEERS = 512
+"""Most routers that are remembered after they announced that they are leaving; the
+oldest ones have ended long ago."""
+
 
 @attrs.define(kw_only=True)
 class Peer:
@@ -46,23 +50,31 @@
     ----------
     vm_name, availability_zone : str
         Name and zone of this router's VM.
+
+    Attributes
+    ----------
+    is_leaving : bool
+        Whether this router is shutting down, and the home of no target any more.
     """
 
     def __init__(self, vm_name: str, availability_zone: str) -> None:
         self.vm_name = vm_name
         self.availability_zone = availability_zone
+        self.is_leaving = False
         self._peers: dict[str, Peer] = {}
+        # Routers that are shutting down; they still carry requests.
+        self._leaving: dict[str, Peer] = {}
 
     def __len__(self) -> int:
         return len(self._peers)
 
     def peers(self) -> list[Peer]:
-        """Return all other routers."""
+        """Return all other routers that are not shutting down."""
         return list(self._peers.values())
 
     def get(self, vm_name: str) -> Peer | None:
-        """Return a peer by name."""
-        return self._peers.get(vm_name)
+        """Return a peer by name, also one that is shutting down."""
+        return self._peers.get(vm_name) or self._leaving.get(vm_name)
 
     def put(self, peer: Peer) -> bool:
         """Add a peer, or replace one at another address; return whether it changed."""
@@ -71,12 +83,18 @@
         known = self._peers.get(peer.vm_name)
         if known is not None and (known.host, known.port) == (peer.host, peer.port):
             return False
+        self._leaving.pop(peer.vm_name, None)
         self._peers[peer.vm_name] = peer
         return True
 
-    def remove(self, vm_name: str) -> None:
-        """Remove a peer that has left."""
-        self._peers.pop(vm_name, None)
+    def mark_leaving(self, vm_name: str) -> None:
+        """Record that a peer is shutting down: it is the home of no target any more."""
+        peer = self._peers.pop(vm_name, None)
+        if peer is None:
+            return
+        self._leaving[vm_name] = peer
+        if len(self._leaving) > MAX_LEAVING_PEERS:
+            del self._leaving[next(iter(self._leaving))]
 
     def mark_alive(self, vm_name: str) -> None:
         """Clear the suspicion of a peer from which a datagram arrived."""
@@ -109,6 +127,8 @@
 
     def is_usual_home_of(self, target_id: str, availability_zone: str) -> bool:
         """Return whether this router is a target's home while no peer is suspected."""
+        if self.is_leaving:
+            return False
         members: list[MemberLocation] = [self, *self._peers.values()]
         return home_router_of(target_id, availability_zone, members) == self.vm_name
 
@@ -119,5 +139,5 @@
         live: list[MemberLocation] = [
             peer for peer in self._peers.values() if now_s >= peer.suspected_until_s
         ]
-        home = home_router_of(target_id, availability_zone, [self, *live])
-        return home or self.vm_name
+        members = live if self.is_leaving else [self, *live]
+        return home_router_of(target_id, availability_zone, members) or self.vm_name
--- a/packages/citrondock-router/src/citrondock_router/gateway/peer_link.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/peer_link.py
@@ -53,7 +53,6 @@
         self._codec = GrantCodec()
         self.socket: DatagramSocket | None = None
         self._incarnations: dict[str, int] = {}
-        self._is_leaving = False
 
     @property
     def vm_name(self) -> str:
@@ -86,7 +85,7 @@
 
     def leave(self) -> None:
         """Announce to all peers that this router is leaving and no longer a home."""
-        self._is_leaving = True
+        self.peers.is_leaving = True
         for peer in self.peers.peers():
             self._send_presence((peer.host, peer.port), wants_reply=False)
 
@@ -135,7 +134,7 @@
         self, datagram: PeerDatagram, presence: Presence, addr: tuple[str, int]
     ) -> None:
         if presence.is_leaving:
-            self.peers.remove(datagram.vm_name)
+            self.peers.mark_leaving(datagram.vm_name)
             log_event("peer_leaving", peer=datagram.vm_name)
             return
         peer = Peer(
@@ -147,14 +146,14 @@
         if self.peers.put(peer):
             log_event("peer_known", peer=peer.vm_name, address=f"{addr[0]}:{addr[1]}")
         known = self.peers.get(datagram.vm_name)
-        if presence.wants_reply and known is not None and not self._is_leaving:
+        if presence.wants_reply and known is not None and not self.peers.is_leaving:
             self._send_presence(addr, wants_reply=False)
 
     def _send_presence(self, addr: tuple[str, int], *, wants_reply: bool) -> None:
         datagram = self.datagram()
         datagram.presence = Presence(
             availability_zone=self.peers.availability_zone,
-            is_leaving=self._is_leaving,
+            is_leaving=self.peers.is_leaving,
             wants_reply=wants_reply,
         )
         self._send_to(addr, datagram)
--- a/tests/gateway/test_grant_broker.py
+++ b/tests/gateway/test_grant_broker.py
@@ -314,6 +314,31 @@
 
         run(check())
 
+    def test_a_leaving_router_still_gets_answers_from_home_routers(self):
+        async def check():
+            first, second = await router_pair()
+            first.broker.leave()
+            await asyncio.sleep(0.05)
+            first.request_grant("z2")
+            await wait_for_answers(first, [first, second], 1)
+            assert first.verdicts() == [Verdict.GRANTED]
+            assert second.broker.home.granted_count == 1
+            assert first.broker.silent_home_count == 0
+
+        run(check())
+
+    def test_a_leaving_router_is_not_a_home_while_others_are_there(self):
+        async def check():
+            first, second = await router_pair()
+            assert first.table.home_router_of("e1", "z1", now_s=0.0) == "v1"
+            first.broker.leave()
+            assert first.table.home_router_of("e1", "z1", now_s=0.0) == "v2"
+            second.broker.leave()
+            await asyncio.sleep(0.05)
+            assert first.table.home_router_of("e1", "z1", now_s=0.0) == "v1"
+
+        run(check())
+
     def test_malformed_datagrams_change_nothing(self):
         async def check():
             first, _second = await router_pair()
