Break off streams that end inside an event

A stream that cannot be resumed and whose connection or chunks end inside an event was passed on as complete: only resumable streams were read by events. Such streams are still passed on as they arrive; EventBoundary tells whether they end between events, and the client's connection is closed without an end otherwise. Parsing them into whole events was tried and dropped: it holds back comments that a target sends without line ends, which test_endless_responses.py has.

--- a/packages/citrondock-router/src/citrondock_router/gateway/event_stream_filter.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/event_stream_filter.py
@@ -98,3 +98,43 @@
                 )
         self.last_event_id = event_id
         return True
+
+
+@attrs.define
+class EventBoundary:
+    r"""Tells whether a stream that is passed on as it arrives ends inside an event.
+
+    Lines that begin with a colon are comments and belong to no event.
+
+    Examples
+    --------
+    >>> boundary = EventBoundary()
+    >>> boundary.feed(b"id: 0\ndata: a\n\nid: 1\nda")
+    >>> boundary.has_event, boundary.is_inside_event
+    (True, True)
+    """
+
+    has_event: bool = False
+    _has_fields: bool = False
+    _line_start: bytes = b""
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and not ended."""
+        return self._has_fields or _is_field(self._line_start)
+
+    def feed(self, data: bytes) -> None:
+        """Add bytes of the stream."""
+        *lines, unfinished = (self._line_start + data).split(b"\n")
+        for line in lines:
+            if line in (b"", b"\r"):
+                self.has_event |= self._has_fields
+                self._has_fields = False
+            elif _is_field(line):
+                self._has_fields = True
+        # Two bytes tell an empty line and a comment from a field.
+        self._line_start = unfinished[:2]
+
+
+def _is_field(line: bytes) -> bool:
+    return bool(line.strip()) and not line.startswith(b":")
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -19,6 +19,7 @@
 )
 from citrondock_router.gateway.client_response import ClientResponse
 from citrondock_router.gateway.event_stream_filter import (
+    EventBoundary,
     EventOrderError,
     EventStreamFilter,
     EventTooLongError,
@@ -193,6 +194,8 @@
             self._event_filter = EventStreamFilter(
                 last_event_id=facts.resume_after_event_id
             )
+        # Streams that cannot be resumed are passed on as they arrive.
+        self._event_boundary = EventBoundary()
         self._timer = loop.call_at(self.deadline_s, self._timed_out)
 
     @property
@@ -407,8 +410,11 @@
             except (EventOrderError, EventTooLongError) as error:
                 self._fail_response(str(error))
                 return
+        else:
+            self._event_boundary.feed(data)
         if data and self._head is not None:
-            self._record_begun()
+            if self._event_filter is not None or self._event_boundary.has_event:
+                self._record_begun()
             self._response.write_stream(self._head, data)
 
     def _record_begun(self) -> None:
@@ -418,7 +424,10 @@
 
     def _stream_ended(self) -> None:
         assert self._head is not None
-        if self._event_filter is not None and self._event_filter.has_partial:
+        is_partial = self._event_boundary.is_inside_event
+        if self._event_filter is not None:
+            is_partial = self._event_filter.has_partial
+        if is_partial:
             self._retry_or_fail("ended_within_event")
             return
         self._end_attempt(None, "")
