End an attempt whose connection ended with another request's answer

An answer to another request that has neither length nor chunks was skipped, and its end taken for the end of this request's answer, which had no head: the request stayed without a connection until its deadline, 504 after 2 s in the test, which failed before. The attempt now fails when the connection ends, so that it is repeated or answered with 502 at once.

--- a/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
@@ -166,7 +166,11 @@
         self._has_received_eof = True
         if self._listener is not None and self._is_close_delimited:
             self._is_reusable = False
-            self._finish_response()
+            if self._is_skipped:
+                # The response to another request ended; there is none to this one.
+                self._fail(ResponseFailure.CLOSED)
+            else:
+                self._finish_response()
         return False
 
     @override
--- a/tests/gateway/test_answer_endings.py
+++ b/tests/gateway/test_answer_endings.py
@@ -86,3 +86,14 @@
 
         reply, _, _ = replies_to([script], "/stream/x")
         assert not reply.is_complete
+
+    def test_an_answer_to_another_request_ends_the_attempt(self):
+        async def script(got, writer):
+            got.headers["request-id"] = "other"
+            writer.write(unframed_head(got) + b"not yours")
+            await writer.drain()
+            writer.close()
+
+        reply, duration_s, _ = replies_to([script], "/unsafe/x")
+        assert reply.status == 502
+        assert duration_s < 1.0
