Do not believe refusals that may belong to an earlier request

It can happen here: a refused request may go to the same target again, on the connection that is kept. A target that writes the refusal once more there names the same request id, and the client was told 503 for a request that ran. A refusal that names no request was believed as well.

A request does not go out again on a connection on which it was refused, and a refusal without the request's id proves nothing, so that the client of a call that runs at most once gets 502.

--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -223,7 +223,9 @@
         self.choice = choice
         entry = choice.load.entry
         connection = self._connections.take_idle(
-            entry, may_run_again=self.route.kind.may_run_again
+            entry,
+            may_run_again=self.route.kind.may_run_again,
+            request_id=self.facts.request_id,
         )
         if connection is not None:
             self._send_request(connection)
@@ -281,7 +283,9 @@
             self._log("foreign_answer", answered_id=facts.request_id)
             return False
         self._head = head
-        self._did_not_run = facts.did_not_run
+        # A refusal that names no request may be one of an earlier request.
+        names_request = facts.request_id == self.facts.request_id
+        self._did_not_run = facts.did_not_run and names_request
         is_genuine = facts.is_signed and bool(facts.request_id)
         if facts.max_requests_per_s is not None or (head.is_success and is_genuine):
             self._scheduler.limit_shown(self, facts.max_requests_per_s)
@@ -315,6 +319,8 @@
 
     @override
     def response_ended(self) -> None:
+        if self._did_not_run and self._connection is not None:
+            self._connection.refused_request_ids.add(self.facts.request_id)
         self._connection = None
         if self.state is ExchangeState.DONE or self._head is None:
             return
--- a/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
@@ -89,6 +89,8 @@
         self._is_head_request = False
         self._is_reusable = True
         self._has_received_eof = False
+        # Requests that the target refused here; it may repeat such a refusal.
+        self.refused_request_ids: set[str] = set()
         self.idle_timeout_s: float | None = None
         self.idle_since_s = 0.0
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/target_connection_pool.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/target_connection_pool.py
@@ -41,7 +41,7 @@
         self.opened_count = 0
 
     def take_idle(
-        self, entry: TargetEntry, *, may_run_again: bool
+        self, entry: TargetEntry, *, may_run_again: bool, request_id: str
     ) -> TargetConnection | None:
         """Return the most recently used idle connection to a target, or None.
 
@@ -51,11 +51,17 @@
             Target to connect to.
         may_run_again : bool
             Whether the request may run more than once.
+        request_id : str
+            Id of the request; a connection on which it was refused is not used again,
+            as the refusal may be repeated there.
         """
         now_s = self._loop.time()
         idle = self._idle.get(entry.target_id)
         while idle:
             connection = idle[-1]
+            if request_id in connection.refused_request_ids:
+                idle.pop().abort()
+                continue
             if connection.is_open and now_s < _usable_until_s(connection):
                 is_fresh = now_s - connection.idle_since_s <= MAX_AT_MOST_ONCE_IDLE_S
                 if is_fresh or may_run_again:
--- a/tests/gateway/test_answer_endings.py
+++ b/tests/gateway/test_answer_endings.py
@@ -7,6 +7,7 @@
     Harness,
     ScriptedTarget,
     chunk,
+    complete_response,
     event,
     reset_connection,
     run,
@@ -97,3 +98,66 @@
         reply, duration_s, _ = replies_to([script], "/unsafe/x")
         assert reply.status == 502
         assert duration_s < 1.0
+
+
+class TestRepeatedRefusals:
+    """A faulty target writes an earlier refusal once more on a kept connection."""
+
+    def refuse_first(self, *, repeats_id=True):
+        """Return a script that refuses, then repeats that and runs the request."""
+        runs = []
+        refused_on = []
+
+        async def script(got, writer):
+            refusal = complete_response(
+                got, b"", "503 Busy", "Not-Executed: 1\r\n", signed=False
+            )
+            if not repeats_id:
+                refusal = refusal.replace(
+                    f"Request-Id: {got.request_id}\r\n".encode(), b""
+                )
+            if not refused_on:
+                refused_on.append(writer)
+                writer.write(refusal)
+                return
+            runs.append("ran")
+            if writer in refused_on:
+                writer.write(refusal)
+                await writer.drain()
+                await asyncio.sleep(0.05)
+            writer.write(complete_response(got))
+
+        return script, runs
+
+    def test_a_repeated_refusal_of_the_same_request_is_not_believed(self):
+        script, runs = self.refuse_first()
+        reply, _, _ = replies_to([script], "/unsafe/x")
+        assert reply.status == 200
+        assert runs == ["ran"]
+
+    def test_a_refusal_that_names_no_request_is_not_believed(self):
+        script, runs = self.refuse_first(repeats_id=False)
+        reply, _, _ = replies_to([script], "/unsafe/x")
+        assert reply.status not in (408, 421, 429, 503)
+        assert len(runs) <= 1
+
+    def test_a_refusal_of_an_earlier_request_is_skipped(self):
+        runs = []
+
+        async def script(got, writer):
+            runs.append(got.request_id)
+            if len(runs) > 1:
+                earlier = complete_response(
+                    got, b"", "503 Busy", "Not-Executed: 1\r\n", signed=False
+                )
+                writer.write(earlier.replace(b"r2", b"r1"))
+            writer.write(complete_response(got))
+
+        async def check():
+            async with Harness([ScriptedTarget("t0", script)]) as harness:
+                await harness.get("/unsafe/x", "r1")
+                reply = await harness.get("/unsafe/x", "r2")
+                assert reply.status in (200, 502)
+                assert runs == ["r1", "r2"]
+
+        run(check())
