Continue a stream only with a response of the same kind

The target that was to resume a stream answered otherwise: its 204 ended the stream as complete, and the text of a 200 that was no stream was passed on as an event. Errors, 4xx, 5xx and refusals, were kept from the client before and are; each has a test.

A response continues what the client has only with the same status and content type; otherwise the attempt fails, and the stream goes on elsewhere or is broken off. Two of the ten tests failed before.

Twelve tests show 502 for a head cut at four places, for three kinds of routes; they passed before.

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_response.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_response.py
@@ -32,9 +32,21 @@
         self._is_head = is_head
         self._buffer: list[bytes] = []
         self._buffered_bytes = 0
-        self.has_begun = False
+        self._begun_head: ResponseHead | None = None
         self.is_buffer_exceeded = False
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the client has the head of the response."""
+        return self._begun_head is not None
+
+    def can_continue_with(self, head: ResponseHead) -> bool:
+        """Return whether another target's response may continue what was written."""
+        begun = self._begun_head
+        if begun is None:
+            return True
+        return (head.status, head.content_type) == (begun.status, begun.content_type)
+
     def discard_buffer(self) -> None:
         """Drop what a failed attempt left, before another target's response."""
         self._buffer = []
@@ -63,7 +75,7 @@
         if self.has_begun:
             self._client.write_data(data)
             return
-        self.has_begun = True
+        self._begun_head = head
         headers = self._header_codec.client_headers(head)
         self._client.begin_stream(head.status, head.reason, headers, data)
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -291,6 +291,8 @@
             self._scheduler.limit_shown(self, facts.max_requests_per_s)
         if head.is_success and not is_genuine:
             self._fail_response("unsigned_answer")
+        elif head.is_success and not self._response.can_continue_with(head):
+            self._fail_response("no_continuation")
         return True
 
     @override
--- a/packages/citrondock-router/src/citrondock_router/gateway/header_codec.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/header_codec.py
@@ -60,6 +60,14 @@
         """Whether the status is in the 200s."""
         return 200 <= self.status < 300
 
+    @property
+    def content_type(self) -> bytes:
+        """Value of the header of that name; empty without one."""
+        for name, value in self.headers:
+            if name.lower() == b"content-type":
+                return value.strip().lower()
+        return b""
+
 
 @attrs.frozen(kw_only=True)
 class ResponseFacts:
--- a/tests/gateway/test_answer_endings.py
+++ b/tests/gateway/test_answer_endings.py
@@ -1,4 +1,4 @@
-"""Answers that end with their connection, or inside an event."""
+"""Answers that end with their connection, break off, or are not the request's own."""
 
 import asyncio
 
@@ -14,6 +14,7 @@
     stream_head,
 )
 
+ERROR_TEXT = b"engine failure\n\n"
 EVENTS = b"".join(event(number) for number in range(4))
 
 
@@ -161,3 +162,67 @@
                 assert runs == ["r1", "r2"]
 
         run(check())
+
+
+class TestErrorsAfterAStreamHasBegun:
+    """A stream broke off; the target that was to resume it answers with an error."""
+
+    def scripts(self, status, extra="", signed=True):
+        async def script(got, writer):
+            if "last-event-id" in got.headers:
+                writer.write(
+                    complete_response(got, ERROR_TEXT, status, extra, signed=signed)
+                )
+                return
+            writer.write(stream_head(got) + chunk(event(0) + event(1)))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            reset_connection(writer)
+
+        return [script, script]
+
+    @pytest.mark.parametrize(
+        ("status", "extra"),
+        [
+            ("500 Failed", ""),
+            ("404 Not Found", ""),
+            ("400 Bad Request", ""),
+            ("503 Busy", "Not-Executed: 1\r\n"),
+            ("429 Too Many", "Not-Executed: 1\r\n"),
+            ("421 Misdirected", ""),
+            ("503 Busy", ""),
+            ("204 No Content", ""),
+        ],
+    )
+    def test_the_client_sees_a_broken_stream_without_the_error(self, status, extra):
+        reply, _, _ = replies_to(self.scripts(status, extra), "/resumable/x")
+        assert not reply.is_complete
+        assert reply.body == event(0) + event(1)
+
+    def test_an_unsigned_success_is_not_spliced_on(self):
+        scripts = self.scripts("200 OK", signed=False)
+        reply, _, _ = replies_to(scripts, "/resumable/x")
+        assert not reply.is_complete
+        assert ERROR_TEXT not in reply.body
+
+    def test_a_success_that_is_no_stream_does_not_end_it(self):
+        reply, _, _ = replies_to(self.scripts("200 OK"), "/resumable/x")
+        assert not reply.is_complete
+        assert ERROR_TEXT not in reply.body
+
+
+class TestTruncatedHeads:
+    """A target stops in the middle of the head of its answer and closes."""
+
+    @pytest.mark.parametrize("cut_bytes", [5, 17, 40, 2])
+    @pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x", "/stream/x"])
+    def test_the_client_gets_no_success(self, path, cut_bytes):
+        async def script(got, writer):
+            head = unframed_head(got)
+            kept = len(head) - 2 if cut_bytes == 2 else cut_bytes
+            writer.write(head[:kept])
+            await writer.drain()
+            writer.close()
+
+        reply, _, _ = replies_to([script], path)
+        assert reply.status == 502
