--- a/tests/soak/soak_targets.py
+++ b/tests/soak/soak_targets.py
@@ -7,6 +7,11 @@
 
 ANSWER_DELAY_S = 0.03
 EVENT_INTERVAL_S = 0.03
+UNFRAMED_SHARE = 0.1
+REPEATED_REFUSAL_SHARE = 0.5
+"""Share of answers that end with their connection, and of refusals that a target writes
+once more on the connection, while it misbehaves."""
+
 FAULTS = ("reject", "fail", "disconnect", "garble", "extra", "truncate", "hang")
 
 
@@ -36,6 +41,10 @@
         self.late_after_s: float | None = None
         self._record = record
         self._rng = rng
+        # A generator of its own, so that the faults of a seed stay the same.
+        self._framing_rng = random.Random(target_id)
+        # Refusals by the connection that they were written to.
+        self._refusals: dict[asyncio.StreamWriter, bytes] = {}
         self.port = 0
 
     async def start(self) -> None:
@@ -64,11 +73,15 @@
             # The router closed the connection, or the soak is over.
             return
         finally:
+            self._refusals.pop(writer, None)
             writer.close()
 
     async def _answer(self, path: str, headers: dict[str, str], writer) -> bool:
         """Answer one request; return whether the connection stays open."""
         request_id = headers["request-id"]
+        refusal = self._refusals.pop(writer, b"")
+        if refusal and self._draws(REPEATED_REFUSAL_SHARE):
+            writer.write(refusal)
         if headers.get("expected-instance") != self.target_id:
             writer.write(self._head(421, request_id) + b"Content-Length: 0\r\n\r\n")
             return True
@@ -76,8 +89,10 @@
         if self._rng.random() < self.fault_probability:
             fault = self._rng.choice(FAULTS)
         if fault == "reject":
-            head = self._head(503, request_id)
-            writer.write(head + b"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+            refusal = self._head(503, request_id)
+            refusal += b"Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            writer.write(refusal)
+            self._refusals[writer] = refusal
             return True
         after = headers.get("last-event-id")
         start = int(after) + 1 if after is not None else 0
@@ -111,26 +126,34 @@
         elif fault == "truncate":
             writer.write(response[:-3])
             return False
+        elif self._draws(UNFRAMED_SHARE):
+            writer.write(self._head(200, request_id) + b"\r\n" + body)
+            return False
         else:
             writer.write(response)
         return True
 
     async def _stream(self, request_id, start, fault, writer) -> bool:
-        writer.write(
-            self._head(200, request_id) + b"Transfer-Encoding: chunked\r\n\r\n"
-        )
+        is_framed = not self._draws(UNFRAMED_SHARE)
+        framing = b"Transfer-Encoding: chunked\r\n" if is_framed else b""
+        writer.write(self._head(200, request_id) + framing + b"\r\n")
         stop = self._rng.randrange(1, self._record.event_count) if fault else 0
         for number in range(start, self._record.event_count):
             data = stream_event(number, request_id)
             if fault and number >= stop:
-                writer.write(b"%x\r\n%b" % (len(data), data[: len(data) // 2]))
+                size = b"%x\r\n" % len(data) if is_framed else b""
+                writer.write(size + data[: len(data) // 2])
                 await writer.drain()
                 return False
-            writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+            writer.write(b"%x\r\n%b\r\n" % (len(data), data) if is_framed else data)
             await writer.drain()
             await asyncio.sleep(EVENT_INTERVAL_S)
-        writer.write(b"0\r\n\r\n")
-        return True
+        if is_framed:
+            writer.write(b"0\r\n\r\n")
+        return is_framed
+
+    def _draws(self, share: float) -> bool:
+        return self.fault_probability > 0 and self._framing_rng.random() < share
 
     def _head(self, status: int, request_id: str) -> bytes:
         return (
