Tell only the home router of limits that change all the time

Each change of a limit by more than a tenth was sent to all routers, which an engine that names another one with each response would multiply by the size of the fleet. Within a second of the last report to all, only the home router is told, which is who keeps to it; the gossip brings it to the others. A refusal also no longer hashes the parts of its prompt while no part is withheld. The new test fails without the change (all routers are told).

--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -207,7 +207,7 @@
     def limit_shown(self, exchange: Exchange, requests_per_s: float | None) -> None:
         if exchange.choice is not None:
             self._broker.limits.response_received(
-                exchange.choice.load.entry.target_id,
+                exchange.choice.load.entry,
                 requests_per_s,
                 sent_at_s=exchange.sent_at_s,
             )
@@ -248,7 +248,7 @@
     @override
     def retry_after_s(self, exchange: Exchange) -> float:
         prompt = exchange.facts.prompt
-        if prompt is not None:
+        if prompt is not None and self.crashes.quarantine.withheld_count:
             part_ids = [part.part_id for part in prompt.hashed_shared_parts]
             withheld_for_s = self.crashes.withheld_for_s(part_ids)
             if withheld_for_s is not None:
@@ -474,7 +474,7 @@
         self._loads, self._loads_by_service = loads, by_service
         self._placement.keep_only(set(loads))
         self._permits.keep_only(set(loads))
-        self._broker.limits.table.keep_only(set(loads))
+        self._broker.limits.keep_only(set(loads))
         self._broker.set_engines(engines)
         for service in list(self._queues):
             self._send_waiting(service)
--- a/tests/gateway/test_limit_exchange.py
+++ b/tests/gateway/test_limit_exchange.py
@@ -41,7 +41,7 @@
 
     def name_limit(self):
         now_s = asyncio.get_running_loop().time()
-        self.limits.response_received("e1", LIMIT_PER_S, sent_at_s=now_s)
+        self.limits.response_received(ENTRY, LIMIT_PER_S, sent_at_s=now_s)
 
     async def granted_in(self, seconds):
         """Return how many permits this router gets in a time."""
@@ -85,12 +85,35 @@
             await asyncio.sleep(0.05)
             assert home.limits.requests_per_s("e1") == LIMIT_PER_S
             now_s = asyncio.get_running_loop().time()
-            home.limits.response_received("e1", None, sent_at_s=now_s)
+            home.limits.response_received(ENTRY, None, sent_at_s=now_s)
             await asyncio.sleep(0.05)
             assert other.limits.requests_per_s("e1") is None
 
         run(check())
 
+    def test_a_limit_that_changes_all_the_time_is_told_to_the_home_alone(self):
+        async def check():
+            home, other = await router_pair()
+            third = Router("v3")
+            third.broker.announce([home.address, other.address])
+            await asyncio.sleep(0.05)
+            routers = [home, other, third]
+            homes = [
+                item for item in routers if item.peers.is_usual_home_of("e1", "z1")
+            ]
+            readers = [item for item in routers if item not in homes]
+            now_s = asyncio.get_running_loop().time()
+            for number in range(40):
+                readers[0].limits.response_received(
+                    ENTRY, 10.0 + 10 * (number % 2), sent_at_s=now_s
+                )
+                await asyncio.sleep(0.005)
+            await asyncio.sleep(0.05)
+            assert homes[0].limits.requests_per_s("e1") == 20.0
+            assert readers[1].limits.requests_per_s("e1") == 10.0
+
+        run(check())
+
     def test_a_restarted_router_is_told(self):
         async def check():
             home, _ = await router_pair()
