--- a/packages/citrondock-router/src/citrondock_router/gateway/watched_store.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/watched_store.py
@@ -33,12 +33,15 @@
         The decoded JSON that was written; None if it is not a JSON object.
     is_deleted : bool
         Whether the change deleted it.
+    problem : str
+        Why there is no value; empty if there is one.
     """
 
     name: str
     revision: int
     value: Mapping[str, Any] | None
     is_deleted: bool = False
+    problem: str = ""
 
 
 @attrs.frozen(kw_only=True)
