Start background tasks again after an unexpected error

What operators saw: background_task_ended, then leaving and stopped: an error in one follower, timer or search for peers ended a router that could serve on. Cause: the process stopped itself when any background task ended. A task that fails is logged with its error and started again after 0.1 s, doubling to 5 s; a follower lists its kind again then.

--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -4,6 +4,7 @@
 import gc
 import signal
 from collections.abc import Awaitable, Callable, Mapping, Sequence
+from functools import partial
 from http import HTTPStatus
 
 from citrondock_core.routing.engine_load_view import EngineLoadView
@@ -34,10 +35,45 @@
 HOUSEKEEPING_S = 0.5
 """Period in which idle connections, expired targets and old grants are removed."""
 
+MIN_RESTART_S = 0.1
+MAX_RESTART_S = 5.0
+"""Pause before a background task that failed is started again. It doubles with each
+failure in a row, up to the maximum."""
+
 LOG_DRAIN_S = 0.1
 """Period in which buffered log lines are written."""
 
 
+BackgroundTask = Callable[[], Awaitable[None]]
+"""Runs until cancelled."""
+
+
+async def keep_running(task: BackgroundTask) -> None:
+    """Run a task, and start it again after a pause if it fails or ends."""
+    loop = asyncio.get_running_loop()
+    failure_count = 0
+    while True:
+        started_at_s = loop.time()
+        try:
+            await task()
+            detail = "the task returned"
+        except Exception as error:
+            # One unexpected error must not end a router that can serve on.
+            detail = repr(error)
+        if loop.time() - started_at_s > MAX_RESTART_S:
+            failure_count = 0
+        pause_s = min(MIN_RESTART_S * 2.0**failure_count, MAX_RESTART_S)
+        failure_count += 1
+        log_event(
+            "background_task_failed",
+            level="ERROR",
+            task=getattr(task, "__qualname__", repr(task)),
+            detail=detail,
+            restart_in_s=pause_s,
+        )
+        await asyncio.sleep(pause_s)
+
+
 class GatewayProcess:
     """One gateway with its listeners, timers and signals.
 
@@ -114,30 +150,29 @@
         """Run the followers of the store's objects while the process runs."""
         self._followers = followers
 
-    async def run(self, background: Sequence[Awaitable[None]]) -> None:
-        """Serve until SIGTERM or SIGINT, or until a background task ends.
+    async def run(self, background: Sequence[BackgroundTask]) -> None:
+        """Serve until SIGTERM or SIGINT.
 
         Parameters
         ----------
-        background : sequence of awaitable
-            Further tasks to run meanwhile.
+        background : sequence of BackgroundTask
+            Further tasks to run meanwhile; one that fails is started again.
         """
         self._install_signal_handlers()
         operations = OperationsHandler(self._pages)
-        periodic: list[Awaitable[None]] = [
-            self._run_every(TICK_S, self._tick),
-            self._check_every(STALL_CHECK_S, self.gateway.scheduler.check_stalls),
-            self._check_every(HOUSEKEEPING_S, self._housekeep),
-            self._run_every(LOG_DRAIN_S, self._log_writer.drain),
-            self._report_usage(),
+        check_stalls = self.gateway.scheduler.check_stalls
+        periodic: list[BackgroundTask] = [
+            partial(self._run_every, TICK_S, self._tick),
+            partial(self._check_every, STALL_CHECK_S, check_stalls),
+            partial(self._check_every, HOUSEKEEPING_S, self._housekeep),
+            partial(self._run_every, LOG_DRAIN_S, self._log_writer.drain),
+            self._report_usage,
         ]
-        followed = [follower.run() for follower in self._followers]
+        followed = [follower.run for follower in self._followers]
         tasks = [
-            asyncio.ensure_future(coroutine)
-            for coroutine in (*background, *followed, *periodic)
+            asyncio.ensure_future(keep_running(task))
+            for task in (*background, *followed, *periodic)
         ]
-        for task in tasks:
-            task.add_done_callback(self._on_task_ended)
         settings = self.settings
         self.broker.open(settings.peer_address)
         self.client_port = self._listen(
@@ -161,20 +196,12 @@
         self.broker.leave()
         await shut_down(self.gateway, grace_s=self.settings.grace_s)
         for task in tasks:
-            task.remove_done_callback(self._on_task_ended)
             task.cancel()
         for listener in self._listeners:
             listener.close()
         self.broker.close()
         self._log_writer.drain()
 
-    def _on_task_ended(self, task: "asyncio.Future[None]") -> None:
-        if task.cancelled():
-            return
-        error = task.exception()
-        log_event("background_task_ended", level="ERROR", detail=repr(error))
-        self._stop.set()
-
     def _listen(
         self, address: Address, protocol: Callable[[], asyncio.Protocol]
     ) -> int:
--- a/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
@@ -89,7 +89,8 @@
         return now_s - self._answered_at_s
 
     async def run(self) -> None:
-        """Follow until cancelled."""
+        """Follow until cancelled; an unexpected error leads to a new listing."""
+        self._revision = None
         while True:
             try:
                 await self._step()
