Answer each request that is taken during a planned stop

What callers saw: in a planned stop of one router in calm, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them requests that may not run again. Cause: until 3 s after SIGTERM every request was taken, whatever time it needed; a queue that grew meanwhile delayed its sending; and at the end of the grace live requests were dropped with their connections. Ruled out: requests after the 3 s (refused before they are passed on) and idle kept connections (closed without a reset). A core module now compares what requests of a route usually need with what is left, at arrival and again before sending; at the end of the grace each request that is left gets 503 if it was not sent, 502 if it may have run, and a visible break if its response had begun.

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -46,6 +46,10 @@
     def client_disconnected(self) -> None:
         """Handle the loss of the client's connection."""
 
+    @abstractmethod
+    def end(self, reason: str) -> None:
+        """End the request at once, with a response unless one has begun."""
+
     @abstractmethod
     def set_client_slow(self, is_slow: bool) -> None:
         """Record whether the client reads more slowly than it is written to."""
@@ -340,6 +344,11 @@
             transport.write_eof()
         self._loop.call_later(LINGER_S, transport.close)
 
+    def end_request(self, reason: str) -> None:
+        """End the request that is handled now, if there is one."""
+        if self._current is not None:
+            self._current.end(reason)
+
     def reject_slow_head(self) -> None:
         """Reject a request whose head took too long to arrive."""
         self._reject(HTTPStatus.REQUEST_TIMEOUT, "head_timed_out")
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -12,6 +12,7 @@
 from citrondock_core.routing.placement import PlacementChoice
 from citrondock_core.routing.request_facts import RequestFacts
 from citrondock_core.routing.route import Route
+from citrondock_core.routing.shutdown_admission import ShutdownAdmission
 from citrondock_router.gateway.client_connection import (
     ClientConnection,
     ClientRequest,
@@ -128,6 +129,8 @@
         Provides connections to targets.
     scheduler : Scheduler
         Chooses the target of each attempt.
+    shutdown : ShutdownAdmission
+        Tells whether there is time for the request if the router is about to stop.
     loop : asyncio.AbstractEventLoop
         Event loop of the gateway.
     """
@@ -144,6 +147,7 @@
         header_codec: HeaderCodec,
         connections: TargetConnectionPool,
         scheduler: Scheduler,
+        shutdown: ShutdownAdmission,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         now_s = loop.time()
@@ -178,6 +182,7 @@
         self._header_codec = header_codec
         self._connections = connections
         self._scheduler = scheduler
+        self._shutdown = shutdown
         self._loop = loop
         self._failed_connect_count = 0
         self._connection: TargetConnection | None = None
@@ -221,6 +226,9 @@
     def send_to(self, choice: PlacementChoice) -> None:
         """Send the request to a target."""
         self.choice = choice
+        if not self._shutdown.may_send(self.route, now_s=self._loop.time()):
+            self._end_unanswered(HTTPStatus.BAD_GATEWAY, "leaving", "leaving")
+            return
         entry = choice.load.entry
         connection = self._connections.take_idle(
             entry,
@@ -269,6 +277,10 @@
         self._cancel_attempt()
         self._finish(Outcome(status=0, reason="client_left"))
 
+    @override
+    def end(self, reason: str) -> None:
+        self._end_unanswered(HTTPStatus.BAD_GATEWAY, reason, reason)
+
     @override
     def set_client_slow(self, is_slow: bool) -> None:
         if self._connection is not None and self.state is ExchangeState.RECEIVING:
@@ -557,18 +569,23 @@
         self.choice = None
 
     def _timed_out(self) -> None:
+        self._end_unanswered(
+            HTTPStatus.GATEWAY_TIMEOUT, "timed_out", "timed_out_waiting"
+        )
+
+    def _end_unanswered(
+        self, status_if_sent: HTTPStatus, reason: str, reason_if_waiting: str
+    ) -> None:
         if self.state is ExchangeState.DONE:
             return
         is_sent = self.state in (ExchangeState.SENT, ExchangeState.RECEIVING)
         self._cancel_attempt()
         if self._response.has_begun:
-            self._abort_response("timed_out")
+            self._abort_response(reason)
         elif is_sent or self.history.may_have_run:
-            self._fail(HTTPStatus.GATEWAY_TIMEOUT, "timed_out")
+            self._fail(status_if_sent, reason)
         else:
-            self._respond_and_finish(
-                HTTPStatus.SERVICE_UNAVAILABLE, "timed_out_waiting"
-            )
+            self._respond_and_finish(HTTPStatus.SERVICE_UNAVAILABLE, reason_if_waiting)
 
     def _fail(self, status: HTTPStatus, reason: str) -> None:
         if self._response.has_begun:
@@ -593,6 +610,13 @@
     def _finish(self, outcome: Outcome) -> None:
         self.state = ExchangeState.DONE
         self._timer.cancel()
+        if outcome.is_complete:
+            now_s = self._loop.time()
+            self._shutdown.record_answered(
+                self.route,
+                total_s=now_s - self.arrived_at_s,
+                served_s=now_s - self.sent_at_s,
+            )
         self._scheduler.finished(self, outcome)
 
     def _log(self, event: str, **fields: LogValue) -> None:
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import heapq
+import math
 from http import HTTPStatus
 
 from typing_extensions import override
 
 from citrondock_core.routing.route import ClientLimits, RoutingConfiguration
 from citrondock_core.routing.route_table import ConfigurationHolder
+from citrondock_core.routing.shutdown_admission import ShutdownAdmission
 from citrondock_core.routing.target_directory import DirectoryChange, TargetDirectory
 from citrondock_router.gateway.client_connection import (
     ClientConnection,
@@ -91,8 +93,8 @@
         self._metrics = metrics
         self._loop = loop
         self._clients: set[ClientConnection] = set()
-        self._is_draining = False
         self._has_targets = False
+        self._shutdown = ShutdownAdmission()
 
     @override
     @property
@@ -105,13 +107,13 @@
     @override
     @property
     def is_draining(self) -> bool:
-        return self._is_draining
+        return self._shutdown.stops_at_s is not None
 
     @property
     def is_ready(self) -> bool:
         """Whether the gateway can serve requests and new clients should come."""
         has_configuration = self.configuration.active is not None
-        is_serving = has_configuration and self._has_targets and not self._is_draining
+        is_serving = has_configuration and self._has_targets and not self.is_draining
         return is_serving and not self.overload.is_sustained
 
     @property
@@ -119,9 +121,15 @@
         """Number of requests that have not ended."""
         return self.scheduler.live_count
 
-    def start_draining(self) -> None:
-        """Close client connections after their responses, but still serve requests."""
-        self._is_draining = True
+    def start_draining(self, *, stops_at_s: float = math.inf) -> None:
+        """Close client connections after their responses, but still serve requests.
+
+        Parameters
+        ----------
+        stops_at_s : float
+            Loop time at which the last requests are given up.
+        """
+        self._shutdown.stops_at_s = stops_at_s
 
     def create_client_connection(self) -> ClientConnection:
         """Return the protocol of a new client connection."""
@@ -133,6 +141,7 @@
         if not self.configuration.activate_if_newer(configuration):
             return
         self.scheduler.configure(dict(configuration.services))
+        self._shutdown.keep_only({route.name for route in configuration.routes})
         log_event(
             "configuration_in_force",
             version=configuration.version,
@@ -196,7 +205,8 @@
                 client, HTTPStatus.UNAUTHORIZED, request_id, "unknown_key"
             )
             return None
-        if self.is_refusing:
+        may_accept = self._shutdown.may_accept(route, now_s=self._loop.time())
+        if self.is_refusing or not may_accept:
             self._refuse_unavailable(client, request_id, "leaving", RETRY_ELSEWHERE_S)
             return None
         if client.has_left:
@@ -213,6 +223,7 @@
             header_codec=self._header_codec,
             connections=self._connections,
             scheduler=self.scheduler,
+            shutdown=self._shutdown,
             loop=self._loop,
         )
         self.scheduler.admit(exchange)
@@ -260,6 +271,14 @@
             client.close_idle()
         return len(chosen)
 
+    def end_requests(self) -> None:
+        """End all requests that are not answered yet, as the process is about to end.
+
+        Each gets a response that says whether it may have run.
+        """
+        for client in list(self._clients):
+            client.end_request("router_stopped")
+
     def close_clients(self) -> None:
         """Close all client connections, when the process is about to end."""
         for client in list(self._clients):
--- a/packages/citrondock-router/src/citrondock_router/gateway/shutdown.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/shutdown.py
@@ -47,7 +47,7 @@
     loop = asyncio.get_running_loop()
     started_at_s = loop.time()
     end_s = started_at_s + max(grace_s - options.margin_s, 0.0)
-    gateway.start_draining()
+    gateway.start_draining(stops_at_s=end_s)
     log_event("leaving", live_requests=gateway.live_count)
     await asyncio.sleep(min(options.accept_s, max(grace_s - options.margin_s, 0.0)))
     gateway.is_refusing = True
@@ -58,5 +58,6 @@
         live_requests=gateway.live_count,
         duration_s=loop.time() - started_at_s,
     )
+    gateway.end_requests()
     gateway.close_clients()
     await asyncio.sleep(options.poll_s)
