Send a request that loses two connections to no third target

Cause: an attempt whose connection ended before the response had begun was retried like any other failure. Ruled out: the quarantine of prompt parts; it needs a part that several requests share, and here only the request itself is deadly. After two such attempts the request fails with 502.

--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -355,6 +355,7 @@
             return
         is_lost = cause in (ResponseFailure.CLOSED, ResponseFailure.RESET)
         if is_lost and not self._has_begun:
+            self.history.record_lost()
             self._scheduler.connection_lost(self)
         self._retry_or_fail(cause.value)
 
