Heed Server-Leaving and the Retry-After of targets

A router that the store turned away learned of a departure only when the store was back. Cause: the header codec knew neither header, and routers told each other nothing of what the registry shows. Ruled out: queued grants as a further way to such an engine: a grant is checked against the usable targets when it arrives, and the home router refuses what waits for a target that left. A target that says so in any answer is marked as leaving in the directory until a later incarnation, or an entry that says leaving and then ready, appears. Its home router tells all others at once; gossip repeats it for 10 s. Departures that the registry shows spread in the same way, with the revision: a router whose registry is ahead ignores them, one that is behind or keeps the entry in the grace after an outage believes them.

--- a/packages/citrondock-core/src/citrondock_core/routing/target_load.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/target_load.py
@@ -9,6 +9,11 @@
 """Time for which a failing target gets no new requests. It doubles with each failure in
 a row, up to the maximum."""
 
+MIN_PAUSE_S = 0.5
+MAX_PAUSE_S = 60.0
+"""Bounds of the time for which a target may ask for no further requests. A time that
+cannot be read counts as the shortest."""
+
 
 @attrs.define
 class TargetLoad:
@@ -22,6 +27,8 @@
         Until then it gets no new requests.
     last_data_at_s : float
         When it last sent data on any connection.
+    paused_until_s : float
+        Until then it gets no requests at all, as it asked for.
     """
 
     entry: TargetEntry
@@ -29,6 +36,7 @@
     _failure_count: int = 0
     _running: set[str] = attrs.field(factory=set)
     last_data_at_s: float = 0.0
+    paused_until_s: float = 0.0
 
     @property
     def running_count(self) -> int:
@@ -67,6 +75,11 @@
         """Suspend a target that crashed; its next incarnation has a load of its own."""
         self.suspended_until_s = now_s + MAX_SUSPENSION_S
 
+    def record_pause(self, retry_after_s: float, *, now_s: float) -> None:
+        """Send no requests to a target that asks for a pause, within bounds."""
+        pause_s = min(max(retry_after_s, MIN_PAUSE_S), MAX_PAUSE_S)
+        self.paused_until_s = max(self.paused_until_s, now_s + pause_s)
+
     def record_success(self) -> None:
         """Reset the failures, which ends a suspension."""
         self._failure_count = 0
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -78,6 +78,14 @@
     def limit_shown(self, exchange: "Exchange", requests_per_s: float | None) -> None:
         """Record the limit that a response names; None if it names none."""
 
+    @abstractmethod
+    def target_leaves(self, exchange: "Exchange") -> None:
+        """Record that the target states in a response that it is leaving."""
+
+    @abstractmethod
+    def pause_requested(self, exchange: "Exchange", retry_after_s: float) -> None:
+        """Record that the target wants no further requests for some seconds."""
+
     @abstractmethod
     def response_begun(self, exchange: "Exchange") -> None:
         """Record that the target has sent a whole event or a whole response."""
@@ -291,6 +299,10 @@
     @override
     def response_started(self, head: ResponseHead) -> bool:
         facts = self._header_codec.response_facts(head)
+        if facts.is_leaving:
+            self._scheduler.target_leaves(self)
+        if facts.retry_after_s is not None:
+            self._scheduler.pause_requested(self, facts.retry_after_s)
         if facts.request_id and facts.request_id != self.facts.request_id:
             self._log("foreign_answer", answered_id=facts.request_id)
             return False
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -167,6 +167,7 @@
                     revision=self.directory.revision,
                 )
         self.scheduler.directory_changed(change)
+        self.scheduler.departures.registry_changed(change)
 
     @override
     def handle(
--- a/packages/citrondock-router/src/citrondock_router/gateway/header_codec.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/header_codec.py
@@ -83,12 +83,19 @@
         Whether the target states that it did not run the request.
     max_requests_per_s : float or None
         Requests that the target takes from all routers together, if it names a limit.
+    is_leaving : bool
+        Whether the target states that it is leaving.
+    retry_after_s : float or None
+        Time for which the target wants no further requests from this router; 0 if it
+        names one that cannot be read, None if it names none.
     """
 
     request_id: str
     is_signed: bool
     did_not_run: bool
     max_requests_per_s: float | None = None
+    is_leaving: bool = False
+    retry_after_s: float | None = None
 
 
 class HeaderCodec(ABC):
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -28,8 +28,9 @@
 from citrondock_core.routing.target_directory import DirectoryChange, TargetDirectory
 from citrondock_core.routing.target_load import TargetLoad
 from citrondock_router.gateway.crash_exchange import CrashExchange, CrashListener
+from citrondock_router.gateway.departure_exchange import DepartureExchange
 from citrondock_router.gateway.exchange import Exchange, ExchangeState, Scheduler
-from citrondock_router.gateway.fact_gossip import FactGossip
+from citrondock_router.gateway.fact_gossip import FactGossip, FactSource
 from citrondock_router.gateway.gateway_metrics import GatewayMetrics
 from citrondock_router.gateway.grant_broker import GrantBroker
 from citrondock_router.gateway.grant_home import USAGE_HALF_LIFE_S, KnownEngine
@@ -102,7 +103,11 @@
         self._engine_loads = engine_loads
         self._broker = broker
         self.crashes = CrashExchange(broker.link, connections, self, loop)
-        self.gossip = FactGossip(broker.link, [self.crashes, broker.limits], loop)
+        self.departures = DepartureExchange(
+            broker.link, directory, self.directory_changed, loop
+        )
+        facts: list[FactSource] = [self.crashes, broker.limits, self.departures]
+        self.gossip = FactGossip(broker.link, facts, loop)
         self._permits = PermitRequester(broker, self._send_with_permit, loop)
         self._grant_requester = GrantRequester(
             self,
@@ -162,6 +167,9 @@
         if not self._loads_by_service.get(exchange.service):
             exchange.refuse("no_target_known")
             return
+        if not self.loads(exchange.service):
+            exchange.refuse("all_targets_paused")
+            return
         prompt = exchange.facts.prompt
         if prompt is not None and self.engine(exchange.service):
             wait_until_s = self._wait_until_s(exchange)
@@ -212,6 +220,26 @@
                 sent_at_s=exchange.sent_at_s,
             )
 
+    @override
+    def target_leaves(self, exchange: Exchange) -> None:
+        if exchange.choice is not None:
+            self.departures.target_leaves(exchange.choice.load.entry)
+
+    @override
+    def pause_requested(self, exchange: Exchange, retry_after_s: float) -> None:
+        if exchange.choice is None:
+            return
+        load = exchange.choice.load
+        now_s = self._loop.time()
+        load.record_pause(retry_after_s, now_s=now_s)
+        log_event(
+            "target_paused",
+            target=load.entry.target_id,
+            request_id=exchange.facts.request_id,
+            asked_s=retry_after_s,
+            pause_s=load.paused_until_s - now_s,
+        )
+
     @override
     def response_begun(self, exchange: Exchange) -> None:
         self._grant_requester.response_begun(exchange)
@@ -255,6 +283,8 @@
                 return round(withheld_for_s, 3)
         now_s = self._loop.time()
         loads = self.loads(exchange.service)
+        if not loads:
+            return self._pause_left_s(exchange.service)
         backlogs_s = [
             self._engine_loads.backlog_s(load.entry.target_id, now_s=now_s)
             for load in loads
@@ -326,7 +356,11 @@
 
     @override
     def loads(self, service: str) -> Sequence[TargetLoad]:
-        return self._loads_by_service.get(service, [])
+        loads = self._loads_by_service.get(service, [])
+        now_s = self._loop.time()
+        if all(load.paused_until_s <= now_s for load in loads):
+            return loads
+        return [load for load in loads if load.paused_until_s <= now_s]
 
     @override
     def engine(self, service: str) -> ModelEngineOptions | None:
@@ -360,6 +394,14 @@
                 self._metrics.count_stall(exchange.service)
                 exchange.retry_elsewhere("silent")
 
+    def _pause_left_s(self, service: str) -> float:
+        """Return the time until a target of a service takes requests again."""
+        loads = self._loads_by_service.get(service, [])
+        if not loads:
+            return MIN_RETRY_AFTER_S
+        until_s = min(load.paused_until_s for load in loads)
+        return round(max(until_s - self._loop.time(), MIN_RETRY_AFTER_S), 3)
+
     def _wait_until_s(self, exchange: Exchange) -> float:
         return exchange.arrived_at_s + MAX_WAIT_RATIO * exchange.first_answer_target_s
 
@@ -370,6 +412,11 @@
         queue = self._queues.get(service)
         if not queue:
             return
+        if self._loads_by_service.get(service) and not self.loads(service):
+            for exchange in list(queue):
+                queue.remove(exchange)
+                exchange.refuse("all_targets_paused")
+            return
         for exchange in queue.in_order(now_s=self._loop.time()):
             if not self._send_plain(exchange, queue=queue):
                 self._request_permits(service, queue)
--- a/packages/citrondock-wire/grants.thrift
+++ b/packages/citrondock-wire/grants.thrift
@@ -84,6 +84,21 @@
   3: i32 age_ms
 }
 
+// An incarnation of a target that is leaving or gone.
+struct Departure {
+  1: string target
+  2: i64 started_at_ms         // Unix time; 0 if unknown
+  3: i64 registry_revision     // 0 if the target itself said so
+  4: i32 age_ms
+}
+
+// How far the sender has followed the objects of one kind in the store.
+struct StoreView {
+  1: string kind
+  2: i64 changed_revision      // of the last change of an object of the kind
+  3: bool lost                 // whether the store does not answer the sender
+}
+
 struct Datagram {
   1: string vm_name
   2: i64 incarnation
@@ -96,4 +111,6 @@
   9: optional list<Crash> crashes
   10: optional list<PartState> part_states
   11: optional list<TargetLimit> limits
+  12: optional list<Departure> departures
+  13: optional list<StoreView> store_views
 }
--- a/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
+++ b/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
@@ -856,6 +856,175 @@
         return not (self == other)
 
 
+class Departure(object):
+    """
+    Attributes:
+     - target
+     - started_at_ms
+     - registry_revision
+     - age_ms
+
+    """
+
+
+    def __init__(self, target=None, started_at_ms=None, registry_revision=None, age_ms=None,):
+        self.target = target
+        self.started_at_ms = started_at_ms
+        self.registry_revision = registry_revision
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.target = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.started_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.registry_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Departure')
+        if self.target is not None:
+            oprot.writeFieldBegin('target', TType.STRING, 1)
+            oprot.writeString(self.target.encode('utf-8') if sys.version_info[0] == 2 else self.target)
+            oprot.writeFieldEnd()
+        if self.started_at_ms is not None:
+            oprot.writeFieldBegin('started_at_ms', TType.I64, 2)
+            oprot.writeI64(self.started_at_ms)
+            oprot.writeFieldEnd()
+        if self.registry_revision is not None:
+            oprot.writeFieldBegin('registry_revision', TType.I64, 3)
+            oprot.writeI64(self.registry_revision)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class StoreView(object):
+    """
+    Attributes:
+     - kind
+     - changed_revision
+     - lost
+
+    """
+
+
+    def __init__(self, kind=None, changed_revision=None, lost=None,):
+        self.kind = kind
+        self.changed_revision = changed_revision
+        self.lost = lost
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.changed_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.lost = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StoreView')
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 1)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.changed_revision is not None:
+            oprot.writeFieldBegin('changed_revision', TType.I64, 2)
+            oprot.writeI64(self.changed_revision)
+            oprot.writeFieldEnd()
+        if self.lost is not None:
+            oprot.writeFieldBegin('lost', TType.BOOL, 3)
+            oprot.writeBool(self.lost)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -870,11 +1039,13 @@
      - crashes
      - part_states
      - limits
+     - departures
+     - store_views
 
     """
 
 
-    def __init__(self, vm_name=None, incarnation=None, asks=None, answers=None, progress=None, backlogs=None, presence=None, usage=None, crashes=None, part_states=None, limits=None,):
+    def __init__(self, vm_name=None, incarnation=None, asks=None, answers=None, progress=None, backlogs=None, presence=None, usage=None, crashes=None, part_states=None, limits=None, departures=None, store_views=None,):
         self.vm_name = vm_name
         self.incarnation = incarnation
         self.asks = asks
@@ -886,6 +1057,8 @@
         self.crashes = crashes
         self.part_states = part_states
         self.limits = limits
+        self.departures = departures
+        self.store_views = store_views
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1000,6 +1173,28 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.departures = []
+                    (_etype72, _size69) = iprot.readListBegin()
+                    for _i73 in range(_size69):
+                        _elem74 = Departure()
+                        _elem74.read(iprot)
+                        self.departures.append(_elem74)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.store_views = []
+                    (_etype78, _size75) = iprot.readListBegin()
+                    for _i79 in range(_size75):
+                        _elem80 = StoreView()
+                        _elem80.read(iprot)
+                        self.store_views.append(_elem80)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1021,29 +1216,29 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter69 in self.asks:
-                iter69.write(oprot)
+            for iter81 in self.asks:
+                iter81.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answers is not None:
             oprot.writeFieldBegin('answers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.answers))
-            for iter70 in self.answers:
-                iter70.write(oprot)
+            for iter82 in self.answers:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.progress is not None:
             oprot.writeFieldBegin('progress', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.progress))
-            for iter71 in self.progress:
-                iter71.write(oprot)
+            for iter83 in self.progress:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.backlogs is not None:
             oprot.writeFieldBegin('backlogs', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.backlogs))
-            for iter72 in self.backlogs:
-                iter72.write(oprot)
+            for iter84 in self.backlogs:
+                iter84.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.presence is not None:
@@ -1053,29 +1248,43 @@
         if self.usage is not None:
             oprot.writeFieldBegin('usage', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.usage))
-            for iter73 in self.usage:
-                iter73.write(oprot)
+            for iter85 in self.usage:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter74 in self.crashes:
-                iter74.write(oprot)
+            for iter86 in self.crashes:
+                iter86.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.part_states is not None:
             oprot.writeFieldBegin('part_states', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.part_states))
-            for iter75 in self.part_states:
-                iter75.write(oprot)
+            for iter87 in self.part_states:
+                iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter76 in self.limits:
-                iter76.write(oprot)
+            for iter88 in self.limits:
+                iter88.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.departures is not None:
+            oprot.writeFieldBegin('departures', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.departures))
+            for iter89 in self.departures:
+                iter89.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.store_views is not None:
+            oprot.writeFieldBegin('store_views', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRUCT, len(self.store_views))
+            for iter90 in self.store_views:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1163,6 +1372,21 @@
     (2, TType.I32, 'requests_per_1000_s', None, None, ),  # 2
     (3, TType.I32, 'age_ms', None, None, ),  # 3
 )
+all_structs.append(Departure)
+Departure.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'started_at_ms', None, None, ),  # 2
+    (3, TType.I64, 'registry_revision', None, None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+)
+all_structs.append(StoreView)
+StoreView.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'changed_revision', None, None, ),  # 2
+    (3, TType.BOOL, 'lost', None, None, ),  # 3
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -1177,6 +1401,8 @@
     (9, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 9
     (10, TType.LIST, 'part_states', (TType.STRUCT, [PartState, None], False), None, ),  # 10
     (11, TType.LIST, 'limits', (TType.STRUCT, [TargetLimit, None], False), None, ),  # 11
+    (12, TType.LIST, 'departures', (TType.STRUCT, [Departure, None], False), None, ),  # 12
+    (13, TType.LIST, 'store_views', (TType.STRUCT, [StoreView, None], False), None, ),  # 13
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
+++ b/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
@@ -19,6 +19,7 @@
 )
 from citrondock_core.routing.part_quarantine import PartState
 from citrondock_core.routing.request_facts import PromptPart
+from citrondock_core.routing.target_departure import TargetDeparture
 from citrondock_core.routing.target_limits import TargetLimit
 from citrondock_wire.gen.citrondock_grants import ttypes
 
@@ -80,6 +81,8 @@
         Prompt parts that the sender knows to be withheld or released.
     limits : list of TargetLimit
         Limits of targets that the sender knows.
+    departures : list of TargetDeparture
+        Targets that the sender knows to be leaving or gone.
     """
 
     vm_name: str
@@ -93,6 +96,7 @@
     crashes: list[EngineCrash] = attrs.field(factory=list)
     part_states: list[PartState] = attrs.field(factory=list)
     limits: list[TargetLimit] = attrs.field(factory=list)
+    departures: list[TargetDeparture] = attrs.field(factory=list)
 
 
 class GrantCodec:
@@ -137,6 +141,8 @@
                 ]
                 or None,
                 limits=[_limit_to_thrift(item) for item in datagram.limits] or None,
+                departures=[_departure_to_thrift(item) for item in datagram.departures]
+                or None,
             ),
             self._factory,
         )
@@ -193,6 +199,9 @@
                 _part_state_from_thrift(item) for item in decoded.part_states or ()
             ],
             limits=[_limit_from_thrift(item) for item in decoded.limits or ()],
+            departures=[
+                _departure_from_thrift(item) for item in decoded.departures or ()
+            ],
         )
 
 
@@ -335,3 +344,21 @@
         requests_per_s=steps / LIMIT_STEPS_PER_REQUEST if steps else None,
         age_s=limit.age_ms / MS_PER_S,
     )
+
+
+def _departure_to_thrift(departure: TargetDeparture) -> ttypes.Departure:
+    return ttypes.Departure(
+        target=departure.target_id,
+        started_at_ms=departure.started_at_ms,
+        registry_revision=departure.registry_revision or 0,
+        age_ms=_to_ms(departure.age_s),
+    )
+
+
+def _departure_from_thrift(departure: ttypes.Departure) -> TargetDeparture:
+    return TargetDeparture(
+        target_id=departure.target,
+        started_at_ms=departure.started_at_ms,
+        registry_revision=departure.registry_revision or None,
+        age_s=departure.age_ms / MS_PER_S,
+    )
