Ask the store again at most half a second after a failure

Cause: pauses that add up: a second until the follower asks again, 2.2 s in which live entries come back, half a second until the housekeeping. Ruled out: a shorter grace; entries need about two seconds to come back.

--- a/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
@@ -36,7 +36,7 @@
     wait_s: float = 3.0
     settle_s: float = 0.3
     min_backoff_s: float = 0.1
-    max_backoff_s: float = 1.0
+    max_backoff_s: float = 0.5
 
 
 class ObjectFollower:
