Let two routers of each zone watch the store closely for all

Cause: each router watched two kinds with waits of 3 s, as only the end of a wait shows a connection that went silent. Ruled out: longer waits alone; a lost answer would leave a router behind for as long. A peer's word as the content of a change: a wrong one could go back. Two routers of each zone, by rendezvous, keep the short waits and tell their zone every 2 s, and at each change, the revision of the last change by kind. The others wait 28 s and ask at once when a watcher has seen what their own watch did not bring within 0.5 s, or when no watcher was heard for 5 s. The end of an outage that only watchers noticed starts the grace of missing entries.

--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/routing/store_watch_plan.py
@@ -0,0 +1,186 @@
+"""Decides how often a router asks the store, so that the fleet's calls stay few.
+
+A watch with a short wait notices a dead connection to the store soon, but each wait
+costs a call. Two routers of each zone, the watchers, use short waits and tell the
+others of their zone how far they are. The others use long waits, and ask at once when a
+watcher has seen a change that they have not.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+from citrondock_core.rendezvous import RendezvousScores
+
+WATCHERS_PER_ZONE = 2
+"""Watchers of a zone; one may be cut off from the store or end."""
+
+SHORT_WAIT_S = 3.0
+LONG_WAIT_S = 28.0
+"""Longest wait of a watch for a change."""
+
+CATCH_UP_WAIT_S = 1.0
+"""Longest wait of a watch by a router that is known to be behind."""
+
+STATEMENT_PERIOD_S = 2.0
+"""Period in which watchers repeat how far they are."""
+
+STATEMENT_MAX_AGE_S = 5.0
+"""Age at which a watcher's statement no longer counts; one or two may be lost."""
+
+BEHIND_GRACE_S = 0.5
+"""Time in which a router's own watch usually brings what a watcher has seen."""
+
+
+@attrs.frozen(kw_only=True)
+class StoreView:
+    """How far a router has followed the objects of one kind.
+
+    Parameters
+    ----------
+    kind : str
+        Kind of objects.
+    changed_revision : int
+        Revision of the last change of an object of this kind.
+    is_lost : bool
+        Whether the store does not answer the router.
+    """
+
+    kind: str
+    changed_revision: int
+    is_lost: bool
+
+
+@attrs.define
+class _OwnView:
+    seen_revision: int = 0
+    changed_revision: int = 0
+    is_lost: bool = False
+    behind_since_s: float | None = None
+
+
+@attrs.define
+class _Statement:
+    view: StoreView
+    heard_at_s: float
+
+
+def watchers(vm_names: Iterable[str], availability_zone: str) -> set[str]:
+    """Return the watchers of a zone, the same on all routers that know the names."""
+    scores = RendezvousScores(f"store-watch/{availability_zone}")
+    ranked = sorted(vm_names, key=lambda name: (scores.score(name), name))
+    return set(ranked[-WATCHERS_PER_ZONE:])
+
+
+class StoreWatchPlan:
+    """Compares how far this router and the watchers of its zone are.
+
+    Revisions are compared by kind. A statement is a reason to ask the store, never
+    taken as its content, so that nothing goes back.
+
+    Attributes
+    ----------
+    is_watcher : bool
+        Whether this router is a watcher of its zone.
+    """
+
+    def __init__(self) -> None:
+        self.is_watcher = True
+        self._own: dict[str, _OwnView] = {}
+        self._statements: dict[tuple[str, str], _Statement] = {}
+        self._were_lost: set[str] = set()
+
+    def wait_s(self, kind: str, *, now_s: float) -> float:
+        """Return how long the next watch of a kind may wait for a change."""
+        if self._is_behind(kind):
+            return CATCH_UP_WAIT_S
+        if self.is_watcher or not self._live_statements(kind, now_s):
+            return SHORT_WAIT_S
+        return LONG_WAIT_S
+
+    def record_seen(self, kind: str, *, revision: int, changed_revision: int) -> None:
+        """Record what the store answered to this router."""
+        own = self._own.setdefault(kind, _OwnView())
+        own.seen_revision = max(own.seen_revision, revision)
+        own.changed_revision = max(own.changed_revision, changed_revision)
+        own.is_lost = False
+        own.behind_since_s = None
+
+    def record_lost(self, kind: str) -> None:
+        """Record that the store did not answer this router."""
+        self._own.setdefault(kind, _OwnView()).is_lost = True
+
+    def record_statement(self, vm_name: str, view: StoreView, *, now_s: float) -> bool:
+        """Record a watcher's statement.
+
+        Returns
+        -------
+        bool
+            Whether it ends an outage of the store that this router did not notice:
+            all watchers that are heard said that the store was lost, and this one
+            says that it is back.
+        """
+        before = self._live_statements(view.kind, now_s)
+        self._statements[vm_name, view.kind] = _Statement(view, now_s)
+        if before and all(known.view.is_lost for known in before):
+            self._were_lost.add(view.kind)
+        if view.is_lost or view.kind not in self._were_lost:
+            return False
+        self._were_lost.discard(view.kind)
+        return not self._own.setdefault(view.kind, _OwnView()).is_lost
+
+    def must_ask_now(
+        self, kind: str, *, wait_s: float, asked_at_s: float, now_s: float
+    ) -> bool:
+        """Return whether a watch that still waits should be replaced by a new one.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of objects.
+        wait_s, asked_at_s : float
+            Longest wait of the watch, and when it began.
+        now_s : float
+            Monotonic time.
+        """
+        own = self._own.setdefault(kind, _OwnView())
+        if self._is_behind(kind):
+            if own.behind_since_s is None:
+                own.behind_since_s = now_s
+            since_s = max(own.behind_since_s, asked_at_s)
+            return now_s - since_s >= BEHIND_GRACE_S and wait_s > CATCH_UP_WAIT_S
+        # A long wait needs a watcher that is heard.
+        has_waited = now_s - asked_at_s >= SHORT_WAIT_S
+        return has_waited and wait_s > self.wait_s(kind, now_s=now_s)
+
+    def statements(self) -> list[StoreView]:
+        """Return how far this router is, for the others of its zone."""
+        return [
+            StoreView(
+                kind=kind, changed_revision=own.changed_revision, is_lost=own.is_lost
+            )
+            for kind, own in self._own.items()
+        ]
+
+    def _is_behind(self, kind: str) -> bool:
+        own = self._own.get(kind)
+        seen_revision = own.seen_revision if own else 0
+        return any(
+            statement.view.changed_revision > seen_revision
+            for (_, other_kind), statement in self._statements.items()
+            if other_kind == kind
+        )
+
+    def _live_statements(self, kind: str, now_s: float) -> list[_Statement]:
+        expired = [
+            key
+            for key, statement in self._statements.items()
+            if now_s - statement.heard_at_s > STATEMENT_MAX_AGE_S
+        ]
+        for key in expired:
+            del self._statements[key]
+        return [
+            statement
+            for (_, other_kind), statement in self._statements.items()
+            if other_kind == kind
+        ]
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -10,6 +10,7 @@
 from citrondock_core.routing.engine_load_view import EngineLoadView
 from citrondock_core.routing.peer_table import PeerTable
 from citrondock_core.routing.placement import Placement
+from citrondock_core.routing.store_watch_plan import StoreWatchPlan
 from citrondock_core.routing.target_directory import TargetDirectory
 from citrondock_router.gateway.client_connection import ClientConnection
 from citrondock_router.gateway.event_loop import wait_for_poll
@@ -29,12 +30,16 @@
     RequestScheduler,
 )
 from citrondock_router.gateway.shutdown import shut_down
+from citrondock_router.gateway.store_view_exchange import StoreViewExchange
 from citrondock_router.gateway.target_connection_pool import TargetConnectionPool
 from citrondock_router.log import log_event
 
 HOUSEKEEPING_S = 0.5
 """Period in which idle connections, expired targets and old grants are removed."""
 
+WATCH_CHECK_S = 0.25
+"""Period in which the watches of the store are compared with other routers'."""
+
 MIN_RESTART_S = 0.1
 MAX_RESTART_S = 5.0
 """Pause before a background task that failed is started again. It doubles with each
@@ -109,6 +114,10 @@
         engine_loads = EngineLoadView()
         peers = PeerTable(settings.vm_name, settings.availability_zone)
         self.broker = GrantBroker(peers, engine_loads, self.loop)
+        self.watch_plan = StoreWatchPlan()
+        self._store_views = StoreViewExchange(
+            self.broker.link, self.watch_plan, self.loop
+        )
         scheduler = RequestScheduler(
             directory=self.directory,
             connections=self._connections,
@@ -149,6 +158,7 @@
     def follow(self, followers: Sequence[ObjectFollower]) -> None:
         """Run the followers of the store's objects while the process runs."""
         self._followers = followers
+        self._store_views.set_followers(followers)
 
     async def run(self, background: Sequence[BackgroundTask]) -> None:
         """Serve until SIGTERM or SIGINT.
@@ -166,6 +176,7 @@
             partial(self._check_every, STALL_CHECK_S, check_stalls),
             partial(self._check_every, HOUSEKEEPING_S, self._housekeep),
             partial(self._run_every, LOG_DRAIN_S, self._log_writer.drain),
+            partial(self._check_every, WATCH_CHECK_S, self._store_views.tick),
             self._report_usage,
         ]
         followed = [follower.run for follower in self._followers]
--- a/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
@@ -7,9 +7,11 @@
 import attrs
 
 from citrondock_core.backoff import backoff_s
+from citrondock_core.routing.store_watch_plan import StoreWatchPlan
 from citrondock_router.gateway.watched_store import (
     HistoryGoneError,
     ObjectSink,
+    Snapshot,
     WatchedStore,
     WatchedStoreError,
 )
@@ -23,8 +25,8 @@
     Parameters
     ----------
     wait_s : float
-        Time in seconds that a watch waits for a change. A dead connection is noticed
-        after it.
+        Time in seconds that a watch waits for a change, without a plan. A dead
+        connection is noticed after it.
     settle_s : float
         Pause after a change, in seconds, so that the next response brings related
         changes together. Each of them would otherwise end the watches of the whole
@@ -39,6 +41,16 @@
     max_backoff_s: float = 0.5
 
 
+@attrs.define
+class _Watch:
+    """A call of the store that waits for changes."""
+
+    call: "asyncio.Future[Snapshot]"
+    wait_s: float
+    asked_at_s: float
+    is_replaced: bool = False
+
+
 class ObjectFollower:
     """Passes the objects of one kind, and their changes, to a sink.
 
@@ -57,6 +69,8 @@
         Timing.
     rng : random.Random
         Source of the jitter that spreads the retries of many routers.
+    plan : StoreWatchPlan, optional
+        Decides how long watches wait.
     """
 
     def __init__(
@@ -67,12 +81,15 @@
         *,
         options: FollowerOptions | None = None,
         rng: random.Random | None = None,
+        plan: StoreWatchPlan | None = None,
     ) -> None:
         self._store = store
         self._kind = kind
         self._sink = sink
         self._options = options or FollowerOptions()
         self._rng = rng or random.Random()
+        self._plan = plan
+        self._watch: _Watch | None = None
         self._revision: int | None = None
         self._failure_count = 0
         self._answered_at_s: float | None = None
@@ -88,6 +105,23 @@
             return math.inf
         return now_s - self._answered_at_s
 
+    def check_watch(self, *, now_s: float) -> None:
+        """Replace the current watch if the plan says so."""
+        watch = self._watch
+        if watch is None or self._plan is None or watch.is_replaced:
+            return
+        if self._plan.must_ask_now(
+            self._kind, wait_s=watch.wait_s, asked_at_s=watch.asked_at_s, now_s=now_s
+        ):
+            log_event("watch_replaced", kind=self._kind, revision=self._revision)
+            watch.is_replaced = True
+            watch.call.cancel()
+
+    def store_returned_for_others(self) -> None:
+        """Handle the end of an outage that only other routers noticed."""
+        if self._failure_count == 0:
+            self._sink.store_returned()
+
     async def run(self) -> None:
         """Follow until cancelled; an unexpected error leads to a new listing."""
         self._revision = None
@@ -107,17 +141,44 @@
             self._handle_recovery()
             self._sink.listed(snapshot)
         else:
-            snapshot = await self._store.watch(
-                self._kind, after_revision=self._revision, wait_s=self._options.wait_s
-            )
+            watched = await self._watch_from(self._revision)
+            if watched is None:
+                return
+            snapshot = watched
             if snapshot.objects:
                 self._sink.changed(snapshot)
                 pause_s = self._options.settle_s
         self._revision = snapshot.revision
         self._answered_at_s = asyncio.get_running_loop().time()
+        if self._plan is not None:
+            self._plan.record_seen(
+                self._kind,
+                revision=snapshot.revision,
+                changed_revision=snapshot.changed_revision,
+            )
         if pause_s:
             await asyncio.sleep(pause_s)
 
+    async def _watch_from(self, revision: int) -> Snapshot | None:
+        """Watch for changes; return None if the watch was replaced meanwhile."""
+        now_s = asyncio.get_running_loop().time()
+        wait_s = self._options.wait_s
+        if self._plan is not None:
+            wait_s = self._plan.wait_s(self._kind, now_s=now_s)
+        call = asyncio.ensure_future(
+            self._store.watch(self._kind, after_revision=revision, wait_s=wait_s)
+        )
+        watch = self._watch = _Watch(call, wait_s=wait_s, asked_at_s=now_s)
+        try:
+            return await call
+        except asyncio.CancelledError:
+            if not watch.is_replaced:
+                call.cancel()
+                raise
+            return None
+        finally:
+            self._watch = None
+
     def _handle_recovery(self) -> None:
         if self._failure_count:
             log_event("store_returned", kind=self._kind, failures=self._failure_count)
@@ -129,6 +190,8 @@
             log_event("store_lost", level="WARNING", kind=self._kind, detail=str(error))
             self._sink.store_lost()
         self._revision = None
+        if self._plan is not None:
+            self._plan.record_lost(self._kind)
         pause_s = backoff_s(
             self._failure_count,
             min_s=self._options.min_backoff_s,
--- a/packages/citrondock-router/src/citrondock_router/gateway/peer_link.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/peer_link.py
@@ -99,11 +99,14 @@
         if peer is not None:
             self._send_to((peer.host, peer.port), datagram)
 
-    def broadcast(self, datagram: PeerDatagram) -> None:
-        """Send a datagram to all known peers."""
+    def broadcast(
+        self, datagram: PeerDatagram, *, availability_zone: str | None = None
+    ) -> None:
+        """Send a datagram to all known peers, or to those of one zone."""
         data = self._codec.encode(datagram, now_s=self._loop.time())
         for peer in self.peers.peers():
-            self._send_bytes((peer.host, peer.port), data)
+            if availability_zone in (None, peer.availability_zone):
+                self._send_bytes((peer.host, peer.port), data)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Handle a datagram of a peer."""
--- a/packages/citrondock-router/src/citrondock_router/gateway/watched_store.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/watched_store.py
@@ -51,6 +51,11 @@
     objects: Sequence[WatchedObject]
     revision: int
 
+    @property
+    def changed_revision(self) -> int:
+        """Revision of the last change among the objects; 0 without objects."""
+        return max((item.revision for item in self.objects), default=0)
+
 
 class WatchedStore(ABC):
     """A store whose objects can be listed and watched by kind."""
--- a/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
+++ b/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
@@ -19,6 +19,7 @@
 )
 from citrondock_core.routing.part_quarantine import PartState
 from citrondock_core.routing.request_facts import PromptPart
+from citrondock_core.routing.store_watch_plan import StoreView
 from citrondock_core.routing.target_departure import TargetDeparture
 from citrondock_core.routing.target_limits import TargetLimit
 from citrondock_wire.gen.citrondock_grants import ttypes
@@ -83,6 +84,8 @@
         Limits of targets that the sender knows.
     departures : list of TargetDeparture
         Targets that the sender knows to be leaving or gone.
+    store_views : list of StoreView
+        How far the sender has followed the store.
     """
 
     vm_name: str
@@ -97,6 +100,7 @@
     part_states: list[PartState] = attrs.field(factory=list)
     limits: list[TargetLimit] = attrs.field(factory=list)
     departures: list[TargetDeparture] = attrs.field(factory=list)
+    store_views: list[StoreView] = attrs.field(factory=list)
 
 
 class GrantCodec:
@@ -143,6 +147,10 @@
                 limits=[_limit_to_thrift(item) for item in datagram.limits] or None,
                 departures=[_departure_to_thrift(item) for item in datagram.departures]
                 or None,
+                store_views=[
+                    _store_view_to_thrift(item) for item in datagram.store_views
+                ]
+                or None,
             ),
             self._factory,
         )
@@ -168,6 +176,11 @@
     ) -> PeerDatagram:
         presence = decoded.presence
         incarnation = decoded.incarnation
+        names = [decoded.vm_name]
+        if presence is not None:
+            names.append(presence.availability_zone)
+        if not all(isinstance(name, str) and name for name in names):
+            raise ValueError("datagram lacks the name or zone of its sender")
         return PeerDatagram(
             vm_name=decoded.vm_name,
             incarnation=incarnation,
@@ -202,6 +215,9 @@
             departures=[
                 _departure_from_thrift(item) for item in decoded.departures or ()
             ],
+            store_views=[
+                _store_view_from_thrift(item) for item in decoded.store_views or ()
+            ],
         )
 
 
@@ -362,3 +378,17 @@
         registry_revision=departure.registry_revision or None,
         age_s=departure.age_ms / MS_PER_S,
     )
+
+
+def _store_view_to_thrift(view: StoreView) -> ttypes.StoreView:
+    return ttypes.StoreView(
+        kind=view.kind, changed_revision=view.changed_revision, lost=view.is_lost
+    )
+
+
+def _store_view_from_thrift(view: ttypes.StoreView) -> StoreView:
+    return StoreView(
+        kind=view.kind,
+        changed_revision=view.changed_revision,
+        is_lost=bool(view.lost),
+    )
--- a/tests/gateway/test_grant_broker.py
+++ b/tests/gateway/test_grant_broker.py
@@ -19,6 +19,8 @@
 from citrondock_core.routing.peer_table import Peer, PeerTable
 from citrondock_core.routing.request_facts import PromptPart
 from citrondock_core.routing.route import ModelEngineOptions
+from citrondock_core.routing.store_watch_plan import StoreView
+from citrondock_core.routing.target_departure import TargetDeparture
 from citrondock_core.routing.target_entry import TargetEntry
 from citrondock_core.routing.target_limits import TargetLimit
 from citrondock_router.gateway.gateway_settings import Address
@@ -28,7 +30,12 @@
     MIN_USAGE_PERIOD_S,
     KnownEngine,
 )
-from citrondock_wire.grant_codec import GrantCodec, PeerDatagram, Presence
+from citrondock_wire.grant_codec import (
+    BadDatagramError,
+    GrantCodec,
+    PeerDatagram,
+    Presence,
+)
 
 HOST = "127.0.0.1"
 ENGINE = ModelEngineOptions(max_batch_size=8, memory_tokens=100_000)
@@ -562,3 +569,43 @@
         codec = GrantCodec()
         data = codec.encode(sent, now_s=1.0)
         assert codec.decode(data, now_s=9.0, own_incarnation=2) == sent
+
+    def test_departures_and_views_of_the_store_are_read_as_sent(self):
+        sent = PeerDatagram(
+            vm_name="v1",
+            incarnation=1,
+            departures=[
+                TargetDeparture(
+                    target_id="e1",
+                    started_at_ms=1_764_900_000_000,
+                    registry_revision=7,
+                    age_s=0.5,
+                ),
+                TargetDeparture(
+                    target_id="e2", started_at_ms=0, registry_revision=None, age_s=0.0
+                ),
+            ],
+            store_views=[
+                StoreView(kind="servers", changed_revision=7, is_lost=False),
+                StoreView(kind="config", changed_revision=2, is_lost=True),
+            ],
+        )
+        codec = GrantCodec()
+        data = codec.encode(sent, now_s=1.0)
+        assert codec.decode(data, now_s=9.0, own_incarnation=2) == sent
+        sent.departures = []
+        assert len(codec.encode(sent, now_s=1.0)) < 60
+
+    @pytest.mark.parametrize("field", ["vm_name", "zone"])
+    def test_a_datagram_without_a_name_or_zone_is_rejected(self, field):
+        names = {"vm_name": "v1", "zone": "z1", field: None}
+        sent = PeerDatagram(
+            vm_name=names["vm_name"],
+            incarnation=1,
+            presence=Presence(
+                availability_zone=names["zone"], is_leaving=False, wants_reply=True
+            ),
+        )
+        codec = GrantCodec()
+        with pytest.raises(BadDatagramError):
+            codec.decode(codec.encode(sent, now_s=1.0), now_s=9.0, own_incarnation=2)
--- /dev/null
+++ b/tests/gateway/test_store_views.py
@@ -0,0 +1,132 @@
+"""A router whose watch is dead learns of a change through the watchers of its zone."""
+
+import asyncio
+
+from harness import HOST, run
+
+from citrondock_core.routing.engine_load_view import EngineLoadView
+from citrondock_core.routing.peer_table import PeerTable
+from citrondock_core.routing.store_watch_plan import StoreWatchPlan
+from citrondock_router.gateway.gateway_settings import Address
+from citrondock_router.gateway.grant_broker import GrantBroker
+from citrondock_router.gateway.object_follower import ObjectFollower
+from citrondock_router.gateway.store_view_exchange import StoreViewExchange
+from citrondock_router.gateway.watched_store import (
+    ObjectSink,
+    Snapshot,
+    WatchedObject,
+    WatchedStore,
+)
+
+KIND = "servers"
+
+
+class Store:
+    """One object that changes."""
+
+    def __init__(self):
+        self.revision = 1
+        self.changed = asyncio.Condition()
+
+    async def change(self):
+        async with self.changed:
+            self.revision += 1
+            self.changed.notify_all()
+
+    @property
+    def snapshot(self):
+        item = WatchedObject(name="a", revision=self.revision, value={})
+        return Snapshot(objects=[item], revision=self.revision)
+
+
+class Connection(WatchedStore):
+    """A router's connection to the store; it may go silent."""
+
+    def __init__(self, store):
+        self.store = store
+        self.call_count = 0
+        self.silenced_calls = 0
+
+    async def list(self, kind):
+        self.call_count += 1
+        return self.store.snapshot
+
+    async def watch(self, kind, *, after_revision, wait_s):
+        self.call_count += 1
+        number = self.call_count
+        try:
+            async with asyncio.timeout(wait_s), self.store.changed:
+                await self.store.changed.wait_for(
+                    lambda: (
+                        self.store.revision > after_revision
+                        and number > self.silenced_calls
+                    )
+                )
+        except TimeoutError:
+            return Snapshot(objects=[], revision=self.store.revision)
+        return self.store.snapshot
+
+
+class Sink(ObjectSink):
+    def __init__(self):
+        self.revision = 0
+
+    def listed(self, snapshot):
+        self.changed(snapshot)
+
+    def changed(self, snapshot):
+        assert snapshot.revision >= self.revision
+        self.revision = snapshot.revision
+
+    def store_lost(self):
+        pass
+
+    def store_returned(self):
+        pass
+
+
+class Router:
+    def __init__(self, name, store):
+        loop = asyncio.get_running_loop()
+        self.broker = GrantBroker(PeerTable(name, "z1"), EngineLoadView(), loop)
+        self.plan = StoreWatchPlan()
+        self.exchange = StoreViewExchange(self.broker.link, self.plan, loop)
+        self.connection = Connection(store)
+        self.sink = Sink()
+        follower = ObjectFollower(self.connection, KIND, self.sink, plan=self.plan)
+        self.exchange.set_followers([follower])
+        self.address = self.broker.open(Address(HOST, 0))
+        self.tasks = [
+            asyncio.ensure_future(follower.run()),
+            asyncio.ensure_future(self.tick()),
+        ]
+
+    async def tick(self):
+        while True:
+            self.exchange.tick()
+            await asyncio.sleep(0.05)
+
+
+class TestRouterWhoseWatchIsDead:
+    def test_it_asks_again_when_a_watcher_has_seen_a_change(self):
+        async def check():
+            store = Store()
+            routers = [Router(f"v{number}", store) for number in range(5)]
+            for router in routers:
+                router.broker.announce(other.address for other in routers)
+            await asyncio.sleep(3.5)
+            followers = [router for router in routers if not router.plan.is_watcher]
+            assert len(followers) == 3
+            victim = followers[0]
+            calls = victim.connection.call_count
+            victim.connection.silenced_calls = calls
+            await store.change()
+            await asyncio.sleep(1.2)
+            assert {router.sink.revision for router in routers} == {2}
+            assert victim.connection.call_count > calls
+            for router in routers:
+                for task in router.tasks:
+                    task.cancel()
+                router.broker.close()
+
+        run(check())
