Count only whole events as progress of a stream

What callers saw: a stream whose target sent a byte of an event now and then went on without an event until the route's timeout, and then broke off. Cause: any byte counted as progress for the check of stalled streams. Ruled out: streams that are slow but sound; one with an event at each longest pause is not cut (a test shows it). Such a stream is now resumed at another target after the same time as one that is silent. The new test failed before.

--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -330,7 +330,9 @@
             # A pause between two targets counts as well, since the client waits for it.
             pause_s = now_s - self._last_received_at_s
             self.longest_pause_s = max(self.longest_pause_s, pause_s)
-        self.last_data_at_s = self._last_received_at_s = now_s
+        self._last_received_at_s = now_s
+        if self._event_filter is None:
+            self.last_data_at_s = now_s
         if self.choice is not None:
             self.choice.load.last_data_at_s = now_s
         if self.state is ExchangeState.SENT:
@@ -446,6 +448,8 @@
         else:
             self._event_boundary.feed(data)
         if data and self._head is not None:
+            # Bytes of an event that never ends are no progress.
+            self.last_data_at_s = self._last_received_at_s
             if self._event_filter is not None or self._event_boundary.has_event:
                 self._record_begun()
             self._response.write_stream(self._head, data)
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -160,6 +160,52 @@
         run(check())
 
 
+class TestSlowStreams:
+    @staticmethod
+    async def drip(got, writer):
+        """Send the first event, then a byte of the next one now and then."""
+        writer.write(stream_head(got))
+        writer.write(chunk(event(0)))
+        for _ in range(200):
+            writer.write(chunk(b"d"))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+
+    @staticmethod
+    async def stream_slowly(got, writer):
+        """Send each event at the longest pause that is on time."""
+        writer.write(stream_head(got))
+        for number in range(6):
+            writer.write(chunk(event(number)))
+            await writer.drain()
+            await asyncio.sleep(0.1)
+        writer.write(b"0\r\n\r\n")
+
+    def test_one_that_sends_a_byte_now_and_then_is_resumed_elsewhere(self):
+        async def check():
+            sound = stream_script(0, 6)
+            async with make_harness(self.drip, self.drip) as harness:
+                harness.targets[1].script = sound
+                harness.targets[0].script = self.drip
+                for number in range(4):
+                    started_at_s = asyncio.get_running_loop().time()
+                    reply = await harness.get("/resumable/x", f"r{number}")
+                    assert (reply.body, reply.is_complete) == (ALL_EVENTS, True)
+                    assert asyncio.get_running_loop().time() - started_at_s < 1.5
+                assert harness.targets[0].received
+
+        run(check())
+
+    def test_a_slow_but_sound_one_is_not_cut(self):
+        async def check():
+            async with make_harness(self.stream_slowly) as harness:
+                reply = await harness.get("/resumable/x")
+                assert (reply.body, reply.is_complete) == (ALL_EVENTS, True)
+                assert len(harness.targets[0].received) == 1
+
+        run(check())
+
+
 class TestPrompts:
     def headers(self):
         return {"Model": "m", "Token_Usage": "1000,40", "Prefix_Hash": "a1:800,b2:200"}
