--- a/packages/citrondock-core/src/citrondock_core/routing/engine_admission.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_admission.py
@@ -4,7 +4,7 @@
 
 from citrondock_core.routing.account_usage import UsageTracker
 from citrondock_core.routing.admission_queue import AdmissionQueue
-from citrondock_core.routing.engine_speed import EngineSpeed
+from citrondock_core.routing.engine_speed import FIRST_TOKEN_BASE_S, EngineSpeed
 from citrondock_core.routing.grant import (
     EngineBacklog,
     GrantAnswer,
@@ -53,7 +53,7 @@
         Time after which a grant without a reported end is dropped.
     """
 
-    max_backlog_s: float = 0.25
+    max_backlog_s: float = 0.12
     max_account_queue_s: float = 0.5
     prefill_share: float = 0.97
     max_unstarted_s: float = 1.0
@@ -68,7 +68,6 @@
     backlog_tokens: float
     granted_at_s: float
     confirm_at_s: float
-    had_waiting: bool
     started: bool = False
 
 
@@ -203,7 +202,7 @@
                     self._answer(waiting.request.key, Verdict.REFUSED, now_s)
                 )
         answers += self._refuse_beyond_limit(now_s)
-        if not self._queue or self._unread_s > self.options.max_backlog_s:
+        if not self._queue or self._backlog_s(now_s) > self.options.max_backlog_s:
             return answers
         for waiting in self._queue.in_order(now_s=now_s):
             if not self._has_capacity(waiting.request, now_s):
@@ -212,22 +211,6 @@
             answers.append(self._grant(waiting.request, now_s))
         return answers
 
-    def refuse_hopeless(self, *, now_s: float) -> list[GrantAnswer]:
-        """Refuse the queued requests whose turn comes too late at the learned rate."""
-        answers: list[GrantAnswer] = []
-        if not self._queue:
-            return answers
-        turn_at_s = now_s + self._unread_s - self.options.max_backlog_s
-        for waiting in self._queue.in_order(now_s=now_s):
-            if turn_at_s > waiting.request.wait_until_s:
-                self._remove_waiting(waiting)
-                answers.append(
-                    self._answer(waiting.request.key, Verdict.REFUSED, now_s)
-                )
-            else:
-                turn_at_s += self._prefill_s(waiting.cost_tokens)
-        return answers
-
     def _refuse_beyond_limit(self, now_s: float) -> list[GrantAnswer]:
         """Refuse the queued requests that the limit does not let pass in time."""
         answers: list[GrantAnswer] = []
@@ -322,19 +305,12 @@
 
         It is the larger of two estimates: the time until the engine has read all
         granted prompts at its learned rate, and the time to read those that have not
-        started.
-        """
-        return max(self._busy_until_s - now_s, self._unread_s, 0.0)
-
-    @property
-    def _unread_s(self) -> float:
-        """Time to read the granted prompts that are not known to be read.
-
-        The base time to a first token is subtracted: for that long, a prompt that was
-        read is not yet reported as started.
+        started. The base time to a first token is subtracted from the latter: for that
+        long, a prompt that was read is not yet reported as started.
         """
         unstarted_s = self._unstarted_tokens / self.speed.tokens_per_s
-        return max(unstarted_s - self.speed.base_s, 0.0)
+        overdue_s = unstarted_s - FIRST_TOKEN_BASE_S
+        return max(self._busy_until_s - now_s, overdue_s, 0.0)
 
     def _limit_wait_s(self, ahead_count: int, now_s: float) -> float:
         """Return when the limit lets one more request pass, from now."""
@@ -343,9 +319,7 @@
         return self._limiter.wait_s(ahead_count, now_s=now_s)
 
     def _has_capacity(self, request: GrantRequest, now_s: float) -> bool:
-        # What the engine was sent, not what the learned rate predicts: an engine that
-        # is faster than predicted would run dry while prompts wait.
-        if self._unread_s > self.options.max_backlog_s:
+        if self._backlog_s(now_s) > self.options.max_backlog_s:
             return False
         if len(self._grants) >= self.engine.max_batch_size:
             return False
@@ -364,12 +338,7 @@
         self._busy_until_s = start_s + self._prefill_s(tokens)
         confirm_at_s = now_s + self.options.max_unstarted_s
         self._grants[request.key] = _Grant(
-            request,
-            tokens,
-            backlog_tokens,
-            now_s,
-            confirm_at_s,
-            had_waiting=bool(self._queue),
+            request, tokens, backlog_tokens, now_s, confirm_at_s
         )
         self._unstarted_tokens += tokens
         self._ratios.record_served(request.kind, now_s=now_s)
@@ -382,20 +351,15 @@
         grant.started = True
         grant.confirm_at_s = now_s + self.options.confirm_period_s
         self._unstarted_tokens -= grant.prefill_tokens
-        delay_s = now_s - grant.granted_at_s
-        if grant.had_waiting and self._queue:
-            self.speed.record_busy(grant.prefill_tokens, delay_s, now_s=now_s)
-        else:
-            read_tokens = grant.prefill_tokens + grant.backlog_tokens
-            self.speed.learn(read_tokens, delay_s)
+        read_tokens = grant.prefill_tokens + grant.backlog_tokens
+        self.speed.learn(read_tokens, now_s - grant.granted_at_s)
 
     def _answer(self, key: GrantKey, verdict: Verdict, now_s: float) -> GrantAnswer:
-        base_s = self.speed.base_s
-        first_token_s = base_s + self._backlog_s(now_s)
+        first_token_s = FIRST_TOKEN_BASE_S + self._backlog_s(now_s)
         if verdict is not Verdict.GRANTED:
             first_token_s += self._prefill_s(self._queue.waiting_tokens)
             limit_wait_s = self._limit_wait_s(len(self._queue), now_s)
-            first_token_s = max(first_token_s, base_s + limit_wait_s)
+            first_token_s = max(first_token_s, FIRST_TOKEN_BASE_S + limit_wait_s)
         return GrantAnswer(key=key, verdict=verdict, first_answer_s=first_token_s)
 
     def _prefill_tokens(self, request: GrantRequest) -> int:
@@ -404,7 +368,7 @@
 
     def _grant_deadline_s(self, request: GrantRequest, prefill_tokens: int) -> float:
         """Return when a request must be granted for its first token to be on time."""
-        ahead_s = self.speed.base_s + self.options.max_backlog_s
+        ahead_s = FIRST_TOKEN_BASE_S + self.options.max_backlog_s
         prefill_s = prefill_tokens / self.speed.tokens_per_s
         return request.on_time_until_s - ahead_s - prefill_s
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_home.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_home.py
@@ -168,7 +168,6 @@
             if admission.waiting_count:
                 self._apply_limit(admission, now_s)
                 self._deliver(admission, admission.process_queue(now_s=now_s))
-                self._deliver(admission, admission.refuse_hopeless(now_s=now_s))
 
     def expire(self) -> None:
         """Drop grants whose end was never reported, and confirm those that are old."""
