--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -19,7 +19,6 @@
     RetryRatioBudget,
     RetryRatioBudgetOptions,
 )
-from citrondock_core.routing.return_schedule import MIN_RETURN_S, ReturnSchedule
 from citrondock_core.routing.route import (
     ModelEngineOptions,
     RouteKind,
@@ -51,6 +50,11 @@
 MAX_WAIT_RATIO = 1.0
 """Longest wait for a target, as a multiple of `Exchange.first_answer_target_s`."""
 
+MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_BACKLOG_S = 2.0
+"""Refused clients are asked to retry once the engines have read their backlog: after
+`MIN_RETRY_AFTER_S` and the smallest backlog, cut to `MAX_RETRY_BACKLOG_S`."""
+
 
 class RequestScheduler(Scheduler, EnginePool, CrashListener):
     """Queues requests for all services of one router and sends them to targets.
@@ -126,7 +130,6 @@
         # Sent requests that may run again; they are checked for stalls.
         self._sent: dict[int, Exchange] = {}
         self._refused_requests = RefusedRequests()
-        self._returns: dict[str, ReturnSchedule] = {}
         self.live_count = 0
 
     def set_budget_options(self, options: RetryRatioBudgetOptions) -> None:
@@ -282,12 +285,12 @@
         loads = self.loads(exchange.service)
         if not loads:
             return self._pause_left_s(exchange.service)
-        return_after_s = self._returns_of(exchange.service).return_after_s(
-            exchange.cost_tokens,
-            time_left_s=max(exchange.deadline_s - now_s, 0.0),
-            now_s=now_s,
-        )
-        return round(return_after_s, 3)
+        backlogs_s = [
+            self._engine_loads.backlog_s(load.entry.target_id, now_s=now_s)
+            for load in loads
+        ]
+        wait_s = min(backlogs_s, default=MIN_RETRY_AFTER_S)
+        return round(MIN_RETRY_AFTER_S + min(wait_s, MAX_RETRY_BACKLOG_S), 3)
 
     @override
     def finished(self, exchange: Exchange, outcome: Outcome) -> None:
@@ -367,9 +370,6 @@
     @override
     def start(self, exchange: Exchange, choice: PlacementChoice) -> None:
         choice.load.record_sent(exchange.key)
-        self._returns_of(exchange.service).record_served(
-            exchange.cost_tokens, now_s=self._loop.time()
-        )
         if exchange.route.kind is not RouteKind.AT_MOST_ONCE:
             self._sent[id(exchange)] = exchange
         exchange.send_to(choice)
@@ -398,9 +398,9 @@
         """Return the time until a target of a service takes requests again."""
         loads = self._loads_by_service.get(service, [])
         if not loads:
-            return MIN_RETURN_S
+            return MIN_RETRY_AFTER_S
         until_s = min(load.paused_until_s for load in loads)
-        return round(max(until_s - self._loop.time(), MIN_RETURN_S), 3)
+        return round(max(until_s - self._loop.time(), MIN_RETRY_AFTER_S), 3)
 
     def _wait_until_s(self, exchange: Exchange) -> float:
         return exchange.arrived_at_s + MAX_WAIT_RATIO * exchange.first_answer_target_s
@@ -499,12 +499,6 @@
             budget = self._budgets[service] = RetryRatioBudget(self._budget_options)
         return budget
 
-    def _returns_of(self, service: str) -> ReturnSchedule:
-        returns = self._returns.get(service)
-        if returns is None:
-            returns = self._returns[service] = ReturnSchedule()
-        return returns
-
     def _rebuild(self) -> None:
         loads: dict[str, TargetLoad] = {}
         by_service: dict[str, list[TargetLoad]] = {}
