Keep to what a target says of its leaving, whatever routers hear later

What callers would have seen: requests at an engine that had said that it leaves (DRAIN). Found on reading, before any play showed it. Cause: a departure that another router's registry shows replaced the target's own word, and a later entry then overruled it; and a statement that came before the target's entry counted as known when it was repeated. Ruled out: statements about another incarnation; they are ignored. The target's own word now stays, and repeated statements are applied again. Two new tests failed before.

--- a/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
@@ -106,6 +106,10 @@
         is_missing = target_id in self._missing_until_s
         if revision is not None and revision <= self.revision and not is_missing:
             return DirectoryChange()
+        known, known_revision = self._departed.get(target_id, (entry, 0))
+        if known_revision is None and not entry.is_other_incarnation_of(known):
+            # The registry of another router does not overrule the target's own word.
+            revision = None
         self._departed[target_id] = (entry, revision)
         if len(self._departed) > MAX_DEPARTED:
             del self._departed[next(iter(self._departed))]
--- a/packages/citrondock-router/src/citrondock_router/gateway/departure_exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/departure_exchange.py
@@ -54,10 +54,9 @@
             registry_revision=None,
             age_s=0.0,
         )
-        if not self._recent.record(departure, now_s=self._loop.time()):
-            return
+        is_news = self._recent.record(departure, now_s=self._loop.time())
         self._apply(departure, origin=self._link.vm_name)
-        if not self._tell_all_as_home(entry, departure):
+        if is_news and not self._tell_all_as_home(entry, departure):
             datagram = self._link.datagram()
             datagram.departures = [departure]
             self._link.send(self._home_of(entry), datagram)
@@ -85,11 +84,12 @@
     def handle_datagram(self, datagram: PeerDatagram) -> None:
         now_s = self._loop.time()
         for departure in datagram.departures:
-            if not self._recent.record(departure, now_s=now_s):
-                continue
+            is_news = self._recent.record(departure, now_s=now_s)
             entry = self._directory.get(departure.target_id)
+            # A repeated statement may be about a target that was not known before.
             self._apply(departure, origin=datagram.vm_name)
-            if entry is not None and departure.registry_revision is None:
+            is_own_word = departure.registry_revision is None
+            if is_news and is_own_word and entry is not None:
                 self._tell_all_as_home(entry, departure)
 
     def _apply(self, departure: TargetDeparture, *, origin: str) -> None:
--- a/tests/gateway/test_leaving_targets.py
+++ b/tests/gateway/test_leaving_targets.py
@@ -6,6 +6,8 @@
 import pytest
 from harness import Harness, ScriptedTarget, complete_response, run
 
+from citrondock_core.routing.target_departure import TargetDeparture
+
 
 class LeavingTarget(ScriptedTarget):
     """A target that answers with ``Server-Leaving`` once it is told to leave."""
@@ -114,3 +116,31 @@
                 assert target.received == []
 
         run(check())
+
+    def test_a_router_that_heard_of_it_before_its_entry_learns_it_as_well(self):
+        async def check():
+            leaving = LeavingTarget("t1")
+            async with Harness([]) as harness:
+                departures = harness.gateway.scheduler.departures
+                # Another router's word comes before the entry, and again after it.
+                datagram = harness.process.broker.link.datagram()
+                datagram.departures = [
+                    TargetDeparture(
+                        target_id="t1",
+                        started_at_ms=0,
+                        registry_revision=None,
+                        age_s=0.0,
+                    )
+                ]
+                departures.handle_datagram(datagram)
+                await leaving.start()
+                harness.gateway.targets_changed(
+                    harness.process.directory.replace(
+                        [leaving.entry], revision=2, now_s=0
+                    )
+                )
+                departures.handle_datagram(datagram)
+                assert (await harness.get("/safe/x", "r1")).status == 503
+                leaving.stop()
+
+        run(check())
--- a/tests/routing/test_target_departures.py
+++ b/tests/routing/test_target_departures.py
@@ -55,6 +55,13 @@
         directory.apply(put=[ENTRY], deleted=[], revision=11, now_s=3.0)
         assert usable_ids(directory) == ["e2", "e3"]
 
+    def test_the_registry_of_another_router_does_not_overrule_it(self):
+        directory = known()
+        directory.depart(OWN_WORD)
+        directory.depart(attrs.evolve(OWN_WORD, registry_revision=8))
+        directory.apply(put=[ENTRY], deleted=[], revision=9, now_s=1.0)
+        assert usable_ids(directory) == ["e2", "e3"]
+
     def test_its_next_incarnation_is_used(self):
         directory = known()
         directory.depart(OWN_WORD)
