Soak: entries of another writer that cannot be read

Every soak now has three such entries among those of the targets: deeply nested, with a number of 6,000 digits, with a port out of range.

--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -5,6 +5,28 @@
 from urllib.parse import parse_qs, urlsplit
 
 
+class RawJson:
+    """JSON text that is sent as it is, such as numbers that no encoder writes."""
+
+    def __init__(self, text: str) -> None:
+        self.text = text
+
+
+def _encode(answer) -> bytes:
+    raw: list[str] = []
+
+    def mark(value):
+        if not isinstance(value, RawJson):
+            raise TypeError(f"{value!r} cannot be encoded")
+        raw.append(value.text)
+        return f"@raw-{len(raw) - 1}@"
+
+    text = json.dumps(answer, default=mark)
+    for number, value in enumerate(raw):
+        text = text.replace(f'"@raw-{number}@"', value)
+    return text.encode()
+
+
 class StoreStandIn:
     """Serves objects by kind, with revisions, watches and faults that tests switch on.
 
@@ -69,7 +91,7 @@
                 status, answer = 503, {}
                 if self.fault != "busy":
                     status, answer = await self._answer(method, target, body)
-                data = json.dumps(answer).encode()
+                data = _encode(answer)
                 head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n"
                 writer.write(head.encode() + data)
                 await writer.drain()
--- a/tests/soak/soak_testbed.py
+++ b/tests/soak/soak_testbed.py
@@ -12,7 +12,7 @@
 from host_probe import HOST, handles_or_ignores, is_port_free
 from soak_record import SoakRecord
 from soak_targets import SoakTarget
-from store_standin import StoreStandIn
+from store_standin import RawJson, StoreStandIn
 
 from citrondock_standins.fault import Fault
 from citrondock_standins.proxy import FaultProxy
@@ -30,6 +30,13 @@
 }
 """Type and resumability of each route, by its name."""
 
+ODD_ENTRIES = {
+    "a-nested": RawJson("[" * 20_000 + "]" * 20_000),
+    "i-2-number": {"service": "app", "maxBatchSize": RawJson("9" * 6_000)},
+    "z-port": {"service": "app", "address": f"{HOST}:99999999", "zone": "z1"},
+}
+"""Entries of another writer among those of the targets, before and after them."""
+
 
 def configuration(version: int) -> dict:
     """Return a configuration; each version has a route that no earlier one has."""
@@ -184,6 +191,8 @@
         """Start all parts and wait until the routers are ready."""
         await self.store.start()
         await self.store.put("config", "main", configuration(self.version))
+        for name, odd in ODD_ENTRIES.items():
+            await self.store.put("servers", name, odd)
         for _ in range(TARGET_COUNT):
             await self.add_target()
         port = 20_000 + os.getpid() * 32 % 10_000
