--- a/packages/citrondock-bench/src/citrondock_bench/journal.py
+++ b/packages/citrondock-bench/src/citrondock_bench/journal.py
@@ -69,11 +69,14 @@
 def newest_scores(days: Iterable[DayResult]) -> dict[str, dict[str, DayResult]]:
     """Return the newest result by ``score`` of each standard day, by site and day.
 
-    Days whose name begins with ``fresh`` are not standard days.
+    Days whose name begins with ``fresh`` are not standard days, and runs whose stated
+    reason begins with ``trial`` are of code that did not land.
     """
     newest: dict[str, dict[str, DayResult]] = {}
     for day in days:
-        if day.command == "score" and not day.name.startswith("fresh"):
+        is_trial = day.why.startswith("trial")
+        is_standard = not day.name.startswith("fresh")
+        if day.command == "score" and is_standard and not is_trial:
             newest.setdefault(day.site, {})[day.name] = day
     return newest
 
--- a/tests/bench/test_measurements.py
+++ b/tests/bench/test_measurements.py
@@ -48,6 +48,14 @@
             "quiet-1": "c"
         }
 
+    def test_scores_of_trials_are_left_out(self, tmp_path):
+        landed = entry("a", "score", [day("quiet-1", 0.5)])
+        trial = {**entry("b", "score", [day("quiet-1", 0.9)]), "why": "trial: x"}
+        for number, content in enumerate((landed, trial)):
+            (tmp_path / f"2026010{number}-x.json").write_text(json.dumps(content))
+        newest = newest_scores(read_journal(tmp_path))
+        assert newest["north"]["quiet-1"].run_id == "a"
+
     def test_amounts_without_a_cost_are_not_the_largest_price(self, tmp_path):
         prices = [["moves", 3.0, None], ["cloud calls", 30.0, 0.02]]
         content = entry("a", "score", [day("quiet-1", 0.5, prices=prices)])
