--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -149,6 +149,11 @@
     writer.write(complete_response(got))
 
 
+async def send_many(harness, count, path="/safe/x", prefix="r"):
+    """Send requests one after the other; return the replies."""
+    return [await harness.get(path, f"{prefix}{number}") for number in range(count)]
+
+
 def configuration(version=1, accounts=None, timeout_s=2.0, max_attempts=2):
     routes = tuple(
         Route(
--- a/tests/gateway/test_leaving_targets.py
+++ b/tests/gateway/test_leaving_targets.py
@@ -4,7 +4,14 @@
 
 import attrs
 import pytest
-from harness import Harness, ScriptedTarget, complete_response, run
+from harness import (
+    Harness,
+    ScriptedTarget,
+    complete_response,
+    run,
+    send_complete_response,
+    send_many,
+)
 
 from citrondock_core.routing.target_departure import TargetDeparture
 
@@ -24,23 +31,12 @@
         writer.write(complete_response(got, extra=extra, status=self.status))
 
 
-async def send_complete(got, writer):
-    writer.write(complete_response(got))
-
-
-async def send_many(harness, count, path="/safe/x", prefix="r"):
-    replies = []
-    for number in range(count):
-        replies.append(await harness.get(path, f"{prefix}{number}"))
-    return replies
-
-
 class TestTargetThatLeaves:
     @pytest.mark.parametrize("status", ["200 OK", "503 Service Unavailable"])
     def test_it_gets_no_requests_after_it_said_so(self, status):
         async def check():
             leaving = LeavingTarget("t1", status)
-            sound = ScriptedTarget("t2", send_complete)
+            sound = ScriptedTarget("t2", send_complete_response)
             async with Harness([leaving, sound]) as harness:
                 leaving.is_leaving = True
                 await send_many(harness, 10)
@@ -93,7 +89,7 @@
 
     def test_a_router_without_the_store_learns_what_the_store_shows_others(self):
         async def check():
-            target = ScriptedTarget("t1", send_complete)
+            target = ScriptedTarget("t1", send_complete_response)
             first = Harness([target])
             second = Harness([], vm_name="v2")
             async with first, second:
--- a/tests/gateway/test_paused_targets.py
+++ b/tests/gateway/test_paused_targets.py
@@ -3,7 +3,14 @@
 import asyncio
 
 import pytest
-from harness import Harness, ScriptedTarget, complete_response, run
+from harness import (
+    Harness,
+    ScriptedTarget,
+    complete_response,
+    run,
+    send_complete_response,
+    send_many,
+)
 
 PAUSE_S = 1.2
 
@@ -23,22 +30,11 @@
         writer.write(complete_response(got, status=status, extra=extra))
 
 
-async def send_complete(got, writer):
-    writer.write(complete_response(got))
-
-
-async def send_many(harness, count, path="/safe/x", prefix="r"):
-    replies = []
-    for number in range(count):
-        replies.append(await harness.get(path, f"{prefix}{number}"))
-    return replies
-
-
 class TestTargetThatAsksForAPause:
     def test_it_gets_no_requests_until_the_pause_is_over(self):
         async def check():
             pausing = PausingTarget("t1", PAUSE_S)
-            sound = ScriptedTarget("t2", send_complete)
+            sound = ScriptedTarget("t2", send_complete_response)
             async with Harness([pausing, sound]) as harness:
                 loop = asyncio.get_running_loop()
                 end_s = loop.time() + PAUSE_S + 1
