--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from citrondock_core.routing.target_directory import TargetDirectory
+from citrondock_platform import configuration
 from citrondock_platform.configuration import ConfigurationSink
 from citrondock_platform.json_pages import decode_page
 from citrondock_platform.peers import StorePeerRegistry
@@ -242,3 +243,15 @@
         path.write_bytes(body)
         with pytest.raises(SettingsFileError):
             read_settings(path)
+
+
+class TestLoggedReasons:
+    def test_a_configuration_that_is_left_out_names_the_whole_reason(self, monkeypatch):
+        lines = []
+        monkeypatch.setattr(
+            configuration, "log_event", lambda *_, **fields: lines.append(fields)
+        )
+        problem = "Exceeds the limit (4300 digits) for integer string conversion"
+        item = WatchedObject(name="main", revision=1, value=None, problem=problem)
+        ConfigurationSink(None).changed(Snapshot(objects=[item], revision=1))
+        assert problem in lines[0]["detail"]
