Keep restarting a background task after a thousand failures

What operators would have seen: a task that fails at once each time is not started again after some 85 minutes. Found on reading the change. Cause: the pause was worked out as 2.0 to the number of failures, which overflows at 1024 and ends the supervising task. Ruled out: a task that runs longer than 5 s; its count starts anew. The pause is now the project's backoff, bounded and with jitter.

--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import gc
+import random
 import signal
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from functools import partial
 from http import HTTPStatus
 
+from citrondock_core.backoff import backoff_s
 from citrondock_core.routing.engine_load_view import EngineLoadView
 from citrondock_core.routing.peer_table import PeerTable
 from citrondock_core.routing.placement import Placement
@@ -42,8 +44,8 @@
 
 MIN_RESTART_S = 0.1
 MAX_RESTART_S = 5.0
-"""Pause before a background task that failed is started again. It doubles with each
-failure in a row, up to the maximum."""
+"""Longest pause before a background task is started again, after the first failure and
+after any failure."""
 
 LOG_DRAIN_S = 0.1
 """Period in which buffered log lines are written."""
@@ -56,6 +58,7 @@
 async def keep_running(task: BackgroundTask) -> None:
     """Run a task, and start it again after a pause if it fails or ends."""
     loop = asyncio.get_running_loop()
+    rng = random.Random()
     failure_count = 0
     while True:
         started_at_s = loop.time()
@@ -67,7 +70,9 @@
             detail = repr(error)
         if loop.time() - started_at_s > MAX_RESTART_S:
             failure_count = 0
-        pause_s = min(MIN_RESTART_S * 2.0**failure_count, MAX_RESTART_S)
+        pause_s = backoff_s(
+            failure_count, min_s=MIN_RESTART_S, max_s=MAX_RESTART_S, rng=rng
+        )
         failure_count += 1
         log_event(
             "background_task_failed",
