Name positions in a store that may come back from a copy

The store may come back from a copy: revisions go back and are given out again, and the era in its answers rises by one. A position orders by era first.

--- a/packages/citrondock-router/src/citrondock_router/gateway/watched_store.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/watched_store.py
@@ -7,6 +7,7 @@
 import attrs
 
 from citrondock_core.errors import CitrondockError
+from citrondock_core.routing.store_position import StorePosition
 
 
 @attrs.define(eq=False)
@@ -46,16 +47,32 @@
 
 @attrs.frozen(kw_only=True)
 class Snapshot:
-    """Objects of one kind, or their changes, up to a revision of the store."""
+    """Objects of one kind, or their changes, up to a revision of the store.
+
+    Parameters
+    ----------
+    objects : sequence of WatchedObject
+        The objects or changes.
+    revision : int
+        Revision of the store that they are complete up to.
+    era : int
+        Era of the store in which that revision was given out.
+    """
 
     objects: Sequence[WatchedObject]
     revision: int
+    era: int = 0
 
     @property
     def changed_revision(self) -> int:
         """Revision of the last change among the objects; 0 without objects."""
         return max((item.revision for item in self.objects), default=0)
 
+    @property
+    def position(self) -> StorePosition:
+        """Position in the store's history that the objects are complete up to."""
+        return StorePosition(self.era, self.revision)
+
 
 class WatchedStore(ABC):
     """A store whose objects can be listed and watched by kind."""
