--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -1,18 +1,20 @@
 """One HTTP/1.1 connection from a client."""
 
 import asyncio
-from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Sequence
 from http import HTTPStatus
 from typing import cast
 
-import attrs
 import httptools
 from typing_extensions import override
 
-from citrondock_core.routing.route import ClientLimits
 from citrondock_router.gateway.header_codec import Header, RequestHead
+from citrondock_router.gateway.request_handler import (
+    ClientRequest,
+    RequestHandler,
+    RequestInProgress,
+)
 from citrondock_router.gateway.socket_options import (
     enable_dead_peer_detection,
     has_peer_closed,
@@ -31,62 +33,6 @@
 the target."""
 
 
-@attrs.frozen(kw_only=True)
-class ClientRequest:
-    """A request with its complete body."""
-
-    head: RequestHead
-    body: bytes
-
-
-class RequestInProgress(ABC):
-    """A request whose response is not complete yet."""
-
-    @abstractmethod
-    def client_disconnected(self) -> None:
-        """Handle the loss of the client's connection."""
-
-    @abstractmethod
-    def end(self, reason: str) -> None:
-        """End the request at once, with a response unless one has begun."""
-
-    @abstractmethod
-    def set_client_slow(self, is_slow: bool) -> None:
-        """Record whether the client reads more slowly than it is written to."""
-
-
-class RequestHandler(ABC):
-    """Handles the requests of client connections."""
-
-    @property
-    @abstractmethod
-    def limits(self) -> ClientLimits:
-        """Limits for client connections that apply now."""
-
-    @property
-    @abstractmethod
-    def is_draining(self) -> bool:
-        """Whether connections are closed after their current response."""
-
-    @abstractmethod
-    def handle(
-        self, request: ClientRequest, client: "ClientConnection"
-    ) -> RequestInProgress | None:
-        """Start handling a request; return None if the response is already written."""
-
-    @abstractmethod
-    def connected(self, client: "ClientConnection") -> None:
-        """Record a new connection."""
-
-    @abstractmethod
-    def disconnected(self, client: "ClientConnection") -> None:
-        """Record the loss of a connection."""
-
-    @abstractmethod
-    def rejected(self, status: int, reason: str) -> None:
-        """Record received bytes that are not a valid request within the limits."""
-
-
 class ClientConnection(asyncio.Protocol):
     """Parses requests, passes them on one at a time and writes their responses.
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -13,11 +13,7 @@
 from citrondock_core.routing.request_facts import RequestFacts
 from citrondock_core.routing.route import Route
 from citrondock_core.routing.shutdown_admission import ShutdownAdmission
-from citrondock_router.gateway.client_connection import (
-    ClientConnection,
-    ClientRequest,
-    RequestInProgress,
-)
+from citrondock_router.gateway.client_connection import ClientConnection
 from citrondock_router.gateway.client_response import ClientResponse
 from citrondock_router.gateway.event_stream_filter import (
     EventBoundary,
@@ -27,6 +23,7 @@
 )
 from citrondock_router.gateway.header_codec import Header, HeaderCodec, ResponseHead
 from citrondock_router.gateway.outcome import Outcome
+from citrondock_router.gateway.request_handler import ClientRequest, RequestInProgress
 from citrondock_router.gateway.target_connection import (
     ResponseFailure,
     ResponseListener,
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -11,16 +11,16 @@
 from citrondock_core.routing.route_table import ConfigurationHolder
 from citrondock_core.routing.shutdown_admission import ShutdownAdmission
 from citrondock_core.routing.target_directory import DirectoryChange, TargetDirectory
-from citrondock_router.gateway.client_connection import (
-    ClientConnection,
-    ClientRequest,
-    RequestHandler,
-    RequestInProgress,
-)
+from citrondock_router.gateway.client_connection import ClientConnection
 from citrondock_router.gateway.exchange import Exchange, ExchangeState
 from citrondock_router.gateway.gateway_metrics import GatewayMetrics
 from citrondock_router.gateway.header_codec import HeaderCodec, MalformedRequestError
 from citrondock_router.gateway.overload_guard import OverloadGuard
+from citrondock_router.gateway.request_handler import (
+    ClientRequest,
+    RequestHandler,
+    RequestInProgress,
+)
 from citrondock_router.gateway.scheduler import RequestScheduler
 from citrondock_router.gateway.target_connection_pool import TargetConnectionPool
 from citrondock_router.log import log_event
--- a/packages/citrondock-router/src/citrondock_router/gateway/operations_handler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/operations_handler.py
@@ -6,8 +6,8 @@
 from typing_extensions import override
 
 from citrondock_core.routing.route import ClientLimits
-from citrondock_router.gateway.client_connection import (
-    ClientConnection,
+from citrondock_router.gateway.client_connection import ClientConnection
+from citrondock_router.gateway.request_handler import (
     ClientRequest,
     RequestHandler,
     RequestInProgress,
