Report whole requests that get no answer as their connection ends

Nothing in the log or on the metrics page told a request that was read and dropped from one that never came: requests queued behind another on a connection that closed, and requests read while a closing connection lingered, ended without a line. request_unanswered names each with id, reason and stage, and citrondock_unanswered_total counts them; a router under log pressure writes the line at once. idle_clients_closed sums up the idle connections closed in one check, in one line, so many at once cost one line.

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -55,6 +55,8 @@
         self._current: RequestInProgress | None = None
         self._is_busy = False
         self._is_discarding = False
+        self._is_rejected = False
+        self._close_reason = ""
         self._pending_error: tuple[int, str] | None = None
         self._url = b""
         self._headers: list[Header] = []
@@ -100,7 +102,7 @@
     @override
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
-        self._pipelined.clear()
+        self._drop_queued(self._close_reason or "client_left")
         current, self._current = self._current, None
         if current is not None:
             current.client_disconnected()
@@ -119,6 +121,7 @@
     @override
     def data_received(self, data: bytes) -> None:
         if self._is_discarding:
+            self._discard(data)
             return
         try:
             self._parser.feed_data(data)
@@ -135,7 +138,7 @@
         elif self._is_body_too_large:
             self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large")
         elif len(self._pipelined) > MAX_PIPELINED_REQUESTS:
-            self.close_at_once()
+            self.close_at_once("too_many_queued")
 
     # Callbacks of `httptools.HttpRequestParser`.
 
@@ -165,9 +168,8 @@
         )
         self._keeps_alive = self._parser.should_keep_alive()
         self._is_http_1_1 = self._parser.get_http_version() == "1.1"
-        if not self._is_busy and any(
-            name.lower() == b"expect" for name, _ in self._headers
-        ):
+        is_expecting = any(name.lower() == b"expect" for name, _ in self._headers)
+        if is_expecting and not (self._is_busy or self._is_discarding):
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
@@ -179,13 +181,16 @@
     def on_message_complete(self) -> None:
         """Queue the complete request."""
         self._is_reading_message = False
-        if self._is_discarding or self._is_head_too_large or self._is_body_too_large:
+        if self._is_head_too_large or self._is_body_too_large:
             return
         head = RequestHead(
             method=self._parser.get_method(), target=self._url, headers=self._headers
         )
         request = ClientRequest(head=head, body=b"".join(self._body))
         self._body = []
+        if self._is_discarding:
+            self._handler.unanswered(request, self._close_reason, stage="discarded")
+            return
         self._pipelined.append((request, self._keeps_alive, self._is_http_1_1))
 
     # Responses.
@@ -254,11 +259,11 @@
         if self._transport is not None and not self._is_chunked:
             # Without chunks, an ordinary close marks the end of a complete response.
             reset_on_close(self._transport.get_extra_info("socket"))
-        self.close_at_once()
+        self.close_at_once("response_broken_off")
 
-    def close_at_once(self) -> None:
+    def close_at_once(self, reason: str) -> None:
         """Close the connection and drop unwritten data."""
-        self._is_discarding = True
+        self._begin_close(reason)
         if self._transport is not None:
             self._transport.abort()
 
@@ -276,13 +281,13 @@
 
     def close_idle(self) -> None:
         """Close an idle connection; its descriptor is free at once."""
-        self._is_discarding = True
+        self._begin_close("descriptor_needed")
         if self._transport is not None:
             self._transport.close()
 
-    def close_when_written(self) -> None:
+    def close_when_written(self, reason: str) -> None:
         """Close once all data is written, without resetting the connection."""
-        self._is_discarding = True
+        self._begin_close(reason)
         transport = self._transport
         if transport is None or transport.is_closing():
             return
@@ -314,7 +319,7 @@
         self._is_busy = False
         self.idle_since_s = self._loop.time()
         if not self._current_keeps_alive or self._handler.is_draining:
-            self.close_when_written()
+            self.close_when_written("close_announced")
         elif self._pending_error is not None:
             self._reject(*self._pending_error)
         elif self._pipelined:
@@ -323,13 +328,34 @@
     def _reject(self, status: int, reason: str) -> None:
         if self._is_busy:
             self._pending_error = (status, reason)
-            self._is_discarding = True
+            self._is_discarding = self._is_rejected = True
             return
+        self._is_rejected = True
         self._handler.rejected(status, reason)
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
         phrase = HTTPStatus(status).phrase.encode()
         self._write(_encode_head(status, phrase, headers))
-        self.close_when_written()
+        self.close_when_written(reason)
+
+    def _begin_close(self, reason: str) -> None:
+        self._is_discarding = True
+        self._close_reason = self._close_reason or reason
+        self._drop_queued(self._close_reason)
+
+    def _drop_queued(self, reason: str) -> None:
+        while self._pipelined:
+            request, _, _ = self._pipelined.popleft()
+            self._handler.unanswered(request, reason, stage="queued")
+
+    def _discard(self, data: bytes) -> None:
+        """Drop bytes, and report the whole requests among them."""
+        if self._is_rejected:
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            # No request can be told in these bytes or after them.
+            self._is_rejected = True
 
     def _connection_headers(self) -> list[Header]:
         """Return `Connection: close` if the connection closes after this response."""
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -212,7 +212,7 @@
             return None
         if client.has_left:
             log_event("request_dropped", request_id=request_id, reason="client_left")
-            client.close_at_once()
+            client.close_at_once("client_left")
             return None
         exchange = Exchange(
             request,
@@ -243,18 +243,46 @@
         self._metrics.count_rejected(reason)
         log_event("request_rejected", status=status, reason=reason)
 
+    @override
+    def unanswered(self, request: ClientRequest, reason: str, *, stage: str) -> None:
+        try:
+            request_id = self._header_codec.request_facts(request.head).request_id
+        except MalformedRequestError:
+            request_id = ""
+        self._metrics.count_unanswered(reason, stage)
+        log_event(
+            "request_unanswered",
+            level="WARNING",
+            request_id=request_id,
+            reason=reason,
+            stage=stage,
+            draining=self.is_draining,
+            configuration=self.configuration.version,
+        )
+
     def close_idle_clients(self) -> None:
         """Close connections that are idle or wait too long for a request head."""
         now_s = self._loop.time()
         limits = self.limits
+        closed_idle_s = []
         for client in list(self._clients):
             if client.is_reading_head:
                 if now_s > client.head_began_at_s + limits.header_timeout_s:
                     client.reject_slow_head()
-            elif client.is_idle:
+            elif client.may_close:
                 idle_s = now_s - client.idle_since_s
                 if idle_s > limits.idle_timeout_s + IDLE_GRACE_S:
-                    client.close_when_written()
+                    closed_idle_s.append(idle_s)
+                    client.close_when_written("idle")
+        if closed_idle_s:
+            log_event(
+                "idle_clients_closed",
+                count=len(closed_idle_s),
+                min_idle_s=min(closed_idle_s),
+                max_idle_s=max(closed_idle_s),
+                limit_s=limits.idle_timeout_s,
+                configuration=self.configuration.version,
+            )
 
     def close_longest_idle(self) -> int:
         """Close the connections that were idle longest, to free their descriptors.
@@ -283,7 +311,7 @@
     def close_clients(self) -> None:
         """Close all client connections, when the process is about to end."""
         for client in list(self._clients):
-            client.close_when_written()
+            client.close_when_written("router_stopped")
 
     def _refuse_unavailable(
         self,
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_metrics.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_metrics.py
@@ -82,6 +82,9 @@
         self._rejected = self._registry.counter(
             "rejected", "Bytes that were no request."
         )
+        self._unanswered = self._registry.counter(
+            "unanswered", "Whole requests whose connection ended without an answer."
+        )
         self._denied_retries = self._registry.counter(
             "repeats_denied", "Repeats over the budget."
         )
@@ -151,6 +154,10 @@
         """Count received bytes that could not be parsed as a request."""
         self._rejected.inc({"reason": reason})
 
+    def count_unanswered(self, reason: str, stage: str) -> None:
+        """Count a whole request that got no answer as its connection ended."""
+        self._unanswered.inc({"reason": reason, "stage": stage})
+
     def count_denied_retry(self, service: str) -> None:
         """Count a retry that the retry budget did not allow."""
         self._denied_retries.inc({"service": service})
--- a/packages/citrondock-router/src/citrondock_router/gateway/log_filter.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/log_filter.py
@@ -8,7 +8,7 @@
 
 _EVENT_PATTERN = re.compile(r"\bevent=(\w+)")
 _REQUEST_ID_PATTERN = re.compile(r"\brequest_id=(\S+)")
-_END_EVENT = "request_ended"
+_END_EVENTS = frozenset({"request_ended", "request_unanswered"})
 _SERVED_PATTERN = re.compile(r"\bwhole=True\b")
 
 
@@ -44,7 +44,7 @@
         if request is None or event is None:
             return [line]
         request_id = request.group(1)
-        if event.group(1) == _END_EVENT:
+        if event.group(1) in _END_EVENTS:
             held = self._held.pop(request_id, [])
             if is_suppressing and _SERVED_PATTERN.search(line):
                 self._count_suppressed([*held, line])
--- a/packages/citrondock-router/src/citrondock_router/gateway/operations_handler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/operations_handler.py
@@ -69,3 +69,7 @@
     @override
     def rejected(self, status: int, reason: str) -> None:
         return None
+
+    @override
+    def unanswered(self, request: ClientRequest, reason: str, *, stage: str) -> None:
+        return None
--- a/packages/citrondock-router/src/citrondock_router/gateway/request_handler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/request_handler.py
@@ -68,3 +68,18 @@
     @abstractmethod
     def rejected(self, status: int, reason: str) -> None:
         """Record received bytes that are not a valid request within the limits."""
+
+    @abstractmethod
+    def unanswered(self, request: ClientRequest, reason: str, *, stage: str) -> None:
+        """Record a whole request that gets no answer as its connection ends.
+
+        Parameters
+        ----------
+        request : ClientRequest
+            The request.
+        reason : str
+            Why the connection ends.
+        stage : str
+            ``queued`` if the request waited for an earlier one, ``discarded`` if it was
+            read when the connection was closing already.
+        """
--- a/tests/gateway/test_log_writer.py
+++ b/tests/gateway/test_log_writer.py
@@ -93,6 +93,11 @@
             pipe.writer.write(line("request_ended", "other", whole=True))
         assert "".join(lines) in pipe.read_all()
 
+    def test_the_line_of_an_unanswered_request_is_not_held(self, pipe):
+        fill(pipe)
+        pipe.writer.write(line("request_unanswered", "r1", reason="idle"))
+        assert "event=request_unanswered request_id=r1" in pipe.read_all()
+
     def test_lines_held_under_load_come_before_later_ones(self, pipe):
         fill(pipe)
         pipe.writer.write(line("engine_asked", "r1"))
