Leave requests that cross the close of an idle connection unread

Callers saw an unsafe request end with neither an answer nor a refusal when it crossed the close of its idle connection. The gateway wrote EOF and then read and dropped whatever came for 1 s. Clients repeat an unsafe request only if the router has not read it, so the request was lost. A configuration with a shorter idle timeout made all connections overdue at once, among them those whose clients still rightly counted on the former timeout.

A connection now stores until when it is kept: for the timeout in force when its last response ended. A configuration with a longer one extends that at once, one with a shorter applies from the next response on. An idle close first stops reading, leaves the connection open if bytes wait in its socket or in the write buffer, and closes without lingering. The same holds for the idle connections that are closed for want of file descriptors.

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -18,6 +18,7 @@
 from citrondock_router.gateway.socket_options import (
     enable_dead_peer_detection,
     has_peer_closed,
+    has_unread_data,
     reset_on_close,
 )
 
@@ -71,7 +72,8 @@
         self._is_chunked = False
         self._is_http_1_1 = True
         self.head_began_at_s = 0.0
-        self.idle_since_s = loop.time()
+        self.idle_since_s = self.kept_until_s = 0.0
+        self._begin_idle()
 
     @property
     def is_idle(self) -> bool:
@@ -279,11 +281,27 @@
         """Whether the connection is idle and not closing yet."""
         return self.is_idle and not self._is_discarding
 
-    def close_idle(self) -> None:
-        """Close an idle connection; its descriptor is free at once."""
-        self._begin_close("descriptor_needed")
-        if self._transport is not None:
-            self._transport.close()
+    def extend_idle(self, idle_timeout_s: float) -> None:
+        """Keep the connection while a longer idle timeout allows, but never shorter."""
+        self.kept_until_s = max(self.kept_until_s, self.idle_since_s + idle_timeout_s)
+
+    def close_if_idle(self) -> bool:
+        """Close the connection, unless anything is on its way; return whether it is.
+
+        A request that crosses the close stays unread, so that its client may repeat it.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing() or not self.may_close:
+            return False
+        if transport.get_write_buffer_size():
+            return False
+        transport.pause_reading()
+        if has_unread_data(transport.get_extra_info("socket")):
+            transport.resume_reading()
+            return False
+        self._begin_close("idle")
+        transport.close()
+        return True
 
     def close_when_written(self, reason: str) -> None:
         """Close once all data is written, without resetting the connection."""
@@ -317,7 +335,7 @@
     def _finish_response(self) -> None:
         self._current = None
         self._is_busy = False
-        self.idle_since_s = self._loop.time()
+        self._begin_idle()
         if not self._current_keeps_alive or self._handler.is_draining:
             self.close_when_written("close_announced")
         elif self._pending_error is not None:
@@ -325,6 +343,11 @@
         elif self._pipelined:
             self._loop.call_soon(self._start_next_request)
 
+    def _begin_idle(self) -> None:
+        """Keep the connection for the idle timeout that its client knows of now."""
+        self.idle_since_s = self._loop.time()
+        self.kept_until_s = self.idle_since_s + self._handler.limits.idle_timeout_s
+
     def _reject(self, status: int, reason: str) -> None:
         if self._is_busy:
             self._pending_error = (status, reason)
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -141,6 +141,8 @@
         if not self.configuration.activate_if_newer(configuration):
             return
         self.scheduler.configure(dict(configuration.services))
+        for client in self._clients:
+            client.extend_idle(configuration.limits.idle_timeout_s)
         self._shutdown.keep_only({route.name for route in configuration.routes})
         log_event(
             "configuration_in_force",
@@ -269,11 +271,9 @@
             if client.is_reading_head:
                 if now_s > client.head_began_at_s + limits.header_timeout_s:
                     client.reject_slow_head()
-            elif client.may_close:
-                idle_s = now_s - client.idle_since_s
-                if idle_s > limits.idle_timeout_s + IDLE_GRACE_S:
-                    closed_idle_s.append(idle_s)
-                    client.close_when_written("idle")
+            elif client.may_close and now_s > client.kept_until_s + IDLE_GRACE_S:
+                if client.close_if_idle():
+                    closed_idle_s.append(now_s - client.idle_since_s)
         if closed_idle_s:
             log_event(
                 "idle_clients_closed",
@@ -296,9 +296,7 @@
         chosen = heapq.nsmallest(
             RELEASED_CLIENTS, idle, key=lambda client: client.idle_since_s
         )
-        for client in chosen:
-            client.close_idle()
-        return len(chosen)
+        return sum(client.close_if_idle() for client in chosen)
 
     def end_requests(self) -> None:
         """End all requests that are not answered yet, as the process is about to end.
--- a/packages/citrondock-router/src/citrondock_router/gateway/socket_options.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/socket_options.py
@@ -33,6 +33,13 @@
     return bool(poller.poll(0))
 
 
+def has_unread_data(sock: socket.socket) -> bool:
+    """Return whether bytes, or the peer's close, wait to be read."""
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def enable_dead_peer_detection(sock: socket.socket) -> None:
     """Make the kernel probe idle connections and close those to dead peers.
 
--- a/tests/gateway/test_unanswered_requests.py
+++ b/tests/gateway/test_unanswered_requests.py
@@ -2,14 +2,19 @@
 
 import asyncio
 import io
+import socket
 import sys
 
+import attrs
 import pytest
 from harness import (
+    HOST,
     Client,
     Harness,
     ScriptedTarget,
     chunk,
+    complete_response,
+    configuration,
     event,
     request,
     run,
@@ -56,6 +61,31 @@
     return client
 
 
+async def open_idle_socket(harness):
+    """Return a socket whose connection had one request, which was answered."""
+    loop = asyncio.get_running_loop()
+    client = socket.create_connection((HOST, harness.port))
+    client.setblocking(False)
+    client.sendall(request("/safe/x", "first"))
+    assert b"200 OK" in await loop.sock_recv(client, 1000)
+    return client
+
+
+async def receive(client):
+    """Return the next bytes at a socket; None if the peer reset the connection."""
+    loop = asyncio.get_running_loop()
+    try:
+        return await asyncio.wait_for(loop.sock_recv(client, 1000), 3)
+    except ConnectionResetError:
+        return None
+
+
+def with_idle_timeout(version, idle_timeout_s):
+    configured = configuration(version)
+    limits = attrs.evolve(configured.limits, idle_timeout_s=idle_timeout_s)
+    return attrs.evolve(configured, limits=limits)
+
+
 class TestObservability:
     def test_a_request_read_while_closing_is_reported(self, log):
         async def check():
@@ -109,3 +139,113 @@
             assert float(found["max_idle_s"]) > 0
 
         run(check())
+
+
+class TestIdleConnections:
+    def test_a_request_that_crosses_the_close_is_not_read(self, log, monkeypatch):
+        # A client repeats an unsafe request only if the router did not read it.
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target]) as harness:
+                monkeypatch.setattr(gateway_module, "IDLE_GRACE_S", -5.0)
+                client = await open_idle_socket(harness)
+                await asyncio.sleep(0.01)
+                harness.gateway.close_idle_clients()
+                client.sendall(request("/unsafe/x", "crossing", "POST"))
+                assert await receive(client) is None
+                client.close()
+                assert [got.request_id for got in target.received] == ["first"]
+            assert log.events("request_unanswered") == []
+
+        run(check())
+
+    def test_a_request_that_waits_unread_is_served(self, monkeypatch):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target]) as harness:
+                monkeypatch.setattr(gateway_module, "IDLE_GRACE_S", -5.0)
+                client = await open_idle_socket(harness)
+                await asyncio.sleep(0.01)
+                client.sendall(request("/unsafe/x", "waiting", "POST"))
+                harness.gateway.close_idle_clients()
+                assert b"200 OK" in (await receive(client) or b"")
+                client.close()
+
+        run(check())
+
+    def test_a_request_that_waits_unread_is_served_without_descriptors(self):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target]) as harness:
+                client = await open_idle_socket(harness)
+                client.sendall(request("/unsafe/x", "waiting", "POST"))
+                assert harness.gateway.close_longest_idle() == 0
+                assert b"200 OK" in (await receive(client) or b"")
+                client.close()
+
+        run(check())
+
+    def test_a_shorter_limit_applies_after_the_next_response(self, monkeypatch):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target]) as harness:
+                monkeypatch.setattr(gateway_module, "IDLE_GRACE_S", 0.0)
+                client = await open_idle_client(harness)
+                harness.gateway.configure(with_idle_timeout(2, 0.05))
+                await asyncio.sleep(0.1)
+                harness.gateway.close_idle_clients()
+                client.writer.write(request("/unsafe/x", "r2", "POST"))
+                assert (await client.read()).status == 200
+                await asyncio.sleep(0.1)
+                harness.gateway.close_idle_clients()
+                assert await asyncio.wait_for(client.reader.read(), 2) == b""
+                client.writer.close()
+
+        run(check())
+
+    def test_a_longer_limit_applies_at_once(self, monkeypatch):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            configured = with_idle_timeout(1, 0.3)
+            async with Harness([target], configured=configured) as harness:
+                monkeypatch.setattr(gateway_module, "IDLE_GRACE_S", 0.0)
+                client = await open_idle_client(harness)
+                harness.gateway.configure(with_idle_timeout(2, 5.0))
+                # A client may count on it although the limit shrinks again.
+                harness.gateway.configure(with_idle_timeout(3, 0.05))
+                await asyncio.sleep(0.4)
+                harness.gateway.close_idle_clients()
+                client.writer.write(request("/unsafe/x", "r2", "POST"))
+                assert (await client.read()).status == 200
+                client.writer.close()
+
+        run(check())
+
+    def test_a_response_that_waits_for_a_slow_client_is_not_lost(self):
+        async def check():
+            async def send_much(got, writer):
+                writer.write(complete_response(got, b"x" * 200_000))
+
+            target = ScriptedTarget("t0", send_much)
+            async with Harness([target]) as harness:
+                client = socket.create_connection((HOST, harness.port))
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                client.setblocking(False)
+                while not harness.gateway._clients:
+                    await asyncio.sleep(0.01)
+                (connection,) = harness.gateway._clients
+                sock = connection._transport.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                client.sendall(request("/safe/x", "r1"))
+                while not target.received or not connection.is_idle:
+                    await asyncio.sleep(0.01)
+                assert connection._transport.get_write_buffer_size()
+                assert harness.gateway.close_longest_idle() == 0
+                received = b""
+                while received.count(b"x") < 200_000:
+                    part = await receive(client)
+                    assert part, "the response was cut"
+                    received += part
+                client.close()
+
+        run(check())
