Close a draining router's connections only after announcing it

Callers of a router that was stopping saw a request end without an answer if they sent it on a connection whose last response had not said Connection: close, or had pipelined it there. The gateway closed after any response that ended while it was draining, also after a stream whose head was written before SIGTERM, and dropped what was queued or came next.

Only a response that announces the close now ends a connection, and none announces it while further requests wait on the connection; the last of them does.

Failed before: KeyError: 'connection' (status 0, no answer at all), and assert [200, 0, 0, 0] == [200, 200, 200, 200].

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -225,8 +225,12 @@
         self._finish_response()
 
     def close_after_response(self) -> None:
-        """Announce with the current response that the connection closes after it."""
-        self._current_keeps_alive = False
+        """Announce with the current response that the connection closes after it.
+
+        The announcement is left to a later response if requests wait to be answered.
+        """
+        if not self._has_more_to_answer:
+            self._current_keeps_alive = False
 
     def begin_stream(
         self, status: int, reason: bytes, headers: Sequence[Header], data: bytes
@@ -336,13 +340,17 @@
         self._current = None
         self._is_busy = False
         self._begin_idle()
-        if not self._current_keeps_alive or self._handler.is_draining:
+        if not self._current_keeps_alive:
             self.close_when_written("close_announced")
         elif self._pending_error is not None:
             self._reject(*self._pending_error)
         elif self._pipelined:
             self._loop.call_soon(self._start_next_request)
 
+    @property
+    def _has_more_to_answer(self) -> bool:
+        return bool(self._pipelined) or self._pending_error is not None
+
     def _begin_idle(self) -> None:
         """Keep the connection for the idle timeout that its client knows of now."""
         self.idle_since_s = self._loop.time()
@@ -382,10 +390,9 @@
 
     def _connection_headers(self) -> list[Header]:
         """Return `Connection: close` if the connection closes after this response."""
-        if self._current_keeps_alive and not self._handler.is_draining:
-            return []
-        self._current_keeps_alive = False
-        return [(b"Connection", b"close")]
+        if self._handler.is_draining:
+            self.close_after_response()
+        return [] if self._current_keeps_alive else [(b"Connection", b"close")]
 
     def _encode_chunk(self, data: bytes) -> bytes:
         if self._is_chunked and data:
--- a/packages/citrondock-router/src/citrondock_router/gateway/request_handler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/request_handler.py
@@ -49,7 +49,7 @@
     @property
     @abstractmethod
     def is_draining(self) -> bool:
-        """Whether connections are closed after their current response."""
+        """Whether connections are closed after a response that announces it."""
 
     @abstractmethod
     def handle(
--- a/tests/gateway/test_unanswered_requests.py
+++ b/tests/gateway/test_unanswered_requests.py
@@ -249,3 +249,48 @@
                 client.close()
 
         run(check())
+
+
+class TestDraining:
+    def test_a_connection_whose_close_was_not_announced_stays_open(self):
+        async def check():
+            may_end = asyncio.Event()
+
+            async def stream_until_told(got, writer):
+                writer.write(stream_head(got) + chunk(event(1)))
+                await writer.drain()
+                await may_end.wait()
+                writer.write(chunk(b""))
+
+            target = ScriptedTarget("t0", stream_until_told)
+            async with Harness([target]) as harness:
+                client = await Client.connect(harness.port)
+                client.writer.write(request("/stream/x", "r1"))
+                head = await client.reader.readuntil(b"\r\n\r\n")
+                assert b"Connection" not in head
+                harness.gateway.start_draining()
+                may_end.set()
+                await client.reader.readuntil(b"\r\n0\r\n\r\n")
+                client.writer.write(request("/stream/x", "r2", "POST"))
+                reply = await asyncio.wait_for(client.read(), 3)
+                assert (reply.status, reply.headers["connection"]) == (200, "close")
+                client.writer.close()
+
+        run(check())
+
+    def test_pipelined_requests_are_answered_before_the_close(self, log):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target]) as harness:
+                client = await Client.connect(harness.port)
+                harness.gateway.start_draining()
+                for number in range(4):
+                    client.writer.write(request("/safe/x", f"r{number}"))
+                replies = [await client.read() for _ in range(4)]
+                assert [reply.status for reply in replies] == [200] * 4
+                assert "connection" not in replies[0].headers
+                assert replies[3].headers["connection"] == "close"
+                client.writer.close()
+            assert log.events("request_unanswered") == []
+
+        run(check())
