Reject a request with a slow head once

A client that kept its connection after 408 made the next periodic check reject the same request again: 'RuntimeError: Cannot call write() after write_eof()' ended that run of the housekeeping task, so idle connections, expired targets and old grants were left until it was started again.

The rejection is skipped on a connection that is closing. The test failed before with that error.

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -324,7 +324,8 @@
 
     def reject_slow_head(self) -> None:
         """Reject a request whose head took too long to arrive."""
-        self._reject(HTTPStatus.REQUEST_TIMEOUT, "head_timed_out")
+        if not self._is_discarding:
+            self._reject(HTTPStatus.REQUEST_TIMEOUT, "head_timed_out")
 
     def _start_next_request(self) -> None:
         while self._pipelined and not self._is_busy and self._transport is not None:
--- a/tests/gateway/test_unanswered_requests.py
+++ b/tests/gateway/test_unanswered_requests.py
@@ -294,3 +294,19 @@
             assert log.events("request_unanswered") == []
 
         run(check())
+
+
+class TestRejectedBytes:
+    def test_a_slow_head_is_rejected_once(self, log):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target]) as harness:
+                client = await Client.connect(harness.port)
+                client.writer.write(b"GET /safe/x HTTP/1.1\r\nHost: h")
+                assert (await client.read()).status == 408
+                harness.gateway.close_idle_clients()
+                harness.gateway.close_idle_clients()
+                client.writer.close()
+            assert len(log.events("request_rejected")) == 1
+
+        run(check())
