Answer the requests before a rejected one, and reject only that one

Callers that pipeline saw whole requests end without an answer when what came after them on the connection was malformed or over a limit: the rejection was written first and the connection closed. A whole request over a limit that was read together with the next was dropped, and the next one's response took its place. After a configuration with smaller limits, an empty line on an idle connection was rejected for the size of the request that had been answered.

A rejection now only stops the reading. It is sent when the requests before it are answered, the limits are checked at the end of each request as well, and not between requests.

Failed before: assert [400, 0, 0] == [200, 200, 400] assert [200, 413, 0] == [200, 200, 413] assert [200, 431, 0] == [200, 200, 431] assert 200 == 413 (request-id r2, an_oversized_request_before_another) 413 instead of 200 (a_limit_that_shrank_after_a_request_ended) A body over a limit that shrank while it was read was refused before, too; its test passed without the change.

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -131,15 +131,12 @@
             raise
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._reject(HTTPStatus.BAD_REQUEST, "malformed_request")
-            return
         if self._is_reading_head:
             self._header_bytes += len(data)
+        if self._is_reading_message:
+            self._reject_if_too_large()
         self._start_next_request()
-        if self._is_head_too_large:
-            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large")
-        elif self._is_body_too_large:
-            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large")
-        elif len(self._pipelined) > MAX_PIPELINED_REQUESTS:
+        if len(self._pipelined) > MAX_PIPELINED_REQUESTS:
             self.close_at_once("too_many_queued")
 
     # Callbacks of `httptools.HttpRequestParser`.
@@ -183,7 +180,7 @@
     def on_message_complete(self) -> None:
         """Queue the complete request."""
         self._is_reading_message = False
-        if self._is_head_too_large or self._is_body_too_large:
+        if self._reject_if_too_large():
             return
         head = RequestHead(
             method=self._parser.get_method(), target=self._url, headers=self._headers
@@ -324,8 +321,8 @@
 
     def reject_slow_head(self) -> None:
         """Reject a request whose head took too long to arrive."""
-        if not self._is_discarding:
-            self._reject(HTTPStatus.REQUEST_TIMEOUT, "head_timed_out")
+        self._reject(HTTPStatus.REQUEST_TIMEOUT, "head_timed_out")
+        self._start_next_request()
 
     def _start_next_request(self) -> None:
         while self._pipelined and not self._is_busy and self._transport is not None:
@@ -336,6 +333,8 @@
             self._current = self._handler.handle(request, self)
             if not self._is_busy:
                 self._current = None
+        if self._pending_error is not None and not (self._is_busy or self._pipelined):
+            self._send_rejection(*self._pending_error)
 
     def _finish_response(self) -> None:
         self._current = None
@@ -343,9 +342,7 @@
         self._begin_idle()
         if not self._current_keeps_alive:
             self.close_when_written("close_announced")
-        elif self._pending_error is not None:
-            self._reject(*self._pending_error)
-        elif self._pipelined:
+        elif self._has_more_to_answer:
             self._loop.call_soon(self._start_next_request)
 
     @property
@@ -357,12 +354,25 @@
         self.idle_since_s = self._loop.time()
         self.kept_until_s = self.idle_since_s + self._handler.limits.idle_timeout_s
 
+    def _reject_if_too_large(self) -> bool:
+        """Reject what is being read if it is over a limit; return whether it is."""
+        if self._is_head_too_large:
+            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large")
+        elif self._is_body_too_large:
+            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large")
+        else:
+            return False
+        return True
+
     def _reject(self, status: int, reason: str) -> None:
-        if self._is_busy:
-            self._pending_error = (status, reason)
-            self._is_discarding = self._is_rejected = True
+        """Read no more; the rejection follows the responses to earlier requests."""
+        if self._is_discarding:
             return
-        self._is_rejected = True
+        self._is_discarding = self._is_rejected = True
+        self._close_reason = reason
+        self._pending_error = (status, reason)
+
+    def _send_rejection(self, status: int, reason: str) -> None:
         self._handler.rejected(status, reason)
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
         phrase = HTTPStatus(status).phrase.encode()
@@ -372,6 +382,7 @@
     def _begin_close(self, reason: str) -> None:
         self._is_discarding = True
         self._close_reason = self._close_reason or reason
+        self._pending_error = None
         self._drop_queued(self._close_reason)
 
     def _drop_queued(self, reason: str) -> None:
--- a/tests/gateway/test_unanswered_requests.py
+++ b/tests/gateway/test_unanswered_requests.py
@@ -297,6 +297,44 @@
 
 
 class TestRejectedBytes:
+    @pytest.mark.parametrize(
+        ("malformed", "status"),
+        [
+            (b"nonsense\r\n\r\n", 400),
+            (request("/safe/x", "r3", "PUT", body=b"x" * 20_000), 413),
+            (request("/safe/x", "r3", X_Long="y" * 5000), 431),
+        ],
+    )
+    def test_requests_before_them_are_answered_first(self, malformed, status):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target]) as harness:
+                client = await Client.connect(harness.port)
+                client.writer.write(
+                    request("/safe/x", "r1") + request("/safe/x", "r2") + malformed
+                )
+                replies = [await client.read() for _ in range(3)]
+                assert [reply.status for reply in replies] == [200, 200, status]
+                ids = [reply.headers.get("request-id") for reply in replies]
+                assert ids == ["r1", "r2", None]
+                assert replies[2].headers["connection"] == "close"
+                client.writer.close()
+
+        run(check())
+
+    def test_an_oversized_request_before_another_is_answered(self):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target]) as harness:
+                client = await Client.connect(harness.port)
+                too_long = request("/safe/x", "r1", "PUT", body=b"x" * 20_000)
+                client.writer.write(too_long + request("/safe/x", "r2"))
+                assert (await client.read()).status == 413
+                assert target.received == []
+                client.writer.close()
+
+        run(check())
+
     def test_a_slow_head_is_rejected_once(self, log):
         async def check():
             target = ScriptedTarget("t0", send_complete_response)
@@ -310,3 +348,40 @@
             assert len(log.events("request_rejected")) == 1
 
         run(check())
+
+    def test_a_body_over_a_limit_that_shrank_meanwhile_is_refused(self):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target]) as harness:
+                client = await Client.connect(harness.port)
+                whole = request("/safe/x", "r1", "PUT", body=b"x" * 5000)
+                client.writer.write(whole[:-2000])
+                await asyncio.sleep(0.05)
+                configured = configuration(2)
+                limits = attrs.evolve(configured.limits, max_body_bytes=1000)
+                harness.gateway.configure(attrs.evolve(configured, limits=limits))
+                client.writer.write(whole[-2000:])
+                reply = await asyncio.wait_for(client.read(), 3)
+                assert reply.status == 413
+                client.writer.close()
+
+        run(check())
+
+    def test_a_limit_that_shrank_after_a_request_ended_does_not_concern_it(self):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target]) as harness:
+                client = await Client.connect(harness.port)
+                client.writer.write(request("/safe/x", "r1", "PUT", body=b"x" * 5000))
+                assert (await client.read()).status == 200
+                configured = configuration(2)
+                limits = attrs.evolve(configured.limits, max_body_bytes=1000)
+                harness.gateway.configure(attrs.evolve(configured, limits=limits))
+                # Empty lines before a request line are allowed.
+                client.writer.write(b"\r\n")
+                await asyncio.sleep(0.05)
+                client.writer.write(request("/safe/x", "r2"))
+                assert (await client.read()).status == 200
+                client.writer.close()
+
+        run(check())
