Stop reading while many pipelined requests wait, instead of closing

A client that sent more than 17 requests at once on a connection saw it reset: the running request and all that waited ended without an answer, although some had been passed on to a target. The gateway now stops reading from the connection until fewer wait, and answers all.

Failed before: the client's connection was closed ('TCPTransport closed=True ... the handler is closed').

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -27,7 +27,7 @@
 would reset the connection before the client has received the response."""
 
 MAX_PIPELINED_REQUESTS = 16
-"""Most requests that may wait behind a running one on the same connection."""
+"""Requests behind a running one on the same connection above which no more is read."""
 
 MAX_WRITE_BUFFER_BYTES = 262_144
 """Response bytes that may wait for a slow client before the gateway stops reading from
@@ -136,8 +136,6 @@
         if self._is_reading_message:
             self._reject_if_too_large()
         self._start_next_request()
-        if len(self._pipelined) > MAX_PIPELINED_REQUESTS:
-            self.close_at_once("too_many_queued")
 
     # Callbacks of `httptools.HttpRequestParser`.
 
@@ -335,6 +333,17 @@
                 self._current = None
         if self._pending_error is not None and not (self._is_busy or self._pipelined):
             self._send_rejection(*self._pending_error)
+        self._pause_or_resume_reading()
+
+    def _pause_or_resume_reading(self) -> None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        may_read = len(self._pipelined) <= MAX_PIPELINED_REQUESTS
+        if may_read and not transport.is_reading():
+            transport.resume_reading()
+        elif not may_read and transport.is_reading():
+            transport.pause_reading()
 
     def _finish_response(self) -> None:
         self._current = None
--- a/tests/gateway/test_unanswered_requests.py
+++ b/tests/gateway/test_unanswered_requests.py
@@ -24,6 +24,7 @@
 
 from citrondock_cli.log_lines import parse_log_lines
 from citrondock_router.gateway import gateway as gateway_module
+from citrondock_router.gateway.client_connection import MAX_PIPELINED_REQUESTS
 from citrondock_router.log import configure_logging
 
 
@@ -61,11 +62,19 @@
     return client
 
 
+async def open_socket(harness):
+    """Return a socket that is connected to the gateway, once that has accepted it."""
+    client = socket.create_connection((HOST, harness.port))
+    client.setblocking(False)
+    while not harness.gateway._clients:
+        await asyncio.sleep(0.01)
+    return client
+
+
 async def open_idle_socket(harness):
     """Return a socket whose connection had one request, which was answered."""
     loop = asyncio.get_running_loop()
-    client = socket.create_connection((HOST, harness.port))
-    client.setblocking(False)
+    client = await open_socket(harness)
     client.sendall(request("/safe/x", "first"))
     assert b"200 OK" in await loop.sock_recv(client, 1000)
     return client
@@ -228,11 +237,8 @@
 
             target = ScriptedTarget("t0", send_much)
             async with Harness([target]) as harness:
-                client = socket.create_connection((HOST, harness.port))
+                client = await open_socket(harness)
                 client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-                client.setblocking(False)
-                while not harness.gateway._clients:
-                    await asyncio.sleep(0.01)
                 (connection,) = harness.gateway._clients
                 sock = connection._transport.get_extra_info("socket")
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
@@ -385,3 +391,56 @@
                 client.writer.close()
 
         run(check())
+
+
+class TestPipelining:
+    def test_many_requests_at_once_are_all_answered(self, log):
+        async def check():
+            async def answer_soon(got, writer):
+                await asyncio.sleep(0.002)
+                writer.write(complete_response(got))
+
+            target = ScriptedTarget("t0", answer_soon)
+            async with Harness([target]) as harness:
+                client = await Client.connect(harness.port)
+                count = 5 * MAX_PIPELINED_REQUESTS
+                for number in range(count):
+                    client.writer.write(request("/safe/x", f"r{number}"))
+                    if number % MAX_PIPELINED_REQUESTS == 0:
+                        await asyncio.sleep(0)
+                for number in range(count):
+                    reply = await asyncio.wait_for(client.read(), 3)
+                    assert reply.status == 200
+                    assert reply.headers["request-id"] == f"r{number}"
+                client.writer.close()
+            assert log.events("request_unanswered") == []
+
+        run(check())
+
+    def test_no_more_is_read_while_many_wait(self):
+        async def check():
+            may_answer = asyncio.Event()
+
+            async def answer_later(got, writer):
+                await may_answer.wait()
+                writer.write(complete_response(got))
+
+            target = ScriptedTarget("t0", answer_later)
+            async with Harness([target]) as harness:
+                client = await open_socket(harness)
+                client.sendall(request("/safe/x", "r0") * 2 * MAX_PIPELINED_REQUESTS)
+                await asyncio.sleep(0.05)
+                (connection,) = harness.gateway._clients
+                last = request("/safe/x", "last")
+                client.sendall(last)
+                await asyncio.sleep(0.05)
+                assert not connection._transport.is_reading()
+                may_answer.set()
+                received = b""
+                while b"Request-Id: last" not in received:
+                    part = await receive(client)
+                    assert part
+                    received += part
+                client.close()
+
+        run(check())
