Answer a request although an unexpected error ends its handling

Callers saw the connection end, or no answer until the timeout, if an error that no code expects was raised for their request: from data_received it closed the connection without a line, in the timer or in the task that connects to a target it left the connection busy for ever, and in the check of waiting requests it stopped the scheduler's periodic task for all of them, until that was started again after up to 5 s.

Each way into an exchange now ends the request on such an error: request_error names it, its error and place, and the client gets 503 if the request certainly was not sent and 502 otherwise. Errors before there is an exchange, in the parser's callbacks and on the pages of operators are answered, too.

Failed before: all eight tests of TestUnexpectedErrors, with 'assert 0 == 503' (no answer) or TimeoutError.

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -21,6 +21,7 @@
     has_unread_data,
     reset_on_close,
 )
+from citrondock_router.log import log_event, raised_at
 
 LINGER_S = 1.0
 """Time for which bytes of a refused request are still read and dropped. Closing at once
@@ -127,8 +128,15 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserCallbackError:
-            raise
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__ or error
+            log_event(
+                "request_error",
+                level="ERROR",
+                error=repr(cause),
+                place=raised_at(cause.__traceback__),
+            )
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE, "router_error")
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._reject(HTTPStatus.BAD_REQUEST, "malformed_request")
         if self._is_reading_head:
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import enum
+import functools
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from http import HTTPStatus
+from typing import Concatenate, ParamSpec
 
 from typing_extensions import override
 
@@ -30,7 +32,7 @@
     TargetConnection,
 )
 from citrondock_router.gateway.target_connection_pool import TargetConnectionPool
-from citrondock_router.log import LogValue, log_event
+from citrondock_router.log import LogValue, log_event, raised_at
 
 MAX_CONNECT_ATTEMPTS = 4
 """Most targets to which a connection is tried before the request is refused."""
@@ -39,6 +41,9 @@
 """Statuses from which a client concludes that its request did not run."""
 
 
+_Arguments = ParamSpec("_Arguments")
+
+
 class ExchangeState(enum.Enum):
     """Progress of a request."""
 
@@ -108,6 +113,23 @@
         """Record the end of a request."""
 
 
+def _answers_on_error(
+    method: Callable[Concatenate["Exchange", _Arguments], None],
+) -> Callable[Concatenate["Exchange", _Arguments], None]:
+    """Make a method end the request with an answer if it raises an error."""
+
+    @functools.wraps(method)
+    def guarded(
+        exchange: "Exchange", *args: _Arguments.args, **options: _Arguments.kwargs
+    ) -> None:
+        try:
+            method(exchange, *args, **options)
+        except Exception as error:
+            exchange.end_after_error(error)
+
+    return guarded
+
+
 class Exchange(ResponseListener, RequestInProgress):
     """Sends one request, retries it if allowed, and passes the response on.
 
@@ -228,6 +250,7 @@
 
     # Called by the scheduler.
 
+    @_answers_on_error
     def send_to(self, choice: PlacementChoice) -> None:
         """Send the request to a target."""
         self.choice = choice
@@ -266,6 +289,27 @@
         self._resubmit()
         return True
 
+    def end_after_error(self, error: Exception) -> None:
+        """End the request after an error that nothing else handles."""
+        log_event(
+            "request_error",
+            level="ERROR",
+            request_id=self.facts.request_id,
+            route=self.route.name,
+            state=self.state.value,
+            error=repr(error),
+            place=raised_at(error.__traceback__),
+        )
+        try:
+            self._end_unanswered(HTTPStatus.BAD_GATEWAY, "router_error", "router_error")
+        except Exception as next_error:
+            # What the request holds is in an unknown state; its client needs an answer.
+            self._log("request_error", error=repr(next_error))
+            if self.state is not ExchangeState.DONE:
+                self._close_connection()
+                self._fail(HTTPStatus.BAD_GATEWAY, "router_error")
+
+    @_answers_on_error
     def give_up(self, reason: str) -> None:
         """End the request, and its attempt unless the response has begun."""
         if self.state is ExchangeState.DONE or self._has_begun:
@@ -276,6 +320,7 @@
     # Called by the client's connection.
 
     @override
+    @_answers_on_error
     def client_disconnected(self) -> None:
         if self.state is ExchangeState.DONE:
             return
@@ -283,6 +328,7 @@
         self._finish(Outcome(status=0, reason="client_left"))
 
     @override
+    @_answers_on_error
     def end(self, reason: str) -> None:
         self._end_unanswered(HTTPStatus.BAD_GATEWAY, reason, reason)
 
@@ -295,6 +341,13 @@
 
     @override
     def response_started(self, head: ResponseHead) -> bool:
+        try:
+            return self._start_response(head)
+        except Exception as error:
+            self.end_after_error(error)
+            return True
+
+    def _start_response(self, head: ResponseHead) -> bool:
         facts = self._header_codec.response_facts(head)
         if facts.is_leaving:
             self._scheduler.target_leaves(self)
@@ -317,6 +370,7 @@
         return True
 
     @override
+    @_answers_on_error
     def response_data(self, data: bytes) -> None:
         if self.state is ExchangeState.DONE or self._did_not_run or self._head is None:
             return
@@ -343,6 +397,7 @@
             self._fail_response("failure_too_long")
 
     @override
+    @_answers_on_error
     def response_ended(self) -> None:
         if self._did_not_run and self._connection is not None:
             self._connection.refused_request_ids.add(self.facts.request_id)
@@ -357,6 +412,7 @@
             self._plain_ended(self._head)
 
     @override
+    @_answers_on_error
     def response_failed(self, cause: ResponseFailure) -> None:
         self._connection = None
         if self.state is ExchangeState.DONE:
@@ -383,9 +439,14 @@
                 self._scheduler.connection_refused(self)
             self._connect_failed(str(error) or type(error).__name__)
             return
+        except Exception as error:
+            self._connect_task = None
+            self.end_after_error(error)
+            return
         self._connect_task = None
         self._send_request(connection)
 
+    @_answers_on_error
     def _connect_failed(self, reason: str) -> None:
         self._end_attempt(ExecutionStatus.NOT_RUN, f"connect: {reason}")
         self._failed_connect_count += 1
@@ -394,6 +455,7 @@
             return
         self._resubmit()
 
+    @_answers_on_error
     def _send_request(self, connection: TargetConnection) -> None:
         assert self.choice is not None
         entry = self.choice.load.entry
@@ -582,6 +644,7 @@
             self._scheduler.attempt_ended(self, failed=False)
         self.choice = None
 
+    @_answers_on_error
     def _timed_out(self) -> None:
         self._end_unanswered(
             HTTPStatus.GATEWAY_TIMEOUT, "timed_out", "timed_out_waiting"
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -23,7 +23,7 @@
 )
 from citrondock_router.gateway.scheduler import RequestScheduler
 from citrondock_router.gateway.target_connection_pool import TargetConnectionPool
-from citrondock_router.log import log_event
+from citrondock_router.log import log_event, raised_at
 
 LIMITS_BEFORE_CONFIGURATION = ClientLimits(
     max_header_bytes=16_384,
@@ -175,6 +175,34 @@
     def handle(
         self, request: ClientRequest, client: ClientConnection
     ) -> RequestInProgress | None:
+        try:
+            exchange = self._begin_exchange(request, client)
+        except Exception as error:
+            # Nothing of the request was passed on yet.
+            request_id = self._request_id(request)
+            log_event(
+                "request_error",
+                level="ERROR",
+                request_id=request_id,
+                error=repr(error),
+                place=raised_at(error.__traceback__),
+            )
+            self._refuse_unavailable(
+                client, request_id, "router_error", RETRY_ELSEWHERE_S
+            )
+            return None
+        if exchange is None:
+            return None
+        try:
+            self.scheduler.admit(exchange)
+        except Exception as error:
+            exchange.end_after_error(error)
+        return None if exchange.state is ExchangeState.DONE else exchange
+
+    def _begin_exchange(
+        self, request: ClientRequest, client: ClientConnection
+    ) -> Exchange | None:
+        """Return the exchange of a request; None if it is refused or dropped."""
         active = self.configuration.active
         try:
             facts = self._header_codec.request_facts(request.head)
@@ -216,7 +244,7 @@
             log_event("request_dropped", request_id=request_id, reason="client_left")
             client.close_at_once("client_left")
             return None
-        exchange = Exchange(
+        return Exchange(
             request,
             facts,
             route,
@@ -229,8 +257,6 @@
             shutdown=self._shutdown,
             loop=self._loop,
         )
-        self.scheduler.admit(exchange)
-        return None if exchange.state is ExchangeState.DONE else exchange
 
     @override
     def connected(self, client: ClientConnection) -> None:
@@ -247,15 +273,11 @@
 
     @override
     def unanswered(self, request: ClientRequest, reason: str, *, stage: str) -> None:
-        try:
-            request_id = self._header_codec.request_facts(request.head).request_id
-        except MalformedRequestError:
-            request_id = ""
         self._metrics.count_unanswered(reason, stage)
         log_event(
             "request_unanswered",
             level="WARNING",
-            request_id=request_id,
+            request_id=self._request_id(request),
             reason=reason,
             stage=stage,
             draining=self.is_draining,
@@ -311,6 +333,13 @@
         for client in list(self._clients):
             client.close_when_written("router_stopped")
 
+    def _request_id(self, request: ClientRequest) -> str:
+        try:
+            return self._header_codec.request_facts(request.head).request_id
+        except Exception:
+            # The id is for the log; the request may be what the gateway failed on.
+            return ""
+
     def _refuse_unavailable(
         self,
         client: ClientConnection,
--- a/packages/citrondock-router/src/citrondock_router/gateway/operations_handler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/operations_handler.py
@@ -12,6 +12,7 @@
     RequestHandler,
     RequestInProgress,
 )
+from citrondock_router.log import log_event
 
 _LIMITS = ClientLimits(
     max_header_bytes=8_192,
@@ -53,7 +54,11 @@
         page = self._pages.get(request.head.target.partition(b"?")[0])
         status, body = HTTPStatus.NOT_FOUND, b""
         if page is not None:
-            status, body = page()
+            try:
+                status, body = page()
+            except Exception as error:
+                status = HTTPStatus.INTERNAL_SERVER_ERROR
+                log_event("page_error", level="ERROR", error=repr(error))
         headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
         client.send_response(status, status.phrase.encode(), headers, body)
         return None
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -381,18 +381,24 @@
         now_s = self._loop.time()
         for service, queue in self._queues.items():
             for exchange in list(queue):
-                if now_s >= self._wait_until_s(exchange):
-                    queue.remove(exchange)
-                    exchange.refuse("no_room_in_time")
+                try:
+                    if now_s >= self._wait_until_s(exchange):
+                        queue.remove(exchange)
+                        exchange.refuse("no_room_in_time")
+                except Exception as error:
+                    exchange.end_after_error(error)
             self._send_waiting(service)
 
     def check_stalls(self) -> None:
         """Send requests elsewhere whose targets have sent no data for too long."""
         now_s = self._loop.time()
         for exchange in list(self._sent.values()):
-            if is_stalled(exchange, self._stall_options, now_s=now_s):
-                self._metrics.count_stall(exchange.service)
-                exchange.retry_elsewhere("silent")
+            try:
+                if is_stalled(exchange, self._stall_options, now_s=now_s):
+                    self._metrics.count_stall(exchange.service)
+                    exchange.retry_elsewhere("silent")
+            except Exception as error:
+                exchange.end_after_error(error)
 
     def _pause_left_s(self, service: str) -> float:
         """Return the time until a target of a service takes requests again."""
--- a/packages/citrondock-router/src/citrondock_router/log.py
+++ b/packages/citrondock-router/src/citrondock_router/log.py
@@ -106,7 +106,7 @@
         thread=thread,
         error=error_type.__name__,
         detail=str(error),
-        place=_raised_at(traceback),
+        place=raised_at(traceback),
     )
 
 
@@ -116,7 +116,7 @@
         _log_uncaught(args.exc_type, args.exc_value, args.exc_traceback, thread=name)
 
 
-def _raised_at(traceback: TracebackType | None) -> str:
+def raised_at(traceback: TracebackType | None) -> str:
     """Return the file and line that raised an exception, as ``FILE:LINE``."""
     if traceback is None:
         return ""
--- a/tests/gateway/test_unanswered_requests.py
+++ b/tests/gateway/test_unanswered_requests.py
@@ -23,8 +23,14 @@
 )
 
 from citrondock_cli.log_lines import parse_log_lines
+from citrondock_core.routing.route import Route
 from citrondock_router.gateway import gateway as gateway_module
-from citrondock_router.gateway.client_connection import MAX_PIPELINED_REQUESTS
+from citrondock_router.gateway.client_connection import (
+    MAX_PIPELINED_REQUESTS,
+    ClientConnection,
+)
+from citrondock_router.gateway.exchange import Exchange
+from citrondock_router.gateway.target_connection import TargetConnection
 from citrondock_router.log import configure_logging
 
 
@@ -444,3 +450,141 @@
                 client.close()
 
         run(check())
+
+
+class UnexpectedError(Exception):
+    """Stands for an error that no code expects."""
+
+
+def raising(*_args, **_options):
+    raise UnexpectedError
+
+
+class TestUnexpectedErrors:
+    def test_one_before_the_request_is_scheduled_is_answered(self, log, monkeypatch):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target]) as harness:
+                client = await open_idle_client(harness)
+                with monkeypatch.context() as patch:
+                    patch.setattr(Route, "service_for", raising)
+                    client.writer.write(request("/unsafe/x", "r1", "POST"))
+                    reply = await asyncio.wait_for(client.read(), 3)
+                assert reply.status == 503
+                assert "retry-after" in reply.headers
+                client.writer.write(request("/safe/x", "r2"))
+                assert (await client.read()).status == 200
+                client.writer.close()
+            (found,) = log.events("request_error")
+            assert found["request_id"] == "r1"
+            assert "UnexpectedError" in found["error"]
+
+        run(check())
+
+    def test_one_when_it_is_scheduled_is_answered(self, log, monkeypatch):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target]) as harness:
+                with monkeypatch.context() as patch:
+                    patch.setattr(harness.gateway.scheduler, "submit", raising)
+                    sent = harness.get("/unsafe/x", "r1")
+                    assert (await asyncio.wait_for(sent, 3)).status == 503
+                assert harness.gateway.live_count == 0
+                assert len(log.events("request_ended")) == 1
+
+        run(check())
+
+    def test_one_when_it_is_sent_is_answered(self, log, monkeypatch):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target]) as harness:
+                monkeypatch.setattr(TargetConnection, "send", raising)
+                reply = await asyncio.wait_for(harness.get("/safe/x", "r1"), 1)
+                # Whether it was sent is not certain.
+                assert reply.status == 502
+                assert harness.gateway.live_count == 0
+            assert log.events("request_error")[0]["request_id"] == "r1"
+
+        run(check())
+
+    def test_one_when_a_response_ends_is_answered(self, log, monkeypatch):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target]) as harness:
+                monkeypatch.setattr(Exchange, "_plain_ended", raising)
+                reply = await asyncio.wait_for(harness.get("/unsafe/x", "r1"), 1)
+                assert reply.status == 502
+                assert harness.gateway.live_count == 0
+
+        run(check())
+
+    def test_one_at_the_deadline_is_answered(self, monkeypatch):
+        async def check():
+            async def never_answer(_got, _writer):
+                await asyncio.sleep(5)
+
+            target = ScriptedTarget("t0", never_answer)
+            async with Harness(
+                [target], configured=configuration(timeout_s=0.3)
+            ) as harness:
+                monkeypatch.setattr(Exchange, "_end_unanswered", raising)
+                reply = await asyncio.wait_for(harness.get("/safe/x", "r1"), 3)
+                assert reply.status == 502
+
+        run(check())
+
+    def test_one_of_a_waiting_request_leaves_the_others(self, monkeypatch):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response, service="other")
+            async with Harness([target]) as harness:
+                scheduler = harness.gateway.scheduler
+                real = scheduler._wait_until_s
+
+                def wait_until_s(exchange):
+                    if exchange.facts.request_id == "r1":
+                        raise UnexpectedError
+                    return real(exchange)
+
+                monkeypatch.setattr(scheduler, "_wait_until_s", wait_until_s)
+                monkeypatch.setattr(scheduler, "_send_plain", lambda *_a, **_o: False)
+                monkeypatch.setattr(
+                    scheduler, "_loads_by_service", {"app": scheduler.loads("other")}
+                )
+                replies = await asyncio.wait_for(
+                    asyncio.gather(
+                        harness.get("/safe/x", "r1"), harness.get("/safe/x", "r2")
+                    ),
+                    # Less than the timeout of the route.
+                    1,
+                )
+                assert [reply.status for reply in replies] == [503, 503]
+
+        run(check())
+
+    def test_one_on_an_operations_page_is_answered(self, log, monkeypatch):
+        async def check():
+            async with Harness([]) as harness:
+                monkeypatch.setattr(harness.process.metrics, "render", raising)
+                client = await Client.connect(harness.metrics_port)
+                client.writer.write(request("/metrics"))
+                assert (await asyncio.wait_for(client.read(), 3)).status == 500
+                client.writer.close()
+
+        run(check())
+
+    def test_one_while_a_request_is_read_is_answered(self, log, monkeypatch):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target]) as harness:
+                other = await open_idle_client(harness)
+                with monkeypatch.context() as patch:
+                    patch.setattr(ClientConnection, "on_header", raising)
+                    sent = harness.get("/unsafe/x", "r1")
+                    assert (await asyncio.wait_for(sent, 3)).status == 503
+                other.writer.write(request("/safe/x", "r2"))
+                assert (await other.read()).status == 200
+                other.writer.close()
+            (found,) = log.events("request_error")
+            assert "UnexpectedError" in found["error"]
+
+        run(check())
