Refuse any number of waiting requests at a planned stop

At a planned stop with well over a hundred waiting requests of one service that may run only once, callers got no answer until their deadline. A request for which no time is left ends while it is being sent, which frees its place and sends the next one within the same call, so the stack overflowed: the requests in progress stayed without an answer, and the scheduler's periodic task failed with RecursionError.

A call to send a service's waiting requests now does nothing while another one runs; that one goes on with the next request anyway.

Failed before: assert {'leaving', 'timed_out_waiting'} == {'leaving'} (of the reasons of 200 waiting requests).

--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -129,6 +129,7 @@
         self._ratios = ServedRatios(half_life_s=SERVED_RATIOS_HALF_LIFE_S)
         # Sent requests that may run again; they are checked for stalls.
         self._sent: dict[int, Exchange] = {}
+        self._sending_services: set[str] = set()
         self._refused_requests = RefusedRequests()
         self.live_count = 0
 
@@ -416,8 +417,16 @@
 
     def _send_waiting(self, service: str) -> None:
         queue = self._queues.get(service)
-        if not queue:
+        if not queue or service in self._sending_services:
             return
+        # A request that ends when it is sent frees its place and calls this again.
+        self._sending_services.add(service)
+        try:
+            self._send_queued(service, queue)
+        finally:
+            self._sending_services.discard(service)
+
+    def _send_queued(self, service: str, queue: AdmissionQueue[Exchange]) -> None:
         if self._loads_by_service.get(service) and not self.loads(service):
             for exchange in list(queue):
                 queue.remove(exchange)
--- a/tests/gateway/test_unanswered_requests.py
+++ b/tests/gateway/test_unanswered_requests.py
@@ -588,3 +588,40 @@
             assert "UnexpectedError" in found["error"]
 
         run(check())
+
+
+class TestPlannedStop:
+    def test_many_waiting_requests_are_refused(self, log):
+        # Each refused request lets the next be tried, in the same call.
+        async def check():
+            async def never_answer(_got, _writer):
+                await asyncio.sleep(20)
+
+            target = ScriptedTarget("t0", never_answer)
+            configured = configuration(timeout_s=10)
+            routes = [
+                attrs.evolve(route, first_answer_target_s=8.0)
+                for route in configured.routes
+            ]
+            configured = attrs.evolve(configured, routes=tuple(routes))
+            async with Harness([target], configured=configured) as harness:
+                scheduler = harness.gateway.scheduler
+                with pytest.MonkeyPatch.context() as patch:
+                    patch.setattr(scheduler, "_send_plain", lambda *_a, **_o: False)
+                    patch.setattr(scheduler, "tick", lambda: None)
+                    sent = [
+                        asyncio.ensure_future(
+                            harness.get("/unsafe/x", f"r{number}", Deadline_Ms=9000)
+                        )
+                        for number in range(200)
+                    ]
+                    while harness.gateway.live_count < len(sent):
+                        await asyncio.sleep(0.01)
+                    now_s = asyncio.get_running_loop().time()
+                    harness.gateway.start_draining(stops_at_s=now_s + 0.5)
+                replies = await asyncio.wait_for(asyncio.gather(*sent), 10)
+                assert {reply.status for reply in replies} == {503}
+                ended = log.events("request_ended")
+                assert {fields["reason"] for fields in ended} == {"leaving"}
+
+        run(check())
