Let the stand-in of the store come back from a copy

The copy's objects, revision and history replace those of the store, the era in its answers rises by one, and watches that wait are cut or wait on. A watch from a revision that the store does not have gets 410.

--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -4,6 +4,8 @@
 import json
 from urllib.parse import parse_qs, urlsplit
 
+import attrs
+
 
 class RawJson:
     """JSON text that is sent as it is, such as numbers that no encoder writes."""
@@ -27,6 +29,16 @@
     return text.encode()
 
 
+@attrs.frozen
+class StoreCopy:
+    """Objects, revision and history of the store at one moment."""
+
+    objects: dict[str, dict[str, dict]]
+    revision: int
+    oldest_revision: int
+    history: list[tuple[int, str, dict]]
+
+
 class StoreStandIn:
     """Serves objects by kind, with revisions, watches and faults that tests switch on.
 
@@ -35,9 +47,12 @@
     fault : str
         ``""`` for none, ``"busy"`` (answers with 503), ``"silent"`` (delays answers for
         30 s) or ``"reset"`` (resets the connection).
+    era : int or None
+        How often the store has come back from a copy; None for a store that does not
+        tell.
     """
 
-    def __init__(self, page_size: int = 500) -> None:
+    def __init__(self, page_size: int = 500, era: int | None = 4) -> None:
         self.objects: dict[str, dict[str, dict]] = {}
         self.revision = 1
         self.oldest_revision = 0
@@ -45,6 +60,8 @@
         self.calls: list[str] = []
         self.fault = ""
         self.page_size = page_size
+        self.era = era
+        self._cut_count = 0
         self.changed = asyncio.Condition()
         self.port = 0
 
@@ -72,6 +89,38 @@
         self.history.clear()
         self.oldest_revision = self.revision
 
+    def copy(self) -> StoreCopy:
+        """Return a copy that the store can come back from."""
+        return StoreCopy(
+            {kind: dict(objects) for kind, objects in self.objects.items()},
+            self.revision,
+            self.oldest_revision,
+            list(self.history),
+        )
+
+    async def restore(self, copy: StoreCopy, *, cuts_watches: bool = True) -> None:
+        """Come back from a copy; what was written since is gone.
+
+        Parameters
+        ----------
+        copy : StoreCopy
+            The copy.
+        cuts_watches : bool
+            Whether watches that wait are cut; others wait on from their revision.
+        """
+        async with self.changed:
+            self.objects = {
+                kind: dict(objects) for kind, objects in copy.objects.items()
+            }
+            self.revision = copy.revision
+            self.oldest_revision = copy.oldest_revision
+            self.history = list(copy.history)
+            if self.era is not None:
+                self.era += 1
+            if cuts_watches:
+                self._cut_count += 1
+            self.changed.notify_all()
+
     async def _serve(self, reader, writer) -> None:
         try:
             while True:
@@ -92,8 +141,10 @@
                 if self.fault != "busy":
                     status, answer = await self._answer(method, target, body)
                 data = _encode(answer)
-                head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n\r\n"
-                writer.write(head.encode() + data)
+                head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(data)}\r\n"
+                if self.era is not None:
+                    head += f"Store-Era: {self.era}\r\n"
+                writer.write(head.encode() + b"\r\n" + data)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             # The task is cancelled if a test's event loop ends with open connections.
@@ -132,7 +183,12 @@
     async def _watch(self, kind, after, query):
         loop = asyncio.get_running_loop()
         until_s = loop.time() + int(query["waitMs"]) / 1000
+        cut_count = self._cut_count
+        if after > self.revision:
+            return 410, {}
         while True:
+            if cut_count != self._cut_count:
+                raise ConnectionAbortedError("the watch is cut")
             if after < self.oldest_revision:
                 return 410, {}
             events = [e for rev, k, e in self.history if k == kind and rev > after]
