List again when the store has come back from a copy

What callers would see: a route or target written after the store came back is not served, and a target that left gets requests, until the next change or outage.

Cause: a watch goes on from its revision, which the store gives out again. Once the new counter has passed it the watch is answered as if nothing had happened, without what was written below. Nothing read the era that each answer states. After a gap in the history the entries of the lost seconds were removed at once, as no outage had been noticed.

At a new era each follower replaces its watch and lists again, with the grace that missing entries have after an outage. An answer of a former era counts as a failed call.

Ruled out: watches that are cut, and the loss of the store; both lead to a listing already.

--- a/packages/citrondock-router/src/citrondock_router/gateway/http_client.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/http_client.py
@@ -1,11 +1,12 @@
 """HTTP/1.1 client for single calls on the gateway's event loop."""
 
 import asyncio
+from collections.abc import Sequence
 
 import attrs
 
 from citrondock_router.gateway.event_loop import arrival_timeout
-from citrondock_router.gateway.header_codec import ResponseHead
+from citrondock_router.gateway.header_codec import Header, ResponseHead
 from citrondock_router.gateway.target_connection import (
     ResponseFailure,
     ResponseListener,
@@ -22,10 +23,11 @@
 
 @attrs.frozen(kw_only=True)
 class HttpResponse:
-    """Status and complete body of a response."""
+    """Status, headers and complete body of a response."""
 
     status: int
     body: bytes
+    headers: Sequence[Header] = ()
 
 
 class _ResponseCollector(ResponseListener):
@@ -34,11 +36,13 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.response: asyncio.Future[HttpResponse] = loop.create_future()
         self._status = 0
+        self._headers: Sequence[Header] = ()
         self._body: list[bytes] = []
         self._body_bytes = 0
 
     def response_started(self, head: ResponseHead) -> bool:
         self._status = head.status
+        self._headers = head.headers
         return True
 
     def response_data(self, data: bytes) -> None:
@@ -52,8 +56,10 @@
 
     def response_ended(self) -> None:
         if not self.response.done():
-            body = b"".join(self._body)
-            self.response.set_result(HttpResponse(status=self._status, body=body))
+            response = HttpResponse(
+                status=self._status, body=b"".join(self._body), headers=self._headers
+            )
+            self.response.set_result(response)
 
     def response_failed(self, cause: ResponseFailure) -> None:
         if not self.response.done():
--- a/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
@@ -7,7 +7,9 @@
 import attrs
 
 from citrondock_core.backoff import backoff_s
+from citrondock_core.routing.store_position import StorePosition
 from citrondock_core.routing.store_watch_plan import StoreWatchPlan
+from citrondock_router.gateway.store_era import StoreEra
 from citrondock_router.gateway.watched_store import (
     HistoryGoneError,
     ObjectSink,
@@ -55,7 +57,7 @@
     """Passes the objects of one kind, and their changes, to a sink.
 
     It lists the kind, then watches it from the revision of the listing, and lists again
-    after gaps in the history and outages of the store.
+    after gaps in the history, outages of the store and its return from a copy.
 
     Parameters
     ----------
@@ -71,6 +73,8 @@
         Source of the jitter that spreads the retries of many routers.
     plan : StoreWatchPlan, optional
         Decides how long watches wait.
+    era : StoreEra, optional
+        Latest era of the store, shared by all that call it.
     """
 
     def __init__(
@@ -82,6 +86,7 @@
         options: FollowerOptions | None = None,
         rng: random.Random | None = None,
         plan: StoreWatchPlan | None = None,
+        era: StoreEra | None = None,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -89,8 +94,13 @@
         self._options = options or FollowerOptions()
         self._rng = rng or random.Random()
         self._plan = plan
+        self._era = era or StoreEra()
+        self._era.on_change(self._handle_new_era)
         self._watch: _Watch | None = None
+        # Revision to watch from; None if the kind has to be listed.
         self._revision: int | None = None
+        # Position of the last answer that was passed on.
+        self._position: StorePosition | None = None
         self._failure_count = 0
         self._answered_at_s: float | None = None
 
@@ -114,8 +124,7 @@
             self._kind, wait_s=watch.wait_s, asked_at_s=watch.asked_at_s, now_s=now_s
         ):
             log_event("watch_replaced", kind=self._kind, revision=self._revision)
-            watch.is_replaced = True
-            watch.call.cancel()
+            self._replace_watch()
 
     def store_returned_for_others(self) -> None:
         """Handle the end of an outage that only other routers noticed."""
@@ -138,17 +147,23 @@
         pause_s = 0.0
         if self._revision is None:
             snapshot = await self._store.list(self._kind)
-            self._handle_recovery()
+            self._check_era(snapshot)
+            self._handle_return(snapshot)
             self._sink.listed(snapshot)
         else:
             watched = await self._watch_from(self._revision)
             if watched is None:
                 return
             snapshot = watched
+            self._check_era(snapshot)
+            if self._revision is None:
+                # What the answer leaves out may have changed in the new era, too.
+                return
             if snapshot.objects:
                 self._sink.changed(snapshot)
                 pause_s = self._options.settle_s
         self._revision = snapshot.revision
+        self._position = snapshot.position
         self._answered_at_s = asyncio.get_running_loop().time()
         if self._plan is not None:
             self._plan.record_seen(
@@ -179,9 +194,49 @@
         finally:
             self._watch = None
 
-    def _handle_recovery(self) -> None:
+    def _check_era(self, snapshot: Snapshot) -> None:
+        """Report the era of an answer.
+
+        Raises
+        ------
+        WatchedStoreError
+            If a later era has begun meanwhile.
+        """
+        self._era.observe(snapshot.era)
+        if snapshot.era < self._era.latest:
+            raise WatchedStoreError(
+                f"answer is of era {snapshot.era}, before era {self._era.latest}",
+                step=self._kind,
+            )
+
+    def _handle_new_era(self) -> None:
+        """List again, as revisions of the former era mean nothing in the new one."""
+        self._revision = None
+        self._replace_watch()
+
+    def _replace_watch(self) -> None:
+        watch = self._watch
+        if watch is not None:
+            watch.is_replaced = True
+            watch.call.cancel()
+
+    def _handle_return(self, listing: Snapshot) -> None:
+        """Tell the sink if the store was lost or restored before a listing."""
+        before = self._position
+        is_restored = before is not None and before.era != listing.era
+        if before is not None and is_restored:
+            log_event(
+                "store_restored",
+                level="WARNING",
+                kind=self._kind,
+                era=listing.era,
+                era_before=before.era,
+                revision=listing.revision,
+                revision_before=before.revision,
+            )
         if self._failure_count:
             log_event("store_returned", kind=self._kind, failures=self._failure_count)
+        if self._failure_count or is_restored:
             self._failure_count = 0
             self._sink.store_returned()
 
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -8,7 +8,8 @@
     r"""Response-Signature|Expected-Instance|Prefix-Hash|Token-Usage|Length-Hint
     |Not-Executed|Server-Limit|Weight-Versions|Instance-Id|warmupLeftMs|maxBatchSize|routeType
     |pathPrefix|targetLatencyMs|targetGapMs|maxAttempts|kvCapacity|apiKeys|morePages
-    |seedNodes|nodeName|budgetSlack|retryBudgetRatio|/v1/readyz|CITRONDOCK_SETTINGS""",
+    |seedNodes|nodeName|budgetSlack|retryBudgetRatio|/v1/readyz|CITRONDOCK_SETTINGS
+    |Store-Era""",
     re.VERBOSE | re.IGNORECASE,
 )
 ADAPTER_IMPORT = re.compile(r"^\s*(from|import) citrondock_platform", re.MULTILINE)
