--- a/tests/platform/test_store_restore.py
+++ b/tests/platform/test_store_restore.py
@@ -8,8 +8,9 @@
 
 from citrondock_core.routing.target_directory import TargetDirectory
 from citrondock_platform import store as store_module
-from citrondock_platform.store import MAX_ERA_DIGITS
+from citrondock_platform.store import MAX_ERA_DIGITS, PlatformStore
 from citrondock_platform.targets import TargetSink
+from citrondock_router.gateway.gateway_settings import Address
 from citrondock_router.gateway.object_follower import FollowerOptions, ObjectFollower
 from citrondock_router.gateway.watched_store import (
     HistoryGoneError,
@@ -176,6 +177,43 @@
         run(check())
 
 
+class InterruptedStore(PlatformStore):
+    """A client that lets something happen after its first call."""
+
+    between = None
+
+    async def _call(self, *arguments, **fields):
+        response = await super()._call(*arguments, **fields)
+        between, self.between = self.between, None
+        if between is not None:
+            await between()
+        return response
+
+
+async def started_with_pages():
+    standin, _ = await started(page_size=2)
+    address = Address("127.0.0.1", standin.port)
+    return standin, InterruptedStore(address, asyncio.get_running_loop())
+
+
+class TestPages:
+    def test_pages_of_different_eras_are_not_mixed(self):
+        async def check():
+            standin, store = await started_with_pages()
+            for number in range(4):
+                await standin.put("servers", f"i-{number}", server())
+            copy = standin.copy()
+            for number in range(4):
+                await standin.put("servers", f"i-{number}", server(state="draining"))
+            store.between = lambda: standin.restore(copy)
+            followed = Followed(store, era=store.era)
+            assert await soon(lambda: followed.directory)
+            assert followed.names == {"i-0", "i-1", "i-2", "i-3"}
+            followed.task.cancel()
+
+        run(check())
+
+
 class TestEra:
     @pytest.mark.parametrize(
         ("fault", "call"),
