--- a/tests/platform/test_store_restore.py
+++ b/tests/platform/test_store_restore.py
@@ -213,6 +213,23 @@
 
         run(check())
 
+    def test_a_change_between_two_pages_is_not_missed(self):
+        async def check():
+            standin, store = await started_with_pages()
+            for number in range(4):
+                await standin.put("servers", f"i-{number}", server())
+
+            async def leave():
+                await standin.put("servers", "i-0", None, deleted=True)
+
+            store.between = leave
+            followed = Followed(store, era=store.era)
+            assert await soon(lambda: followed.directory)
+            assert await soon(lambda: followed.names == {"i-1", "i-2", "i-3"})
+            followed.task.cancel()
+
+        run(check())
+
 
 class TestEra:
     @pytest.mark.parametrize(
