--- a/tests/platform/test_store_restore.py
+++ b/tests/platform/test_store_restore.py
@@ -4,14 +4,18 @@
 import contextlib
 
 import pytest
+from store_standin import StoreStandIn
 from test_store import FAST_OPTIONS, run, server, started, wait_until
 
 from citrondock_core.routing.target_directory import TargetDirectory
 from citrondock_platform import store as store_module
+from citrondock_platform.peers import StorePeerRegistry
 from citrondock_platform.store import MAX_ERA_DIGITS, PlatformStore
 from citrondock_platform.targets import TargetSink
+from citrondock_router.gateway import peer_registry
 from citrondock_router.gateway.gateway_settings import Address
 from citrondock_router.gateway.object_follower import FollowerOptions, ObjectFollower
+from citrondock_router.gateway.peer_registry import PeerDiscovery
 from citrondock_router.gateway.watched_store import (
     HistoryGoneError,
     Snapshot,
@@ -282,3 +286,80 @@
             assert store.era.latest == standin.era
 
         run(check())
+
+
+class TestPeerEntries:
+    def discovery(self, standin, name, port):
+        """Return the router's store and task, and the addresses that it finds."""
+        store = PlatformStore(
+            Address("127.0.0.1", standin.port), asyncio.get_running_loop()
+        )
+        registry = StorePeerRegistry(store, name, Address("10.0.0.1", port))
+        found = []
+        discovery = PeerDiscovery(registry, found.append, store.era)
+        return store, asyncio.ensure_future(discovery.run()), found
+
+    def test_routers_that_came_in_the_lost_seconds_register_again(self):
+        async def check():
+            standin = StoreStandIn()
+            await standin.start()
+            _, first, _ = self.discovery(standin, "v1", 1)
+            known = standin.objects.setdefault("citrondock-routers", {})
+            assert await soon(lambda: set(known) == {"v1"})
+            copy = standin.copy()
+            second_store, second, second_found = self.discovery(standin, "v2", 2)
+            third_store, third, third_found = self.discovery(standin, "v3", 3)
+            assert await soon(lambda: second_found and third_found)
+            await standin.restore(copy)
+            writes = len([call for call in standin.calls if "GET" not in call])
+            for store in (second_store, third_store):
+                await store.list("config")
+            assert await soon(
+                lambda: set(standin.objects["citrondock-routers"]) == {"v1", "v2", "v3"}
+            )
+            # Each registers with one call, and one of both sees the other.
+            calls = [call for call in standin.calls if "GET" not in call]
+            assert len(calls) == writes + 2
+            assert await soon(
+                lambda: max(len(second_found[-1]), len(third_found[-1])) == 2
+            )
+            for task in (first, second, third):
+                task.cancel()
+
+        run(check())
+
+    def test_routers_whose_entries_were_kept_write_nothing(self):
+        async def check():
+            standin = StoreStandIn()
+            await standin.start()
+            store, task, found = self.discovery(standin, "v1", 1)
+            assert await soon(lambda: len(found) == 1)
+            calls = len(standin.calls)
+            await standin.restore(standin.copy())
+            await store.list("config")
+            assert await soon(lambda: len(found) == 2)
+            assert all("GET" in call for call in standin.calls[calls:])
+            task.cancel()
+
+        run(check())
+
+    def test_an_entry_that_is_lost_without_a_new_era_is_written_again(
+        self, monkeypatch
+    ):
+        monkeypatch.setattr(peer_registry, "RELIST_S", 0.2)
+
+        async def check():
+            standin = StoreStandIn()
+            await standin.start()
+            _, task, found = self.discovery(standin, "v1", 1)
+            assert await soon(lambda: found)
+            await standin.put("citrondock-routers", "v1", None, deleted=True)
+            assert await soon(lambda: "v1" in standin.objects["citrondock-routers"])
+            await standin.put("citrondock-routers", "v1", {"address": "10.9.9.9:9"})
+            own = {"address": "10.0.0.1:1"}
+            assert await soon(
+                lambda: standin.objects["citrondock-routers"]["v1"]["spec"] == own
+            )
+            task.cancel()
+
+        run(check())
