Order the watch plan's statements by era, so that a restore counts as news

What callers would see: after the store came back from an older copy, a router with a long watch keeps the old targets and configuration for up to 28 s, although its watchers have listed again. Not seen by callers yet; found on reading, reproduced in tests. Cause: the plan compares plain revisions. The counter goes back, so 45 of the new era is no news to a router that has seen 50, and a watcher's own statement stays at the old maximum. The other way round, a statement of before the restore keeps a router of the new era at waits of 1 s. Evidence: tests/gateway/test_store_views.py plays a dead watch and a restore from 50 to 40. Ruled out: a restore that cuts all watches; each router lists then. That hid the fault. Why this works: positions are ordered by era first. The era is the store's, so a newer one that any kind or any statement shows makes all kinds ask. The store is linearizable, so an answer to a call that began after a statement was first heard settles it; that also bounds what a process of the version before, which states no era, can cost: one call. Statements get an optional era; datagrams are read in both directions as before. Remains: in a zone whose watchers both run the version before, a lower revision of the new era is heard of only at the end of a watch.

--- a/packages/citrondock-core/src/citrondock_core/routing/store_watch_plan.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/store_watch_plan.py
@@ -6,11 +6,13 @@
 watcher has seen a change that they have not.
 """
 
+import math
 from collections.abc import Iterable
 
 import attrs
 
 from citrondock_core.rendezvous import RendezvousScores
+from citrondock_core.routing.store_position import StorePosition
 
 WATCHERS_PER_ZONE = 2
 """Watchers of a zone; one may be cut off from the store or end."""
@@ -22,6 +24,9 @@
 CATCH_UP_WAIT_S = 1.0
 """Longest wait of a watch by a router that is known to be behind."""
 
+NEW_ERA_WAIT_S = 0.1
+"""Longest wait of a watch from an older era; the era of its answer is enough."""
+
 STATEMENT_PERIOD_S = 2.0
 """Period in which watchers repeat how far they are."""
 
@@ -44,17 +49,23 @@
         Revision of the last change of an object of this kind.
     is_lost : bool
         Whether the store does not answer the router.
+    era : int or None
+        Era of the store in which that revision was given out; None if the router does
+        not state it.
     """
 
     kind: str
     changed_revision: int
     is_lost: bool
+    era: int | None = None
 
 
 @attrs.define
 class _OwnView:
-    seen_revision: int = 0
-    changed_revision: int = 0
+    seen: StorePosition = attrs.Factory(StorePosition)
+    changed: StorePosition = attrs.Factory(StorePosition)
+    asked_at_s: float = -math.inf
+    """When the latest of the answered calls began."""
     is_lost: bool = False
     behind_since_s: float | None = None
 
@@ -63,6 +74,15 @@
 class _Statement:
     view: StoreView
     heard_at_s: float
+    first_heard_at_s: float
+
+    @property
+    def position(self) -> tuple[int | None, int]:
+        return self.view.era, self.view.changed_revision
+
+    def is_ahead_of(self, own: StorePosition) -> bool:
+        era, revision = self.position
+        return StorePosition(own.era if era is None else era, revision) > own
 
 
 def watchers(vm_names: Iterable[str], availability_zone: str) -> set[str]:
@@ -75,8 +95,11 @@
 class StoreWatchPlan:
     """Compares how far this router and the watchers of its zone are.
 
-    Revisions are compared by kind. A statement is a reason to ask the store, never
-    taken as its content, so that nothing goes back.
+    Positions are compared by kind, except that all kinds share the store's era: a kind
+    is behind once any of them, or any statement, shows a newer era. A statement is a
+    reason to ask the store, never taken as its content, so that nothing goes back. The
+    store is linearizable, so the answer to a call that began after a statement was
+    first heard settles it, whatever the answer says.
 
     Attributes
     ----------
@@ -88,21 +111,48 @@
         self.is_watcher = True
         self._own: dict[str, _OwnView] = {}
         self._statements: dict[tuple[str, str], _Statement] = {}
+        self._newest_era = 0
+        self._era_known_since_s = -math.inf
         self._were_lost: set[str] = set()
 
     def wait_s(self, kind: str, *, now_s: float) -> float:
         """Return how long the next watch of a kind may wait for a change."""
+        if self._is_in_older_era(kind):
+            return NEW_ERA_WAIT_S
         if self._is_behind(kind):
             return CATCH_UP_WAIT_S
         if self.is_watcher or not self._live_statements(kind, now_s):
             return SHORT_WAIT_S
         return LONG_WAIT_S
 
-    def record_seen(self, kind: str, *, revision: int, changed_revision: int) -> None:
-        """Record what the store answered to this router."""
+    def record_seen(
+        self,
+        kind: str,
+        *,
+        position: StorePosition,
+        changed_revision: int,
+        asked_at_s: float,
+        now_s: float,
+    ) -> None:
+        """Record what the store answered to this router.
+
+        Parameters
+        ----------
+        kind : str
+            Kind of objects.
+        position : StorePosition
+            Position up to which the answer is complete.
+        changed_revision : int
+            Revision of the last change in the answer; 0 without one.
+        asked_at_s, now_s : float
+            Monotonic time at which the call began, and at which it was answered.
+        """
         own = self._own.setdefault(kind, _OwnView())
-        own.seen_revision = max(own.seen_revision, revision)
-        own.changed_revision = max(own.changed_revision, changed_revision)
+        changed = StorePosition(position.era, changed_revision)
+        own.seen = max(own.seen, position)
+        own.changed = max(own.changed, changed)
+        own.asked_at_s = max(own.asked_at_s, asked_at_s)
+        self._note_era(position.era, now_s)
         own.is_lost = False
         own.behind_since_s = None
 
@@ -121,7 +171,13 @@
             says that it is back.
         """
         before = self._live_statements(view.kind, now_s)
-        self._statements[vm_name, view.kind] = _Statement(view, now_s)
+        statement = _Statement(view, heard_at_s=now_s, first_heard_at_s=now_s)
+        known = self._statements.get((vm_name, view.kind))
+        if known is not None and known.position == statement.position:
+            statement.first_heard_at_s = known.first_heard_at_s
+        self._statements[vm_name, view.kind] = statement
+        if view.era is not None:
+            self._note_era(view.era, now_s)
         if before and all(known.view.is_lost for known in before):
             self._were_lost.add(view.kind)
         if view.is_lost or view.kind not in self._were_lost:
@@ -157,16 +213,31 @@
         """Return how far this router is, for the others of its zone."""
         return [
             StoreView(
-                kind=kind, changed_revision=own.changed_revision, is_lost=own.is_lost
+                kind=kind,
+                changed_revision=own.changed.revision,
+                is_lost=own.is_lost,
+                era=own.changed.era,
             )
             for kind, own in self._own.items()
         ]
 
+    def _note_era(self, era: int, now_s: float) -> None:
+        if era > self._newest_era:
+            self._newest_era = era
+            self._era_known_since_s = now_s
+
+    def _is_in_older_era(self, kind: str) -> bool:
+        own = self._own.get(kind) or _OwnView()
+        return (
+            own.seen.era < self._newest_era
+            and own.asked_at_s <= self._era_known_since_s
+        )
+
     def _is_behind(self, kind: str) -> bool:
-        own = self._own.get(kind)
-        seen_revision = own.seen_revision if own else 0
-        return any(
-            statement.view.changed_revision > seen_revision
+        own = self._own.get(kind) or _OwnView()
+        return self._is_in_older_era(kind) or any(
+            statement.is_ahead_of(own.seen)
+            and own.asked_at_s <= statement.first_heard_at_s
             for (_, other_kind), statement in self._statements.items()
             if other_kind == kind
         )
--- a/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
@@ -145,6 +145,7 @@
 
     async def _step(self) -> None:
         pause_s = 0.0
+        asked_at_s = asyncio.get_running_loop().time()
         if self._revision is None:
             snapshot = await self._store.list(self._kind)
             self._check_era(snapshot)
@@ -168,8 +169,10 @@
         if self._plan is not None:
             self._plan.record_seen(
                 self._kind,
-                revision=snapshot.revision,
+                position=snapshot.position,
                 changed_revision=snapshot.changed_revision,
+                asked_at_s=asked_at_s,
+                now_s=self._answered_at_s,
             )
         if pause_s:
             await asyncio.sleep(pause_s)
--- a/packages/citrondock-wire/grants.thrift
+++ b/packages/citrondock-wire/grants.thrift
@@ -97,6 +97,7 @@
   1: string kind
   2: i64 changed_revision      // of the last change of an object of the kind
   3: bool lost                 // whether the store does not answer the sender
+  4: optional i64 era          // of changed_revision; unset by earlier versions
 }
 
 struct Datagram {
--- a/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
+++ b/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
@@ -952,14 +952,16 @@
      - kind
      - changed_revision
      - lost
+     - era
 
     """
 
 
-    def __init__(self, kind=None, changed_revision=None, lost=None,):
+    def __init__(self, kind=None, changed_revision=None, lost=None, era=None,):
         self.kind = kind
         self.changed_revision = changed_revision
         self.lost = lost
+        self.era = era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -985,6 +987,11 @@
                     self.lost = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1007,6 +1014,10 @@
             oprot.writeFieldBegin('lost', TType.BOOL, 3)
             oprot.writeBool(self.lost)
             oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 4)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1386,6 +1397,7 @@
     (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
     (2, TType.I64, 'changed_revision', None, None, ),  # 2
     (3, TType.BOOL, 'lost', None, None, ),  # 3
+    (4, TType.I64, 'era', None, None, ),  # 4
 )
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
--- a/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
+++ b/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
@@ -382,7 +382,10 @@
 
 def _store_view_to_thrift(view: StoreView) -> ttypes.StoreView:
     return ttypes.StoreView(
-        kind=view.kind, changed_revision=view.changed_revision, lost=view.is_lost
+        kind=view.kind,
+        changed_revision=view.changed_revision,
+        lost=view.is_lost,
+        era=view.era,
     )
 
 
@@ -391,4 +394,5 @@
         kind=view.kind,
         changed_revision=view.changed_revision,
         is_lost=bool(view.lost),
+        era=view.era,
     )
--- a/tests/gateway/test_grant_broker.py
+++ b/tests/gateway/test_grant_broker.py
@@ -1,6 +1,7 @@
 """Routers request grants from each other over real UDP sockets."""
 
 import asyncio
+import contextlib
 import time
 
 import pytest
@@ -30,6 +31,7 @@
     MIN_USAGE_PERIOD_S,
     KnownEngine,
 )
+from citrondock_wire.gen.citrondock_grants import ttypes
 from citrondock_wire.grant_codec import (
     BadDatagramError,
     GrantCodec,
@@ -586,7 +588,7 @@
                 ),
             ],
             store_views=[
-                StoreView(kind="servers", changed_revision=7, is_lost=False),
+                StoreView(kind="servers", changed_revision=7, is_lost=False, era=2),
                 StoreView(kind="config", changed_revision=2, is_lost=True),
             ],
         )
@@ -609,3 +611,48 @@
         codec = GrantCodec()
         with pytest.raises(BadDatagramError):
             codec.decode(codec.encode(sent, now_s=1.0), now_s=9.0, own_incarnation=2)
+
+
+class TestDatagramsOfProcessesThatKnowNoEra:
+    FIRST_NEW_FIELDS = {"store_views": 4}
+
+    def sent(self, era):
+        return PeerDatagram(
+            vm_name="v1",
+            incarnation=1,
+            store_views=[
+                StoreView(kind="servers", changed_revision=7, is_lost=True, era=era)
+            ],
+        )
+
+    @contextlib.contextmanager
+    def without_era(self):
+        """Take the new fields out of what is written and read."""
+        items = {
+            field[2]: field[3][1]
+            for field in ttypes.Datagram.thrift_spec
+            if field and field[2] in self.FIRST_NEW_FIELDS
+        }
+        specs = {name: item[1] for name, item in items.items()}
+        for name, item in items.items():
+            item[1] = specs[name][: self.FIRST_NEW_FIELDS[name]]
+        try:
+            yield
+        finally:
+            for name, item in items.items():
+                item[1] = specs[name]
+
+    def test_their_statements_are_read_without_an_era(self):
+        codec = GrantCodec()
+        with self.without_era():
+            data = codec.encode(self.sent(era=2), now_s=0.0)
+        assert data != codec.encode(self.sent(era=2), now_s=0.0)
+        decoded = codec.decode(data, now_s=0.0, own_incarnation=2)
+        assert decoded == self.sent(era=None)
+
+    def test_they_read_statements_that_have_one(self):
+        codec = GrantCodec()
+        data = codec.encode(self.sent(era=2), now_s=0.0)
+        with self.without_era():
+            decoded = codec.decode(data, now_s=0.0, own_incarnation=2)
+        assert decoded == self.sent(era=None)
--- a/tests/gateway/test_store_views.py
+++ b/tests/gateway/test_store_views.py
@@ -6,12 +6,14 @@
 
 from citrondock_core.routing.engine_load_view import EngineLoadView
 from citrondock_core.routing.peer_table import PeerTable
+from citrondock_core.routing.store_position import StorePosition
 from citrondock_core.routing.store_watch_plan import StoreWatchPlan
 from citrondock_router.gateway.gateway_settings import Address
 from citrondock_router.gateway.grant_broker import GrantBroker
 from citrondock_router.gateway.object_follower import ObjectFollower
 from citrondock_router.gateway.store_view_exchange import StoreViewExchange
 from citrondock_router.gateway.watched_store import (
+    HistoryGoneError,
     ObjectSink,
     Snapshot,
     WatchedObject,
@@ -22,9 +24,10 @@
 
 
 class Store:
-    """One object that changes."""
+    """One object that changes, and that may come back from a copy."""
 
     def __init__(self):
+        self.era = 1
         self.revision = 1
         self.changed = asyncio.Condition()
 
@@ -33,10 +36,20 @@
             self.revision += 1
             self.changed.notify_all()
 
+    async def restore(self, revision):
+        async with self.changed:
+            self.era += 1
+            self.revision = revision
+            self.changed.notify_all()
+
+    @property
+    def position(self):
+        return StorePosition(self.era, self.revision)
+
     @property
     def snapshot(self):
         item = WatchedObject(name="a", revision=self.revision, value={})
-        return Snapshot(objects=[item], revision=self.revision)
+        return Snapshot(objects=[item], revision=self.revision, era=self.era)
 
 
 class Connection(WatchedStore):
@@ -58,25 +71,29 @@
             async with asyncio.timeout(wait_s), self.store.changed:
                 await self.store.changed.wait_for(
                     lambda: (
-                        self.store.revision > after_revision
+                        self.store.revision != after_revision
                         and number > self.silenced_calls
                     )
                 )
         except TimeoutError:
-            return Snapshot(objects=[], revision=self.store.revision)
+            return Snapshot(
+                objects=[], revision=self.store.revision, era=self.store.era
+            )
+        if self.store.revision < after_revision:
+            raise HistoryGoneError("HTTP status 410", step="watch")
         return self.store.snapshot
 
 
 class Sink(ObjectSink):
     def __init__(self):
-        self.revision = 0
+        self.position = StorePosition()
 
     def listed(self, snapshot):
         self.changed(snapshot)
 
     def changed(self, snapshot):
-        assert snapshot.revision >= self.revision
-        self.revision = snapshot.revision
+        assert snapshot.position >= self.position
+        self.position = snapshot.position
 
     def store_lost(self):
         pass
@@ -107,26 +124,48 @@
             await asyncio.sleep(0.05)
 
 
+async def zone_with_a_dead_watch(store):
+    """Return five routers, and one whose long watch will not be answered."""
+    routers = [Router(f"v{number}", store) for number in range(5)]
+    for router in routers:
+        router.broker.announce(other.address for other in routers)
+    await asyncio.sleep(3.5)
+    followers = [router for router in routers if not router.plan.is_watcher]
+    assert len(followers) == 3
+    victim = followers[0]
+    victim.connection.silenced_calls = victim.connection.call_count
+    return routers, victim
+
+
+def close(routers):
+    for router in routers:
+        for task in router.tasks:
+            task.cancel()
+        router.broker.close()
+
+
 class TestRouterWhoseWatchIsDead:
     def test_it_asks_again_when_a_watcher_has_seen_a_change(self):
         async def check():
             store = Store()
-            routers = [Router(f"v{number}", store) for number in range(5)]
-            for router in routers:
-                router.broker.announce(other.address for other in routers)
-            await asyncio.sleep(3.5)
-            followers = [router for router in routers if not router.plan.is_watcher]
-            assert len(followers) == 3
-            victim = followers[0]
-            calls = victim.connection.call_count
-            victim.connection.silenced_calls = calls
+            routers, victim = await zone_with_a_dead_watch(store)
             await store.change()
             await asyncio.sleep(1.2)
-            assert {router.sink.revision for router in routers} == {2}
-            assert victim.connection.call_count > calls
-            for router in routers:
-                for task in router.tasks:
-                    task.cancel()
-                router.broker.close()
+            assert {router.sink.position.revision for router in routers} == {2}
+            assert victim.connection.call_count > victim.connection.silenced_calls
+            close(routers)
+
+        run(check())
+
+    def test_it_asks_again_when_the_store_is_back_from_an_older_copy(self):
+        async def check():
+            store = Store()
+            store.revision = 50
+            routers, victim = await zone_with_a_dead_watch(store)
+            await store.restore(40)
+            await asyncio.sleep(1.2)
+            assert {router.sink.position for router in routers} == {store.position}
+            assert victim.connection.call_count > victim.connection.silenced_calls
+            close(routers)
 
         run(check())
