Answer what has arrived before a stopping router closes its connections

At the end of a planned stop, callers saw a whole request end without an answer if it had arrived but was not read yet, waited behind one that was given up, or crossed the close: the gateway wrote EOF on all connections, read for 50 ms more, dropped what came, and exited.

The gateway now stops accepting connections and closes those that are idle without reading on, as it does for the idle timeout; what crosses that is unread, so its client may repeat it.

Failed before: assert b' 503 ' in b''; KeyError: 'connection' (no answer); 'DID NOT RAISE ConnectionResetError' (the crossing request had been read). A request that arrives while the loop is late was served before, too: this libuv polls its sockets before it runs timers.

--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -328,10 +328,15 @@
         for client in list(self._clients):
             client.end_request("router_stopped")
 
-    def close_clients(self) -> None:
-        """Close all client connections, when the process is about to end."""
-        for client in list(self._clients):
-            client.close_when_written("router_stopped")
+    def close_clients(self) -> int:
+        """Close the client connections on which nothing is on its way.
+
+        Returns
+        -------
+        int
+            Number of connections that are still open.
+        """
+        return sum(not client.close_if_idle() for client in list(self._clients))
 
     def _request_id(self, request: ClientRequest) -> str:
         try:
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -210,11 +210,13 @@
         gc.freeze()
         await self._stop.wait()
         self.broker.leave()
-        await shut_down(self.gateway, grace_s=self.settings.grace_s)
+        await shut_down(
+            self.gateway,
+            grace_s=self.settings.grace_s,
+            stop_accepting=self._close_listeners,
+        )
         for task in tasks:
             task.cancel()
-        for listener in self._listeners:
-            listener.close()
         self.broker.close()
         self._log_writer.drain()
 
@@ -226,6 +228,10 @@
         self._listeners.append(listener)
         return listener.port
 
+    def _close_listeners(self) -> None:
+        for listener in self._listeners:
+            listener.close()
+
     def _install_signal_handlers(self) -> None:
         self.loop.add_signal_handler(signal.SIGTERM, self._stop.set)
         self.loop.add_signal_handler(signal.SIGINT, self._stop.set)
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -1,8 +1,12 @@
 """A planned stop answers each request that it takes, and takes none too late."""
 
 import asyncio
+import os
+import socket
 
+import pytest
 from harness import (
+    HOST,
     Client,
     Harness,
     ScriptedTarget,
@@ -162,3 +166,63 @@
         assert admission.may_accept(route, now_s=9.8)
         assert not admission.may_accept(route, now_s=9.9)
         assert admission.may_send(route, now_s=9.9)
+
+
+class TestConnectionsAtTheEndOfTheGrace:
+    def test_a_request_that_arrived_but_was_not_read_is_answered(self, monkeypatch):
+        async def check():
+            target = ScriptedTarget("t1", answer_slowly)
+            async with Harness([target]) as harness:
+                loop = asyncio.get_running_loop()
+                client = socket.create_connection((HOST, harness.port))
+                client.setblocking(False)
+                while not harness.gateway._clients:
+                    await asyncio.sleep(0.01)
+                real = harness.gateway.end_requests
+
+                def end_requests():
+                    client.sendall(request("/unsafe/x", "late", "POST"))
+                    real()
+
+                monkeypatch.setattr(harness.gateway, "end_requests", end_requests)
+                await shut_down(harness.gateway, grace_s=0.3, options=OPTIONS)
+                reply = await asyncio.wait_for(loop.sock_recv(client, 1000), 3)
+                assert b" 503 " in reply
+                client.close()
+
+        run(check())
+
+    def test_a_request_behind_one_that_was_given_up_is_answered(self):
+        async def check():
+            target = ScriptedTarget("t1", answer_never)
+            async with Harness([target]) as harness:
+                client = await Client.connect(harness.port)
+                client.writer.write(request("/safe/x", "r1"))
+                client.writer.write(request("/safe/x", "r2"))
+                while not target.received:
+                    await asyncio.sleep(0.01)
+                await shut_down(harness.gateway, grace_s=0.3, options=OPTIONS)
+                assert (await client.read()).status == 502
+                reply = await client.read()
+                assert (reply.status, reply.headers["connection"]) == (503, "close")
+                client.writer.close()
+
+        run(check())
+
+    def test_a_request_that_crosses_the_end_is_not_read(self):
+        async def check():
+            target = ScriptedTarget("t1", answer_slowly)
+            async with Harness([target]) as harness:
+                client = await Client.connect(harness.port)
+                client.writer.write(request("/safe/x", "r1"))
+                assert (await client.read()).status == 200
+                harness.gateway.start_draining()
+                harness.gateway.is_refusing = True
+                harness.gateway.close_clients()
+                sock = client.writer.get_extra_info("socket")
+                os.write(sock.fileno(), request("/unsafe/x", "crossing", "POST"))
+                # The kernel resets a connection that is closed with unread bytes.
+                with pytest.raises(ConnectionResetError):
+                    await asyncio.wait_for(client.reader.read(10), 3)
+
+        run(check())
