Answer a prompt although an unexpected error meets its grant

An error raised while the answer to a grant request was handled left the prompt without an answer until its deadline and its grant in use, and lost the other answers of the same datagram. It now ends the one request, with an answer, and the grant is returned.

Failed before with TimeoutError (no answer within 1 s).

--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
@@ -275,6 +275,14 @@
 
     def _handle_answer(
         self, search: _EngineSearch, choice: PlacementChoice, answer: GrantAnswer
+    ) -> None:
+        try:
+            self._apply_answer(search, choice, answer)
+        except Exception as error:
+            search.exchange.end_after_error(error)
+
+    def _apply_answer(
+        self, search: _EngineSearch, choice: PlacementChoice, answer: GrantAnswer
     ) -> None:
         exchange = search.exchange
         is_trial = answer.key == search.trial_key
--- a/tests/gateway/test_unanswered_requests.py
+++ b/tests/gateway/test_unanswered_requests.py
@@ -30,6 +30,7 @@
     ClientConnection,
 )
 from citrondock_router.gateway.exchange import Exchange
+from citrondock_router.gateway.grant_requester import GrantRequester
 from citrondock_router.gateway.target_connection import TargetConnection
 from citrondock_router.log import configure_logging
 
@@ -572,6 +573,19 @@
 
         run(check())
 
+    def test_one_when_a_grant_arrives_is_answered(self, log, monkeypatch):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response, service="llm")
+            async with Harness([target]) as harness:
+                monkeypatch.setattr(GrantRequester, "_handle_grant", raising)
+                sent = harness.get("/model/x", "r1", Token_Usage="500,10")
+                assert (await asyncio.wait_for(sent, 1)).status == 503
+                assert harness.process.broker.home.granted_count == 0
+            (found,) = log.events("request_error")
+            assert found["request_id"] == "r1"
+
+        run(check())
+
     def test_one_while_a_request_is_read_is_answered(self, log, monkeypatch):
         async def check():
             target = ScriptedTarget("t0", send_complete_response)
