Keep the answer of a silent target until another target takes the request

Callers saw streams broken off, or 502, although their engine was sound: one that sends nothing for a second or so and goes on.

Cause: the check for stalls closed the connection to the silent target first and only then looked for another. Where none had room at once, the request had neither: a stream that had begun was broken off with no_room_in_time, others got 502. Silence of all or many engines of a pool leaves no room elsewhere, so it hit most of their streams.

Fix: a silent target keeps the request while another is looked for; each half second again, as long as the silence lasts. It is left once another one takes the request, and the search ends when it sends again; a retry of the budget is spent only for a request that is sent again. The search and the grant that led to the present engine are kept apart, so that home routers still hear of the end of each. The failure of the target is recorded when it falls silent, and cleared when it goes on.

Ruled out: shorter or longer time limits; a sound engine may be silent for any time.

Two stubs of the exchange in tests got its two new attributes.

--- a/packages/citrondock-core/src/citrondock_core/routing/retry_ratio_budget.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/retry_ratio_budget.py
@@ -69,6 +69,11 @@
         self._retries_at_s.append(now_s)
         return True
 
+    def give_back(self) -> None:
+        """Return the retry that was spent last, as nothing was sent for it."""
+        if self._retries_at_s:
+            self._retries_at_s.pop()
+
     def _forget(self, now_s: float) -> None:
         start_s = now_s - self.options.window_s
         for times_s in (self._requests_at_s, self._retries_at_s):
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -34,6 +34,9 @@
 from citrondock_router.gateway.target_connection_pool import TargetConnectionPool
 from citrondock_router.log import LogValue, log_event, raised_at
 
+SEARCH_PAUSE_S = 0.5
+"""Pause after which another target is looked for again while a target is silent."""
+
 MAX_CONNECT_ATTEMPTS = 4
 """Most targets to which a connection is tried before the request is refused."""
 
@@ -72,6 +75,14 @@
         Returns False if the budget is exhausted.
         """
 
+    @abstractmethod
+    def return_retry(self, exchange: "Exchange") -> None:
+        """Return a retry to the budget, as the request was not sent again."""
+
+    @abstractmethod
+    def target_resumed(self, exchange: "Exchange") -> None:
+        """Record that a silent target goes on with its response."""
+
     @abstractmethod
     def first_byte_received(self, exchange: "Exchange") -> None:
         """Record the arrival of the first bytes of a response."""
@@ -199,6 +210,10 @@
         self.state = ExchangeState.WAITING
         self.choice: PlacementChoice | None = None
         self.excluded: set[str] = set()
+        # Whether another target is looked for while a silent one keeps the request.
+        self._is_searching = False
+        self.is_silent = False
+        self.may_search_from_s = now_s
         self.grant_request_count = 0
         self.sent_at_s = 0.0
         self.last_data_at_s = 0.0
@@ -245,8 +260,15 @@
 
     @property
     def is_waiting(self) -> bool:
-        """Whether the request waits for a target."""
-        return self.state is ExchangeState.WAITING
+        """Whether the request waits for a target, perhaps in place of a silent one."""
+        return self.state is ExchangeState.WAITING or self._is_searching
+
+    @property
+    def silent_target_id(self) -> str | None:
+        """Target that another is looked for in place of; None if there is none."""
+        if not self._is_searching or self.choice is None:
+            return None
+        return self.choice.load.entry.target_id
 
     # Called by the scheduler.
 
@@ -273,21 +295,42 @@
         """Respond with 503 if the request did not run, or with 502 if it may have."""
         if self.state is ExchangeState.DONE:
             return
+        if self._is_searching:
+            # The silent target may go on yet.
+            self._end_search()
+            self.may_search_from_s = self._loop.time() + SEARCH_PAUSE_S
+            self._log("silent_target_kept", reason=reason)
+            return
         if self.history.may_have_run:
             self._fail(HTTPStatus.BAD_GATEWAY, reason)
             return
         self._respond_and_finish(HTTPStatus.SERVICE_UNAVAILABLE, reason)
 
-    def retry_elsewhere(self, reason: str) -> bool:
-        """Retry the request at another target; return whether that is allowed."""
+    def search_elsewhere(self) -> None:
+        """Look for another target while the silent one keeps the request.
+
+        A sound target may be silent for a while, so it is left only for one that takes
+        the request at once.
+        """
         if self.state not in (ExchangeState.SENT, ExchangeState.RECEIVING):
-            return False
-        if not self.route.kind.may_run_again or not self._take_retry():
-            return False
+            return
+        if self.is_waiting or not self.route.kind.may_run_again:
+            return
+        if self.choice is None or not self._take_retry():
+            self.may_search_from_s = self._loop.time() + SEARCH_PAUSE_S
+            return
+        self._is_searching = True
+        self.excluded.add(self.choice.load.entry.target_id)
+        self._scheduler.submit(self)
+
+    def leave_silent_target(self) -> None:
+        """End the attempt at a silent target, as another takes the request."""
+        if not self._is_searching:
+            return
+        self._is_searching = False
         self._close_connection()
-        self._end_attempt(ExecutionStatus.MAY_HAVE_RUN, reason)
-        self._resubmit()
-        return True
+        self._end_attempt(ExecutionStatus.MAY_HAVE_RUN, "silent")
+        self._prepare_next_attempt()
 
     def end_after_error(self, error: Exception) -> None:
         """End the request after an error that nothing else handles."""
@@ -383,7 +426,7 @@
             self.longest_pause_s = max(self.longest_pause_s, pause_s)
         self._last_received_at_s = now_s
         if self._event_filter is None:
-            self.last_data_at_s = now_s
+            self._record_progress()
         if self.choice is not None:
             self.choice.load.last_data_at_s = now_s
         if self.state is ExchangeState.SENT:
@@ -508,11 +551,18 @@
             self._event_boundary.feed(data)
         if data and self._head is not None:
             # Bytes of an event that never ends are no progress.
-            self.last_data_at_s = self._last_received_at_s
+            self._record_progress()
             if self._event_filter is not None or self._event_boundary.has_event:
                 self._record_begun()
             self._response.write_stream(self._head, data)
 
+    def _record_progress(self) -> None:
+        self.last_data_at_s = self._last_received_at_s
+        self._stop_search()
+        if self.is_silent:
+            self.is_silent = False
+            self._scheduler.target_resumed(self)
+
     def _record_begun(self) -> None:
         if not self._has_begun:
             self._has_begun = True
@@ -596,16 +646,33 @@
         return self.history.may_send_again() and self._scheduler.take_retry(self)
 
     def _resubmit(self) -> None:
+        self._prepare_next_attempt()
+        self._scheduler.submit(self)
+
+    def _prepare_next_attempt(self) -> None:
         if self._event_filter is not None:
             self._event_filter.drop_partial()
         if self.choice is not None:
             self.excluded.add(self.choice.load.entry.target_id)
         self.choice = None
+        self.is_silent = False
         self.state = ExchangeState.WAITING
-        self._scheduler.submit(self)
+
+    def _stop_search(self) -> None:
+        """Stop looking for a target in place of a silent one."""
+        if self._is_searching:
+            self._scheduler.withdraw(self)
+            self._end_search()
+
+    def _end_search(self) -> None:
+        self._is_searching = False
+        self._scheduler.return_retry(self)
+        if self.choice is not None:
+            self.excluded.discard(self.choice.load.entry.target_id)
 
     def _end_attempt(self, status: ExecutionStatus | None, reason: str) -> None:
         """Record the end of an attempt; ``status`` is None unless it failed."""
+        self._stop_search()
         if status is not None:
             self.history.record_ended(status)
             self._log(
@@ -635,6 +702,7 @@
             connection.abort()
 
     def _cancel_attempt(self) -> None:
+        self._stop_search()
         if self.state is ExchangeState.WAITING:
             self._scheduler.withdraw(self)
         if self.state in (ExchangeState.SENT, ExchangeState.RECEIVING):
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
@@ -134,7 +134,10 @@
         self._broker = broker
         self._crashes = crashes
         self._loop = loop
+        # The search of a request that waits, and that which led to its present engine;
+        # a request at a silent engine has both.
         self._searches: dict[int, _EngineSearch] = {}
+        self._granted: dict[int, _EngineSearch] = {}
 
     def submit(
         self, exchange: Exchange, prompt: PromptFacts, *, wait_until_s: float
@@ -155,38 +158,38 @@
 
     def withdraw(self, exchange: Exchange) -> None:
         """Withdraw the grant requests of a request that waits."""
-        self._finish(exchange, Stage.WITHDRAWN)
+        self._finish(self._searches.pop(id(exchange), None), Stage.WITHDRAWN)
 
     def first_byte_received(self, exchange: Exchange) -> None:
         """Report to the home router that the first bytes of the response arrived."""
-        search = self._searches.get(id(exchange))
+        search = self._granted.get(id(exchange))
         if search is not None and search.key is not None:
             self._broker.report_progress(search.key, Stage.STARTED)
 
     def response_begun(self, exchange: Exchange) -> None:
         """Clear the parts of a prompt whose response has begun."""
-        search = self._searches.get(id(exchange))
+        search = self._granted.get(id(exchange))
         if search is not None:
             self._crashes.response_begun(search.part_ids)
 
     def connection_lost(self, exchange: Exchange, entry: TargetEntry) -> None:
         """Suspect the parts of a prompt whose connection ended before it had begun."""
-        search = self._searches.get(id(exchange))
+        search = self._granted.get(id(exchange))
         if search is not None:
             self._crashes.connection_lost(entry, search.part_ids)
 
     def give_up(self, part_ids: Collection[str]) -> None:
         """End the unbegun requests whose prompts have one of these parts."""
-        for search in list(self._searches.values()):
+        for search in [*self._searches.values(), *self._granted.values()]:
             if not set(part_ids).isdisjoint(search.part_ids):
                 search.exchange.give_up("prompt_withheld")
 
     def attempt_ended(self, exchange: Exchange, *, failed: bool) -> None:
         """Report to the home router that its engine no longer works on a request."""
-        self._finish(exchange, Stage.FAILED if failed else Stage.ENDED)
+        search = self._granted.pop(id(exchange), None)
+        self._finish(search, Stage.FAILED if failed else Stage.ENDED)
 
-    def _finish(self, exchange: Exchange, stage: Stage) -> None:
-        search = self._searches.pop(id(exchange), None)
+    def _finish(self, search: _EngineSearch | None, stage: Stage) -> None:
         if search is None:
             return
         self._withdraw_trial(search)
@@ -198,7 +201,11 @@
         exchange = search.exchange
         return self._placement.choose_engine(
             search.prompt,
-            self._pool.loads(exchange.service),
+            [
+                load
+                for load in self._pool.loads(exchange.service)
+                if load.entry.target_id != exchange.silent_target_id
+            ],
             excluded=exchange.excluded | search.asked,
             now_s=self._loop.time(),
         )
@@ -331,6 +338,8 @@
         if engine is not None:
             self._placement.record_sent(search.prompt, target_id, engine.memory_tokens)
         predicted = attrs.evolve(choice, first_answer_s=answer.first_answer_s)
+        exchange.leave_silent_target()
+        self._granted[id(exchange)] = self._searches.pop(id(exchange))
         self._pool.start(exchange, predicted)
 
     def _handle_trial_refusal(
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -199,6 +199,15 @@
             )
         return is_allowed
 
+    @override
+    def return_retry(self, exchange: Exchange) -> None:
+        self._budget(exchange.service).give_back()
+
+    @override
+    def target_resumed(self, exchange: Exchange) -> None:
+        if exchange.choice is not None:
+            exchange.choice.load.record_success()
+
     @override
     def first_byte_received(self, exchange: Exchange) -> None:
         now_s = self._loop.time()
@@ -268,7 +277,10 @@
         if choice is None:
             return
         choice.load.record_ended(exchange.key)
-        if failed:
+        if exchange.is_silent:
+            # The failure of the target was recorded when it fell silent.
+            pass
+        elif failed:
             choice.load.record_failure(now_s=self._loop.time())
         elif exchange.state is ExchangeState.RECEIVING:
             choice.load.record_success()
@@ -391,16 +403,32 @@
             self._send_waiting(service)
 
     def check_stalls(self) -> None:
-        """Send requests elsewhere whose targets have sent no data for too long."""
+        """Look for other targets for requests whose own sent no data for too long."""
         now_s = self._loop.time()
         for exchange in list(self._sent.values()):
             try:
                 if is_stalled(exchange, self._stall_options, now_s=now_s):
-                    self._metrics.count_stall(exchange.service)
-                    exchange.retry_elsewhere("silent")
+                    self._handle_silence(exchange)
+                    exchange.search_elsewhere()
             except Exception as error:
                 exchange.end_after_error(error)
 
+    def _handle_silence(self, exchange: Exchange) -> None:
+        choice = exchange.choice
+        if exchange.is_silent or choice is None:
+            return
+        exchange.is_silent = True
+        now_s = self._loop.time()
+        choice.load.record_failure(now_s=now_s)
+        self._metrics.count_stall(exchange.service)
+        log_event(
+            "target_silent",
+            target=choice.load.entry.target_id,
+            request_id=exchange.facts.request_id,
+            silent_s=now_s - exchange.last_data_at_s,
+            state=exchange.state.value,
+        )
+
     def _pause_left_s(self, service: str) -> float:
         """Return the time until a target of a service takes requests again."""
         loads = self._loads_by_service.get(service, [])
@@ -433,7 +461,9 @@
                 exchange.refuse("all_targets_paused")
             return
         for exchange in queue.in_order(now_s=self._loop.time()):
-            if not self._send_plain(exchange, queue=queue):
+            is_sent = self._send_plain(exchange, queue=queue)
+            # One that only lacks a target besides its silent one holds up no other.
+            if not is_sent and exchange.silent_target_id is None:
                 self._request_permits(service, queue)
                 return
 
@@ -444,7 +474,12 @@
         loads = self.loads(exchange.service)
         limited = self._limited(loads)
         choice = self._placement.choose_plain(
-            [load for load in loads if load not in limited],
+            [
+                load
+                for load in loads
+                if load not in limited
+                and load.entry.target_id != exchange.silent_target_id
+            ],
             excluded=exchange.excluded,
             now_s=now_s,
         )
@@ -459,6 +494,7 @@
         self, exchange: Exchange, choice: PlacementChoice, *, has_waited: bool
     ) -> None:
         now_s = self._loop.time()
+        exchange.leave_silent_target()
         self._usage.add(exchange.account, exchange.cost_tokens, now_s=now_s)
         if has_waited:
             self._ratios.record_served(exchange.kind, now_s=now_s)
@@ -496,8 +532,14 @@
         queue = self._queues.get(load.entry.service)
         if not queue or load not in self.loads(load.entry.service):
             return
-        waiting = queue.in_order(now_s=self._loop.time())
         target_id = load.entry.target_id
+        waiting = [
+            exchange
+            for exchange in queue.in_order(now_s=self._loop.time())
+            if exchange.silent_target_id != target_id
+        ]
+        if not waiting:
+            return
         exchange = min(waiting, key=lambda item: target_id in item.excluded)
         queue.remove(exchange)
         self._start_plain(exchange, PlacementChoice(load, 0, 0.0), has_waited=True)
--- a/packages/citrondock-router/src/citrondock_router/gateway/stall_detection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/stall_detection.py
@@ -7,7 +7,7 @@
 
 @attrs.frozen(kw_only=True)
 class StallOptions:
-    """Timeouts after which a request that may run again is retried elsewhere.
+    """Timeouts after which another target is looked for, if a request may run again.
 
     Parameters
     ----------
@@ -22,7 +22,7 @@
     idle_target_s : float
         A target that has sent nothing to any request for this long is stalled.
     max_wait_s : float
-        Timeout after which a prompt is retried even if its target responds to others.
+        Timeout that applies to a prompt even if its target responds to others.
     """
 
     first_byte_factor: float = 2.0
@@ -37,6 +37,8 @@
     is_sent = exchange.state in (ExchangeState.SENT, ExchangeState.RECEIVING)
     if not is_sent or not exchange.route.kind.may_run_again:
         return False
+    if exchange.is_waiting or now_s < exchange.may_search_from_s:
+        return False
     route = exchange.route
     if exchange.state is ExchangeState.RECEIVING:
         timeout_s = options.pause_factor * route.max_pause_s
--- a/tests/gateway/simulated_gateways.py
+++ b/tests/gateway/simulated_gateways.py
@@ -89,6 +89,7 @@
     grant_request_count: int = 0
     is_waiting: bool = True
     excluded: set[str] = attrs.field(factory=set)
+    silent_target_id: str | None = None
 
     @property
     def tokens(self):
@@ -99,6 +100,9 @@
         self.is_waiting = False
         self.record.refused(self)
 
+    def leave_silent_target(self):
+        return None
+
 
 class Record:
     """Tokens asked and received by account in each second, and the FAIR rule."""
--- a/tests/gateway/test_grant_requester.py
+++ b/tests/gateway/test_grant_requester.py
@@ -60,8 +60,12 @@
     grant_request_count: int = 0
     is_waiting: bool = True
     excluded: set[str] = attrs.field(factory=set)
+    silent_target_id: str | None = None
     refused: str = ""
 
+    def leave_silent_target(self):
+        return None
+
     def refuse(self, reason):
         self.is_waiting = False
         self.refused = reason
