Read requests in a module of their own

RequestReader parses and checks the limits; ClientConnection decides what is answered when. The order in which requests are passed on, rejected and reported stays the same.

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -6,14 +6,14 @@
 from http import HTTPStatus
 from typing import cast
 
-import httptools
 from typing_extensions import override
 
-from citrondock_router.gateway.header_codec import Header, RequestHead
-from citrondock_router.gateway.request_handler import (
-    ClientRequest,
-    RequestHandler,
-    RequestInProgress,
+from citrondock_router.gateway.header_codec import Header
+from citrondock_router.gateway.request_handler import RequestHandler, RequestInProgress
+from citrondock_router.gateway.request_reader import (
+    ReceivedRequest,
+    Rejection,
+    RequestReader,
 )
 from citrondock_router.gateway.socket_options import (
     enable_dead_peer_detection,
@@ -21,7 +21,6 @@
     has_unread_data,
     reset_on_close,
 )
-from citrondock_router.log import log_event, raised_at
 
 LINGER_S = 1.0
 """Time for which bytes of a refused request are still read and dropped. Closing at once
@@ -36,7 +35,7 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    """Parses requests, passes them on one at a time and writes their responses.
+    """Passes requests on one at a time and writes their responses.
 
     Parameters
     ----------
@@ -52,47 +51,38 @@
         self._handler = handler
         self._loop = loop
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
-        self._pipelined: deque[tuple[ClientRequest, bool, bool]] = deque()
+        self._reader = RequestReader(
+            handler,
+            loop.time,
+            on_request=self._queue_request,
+            on_expect=self._send_continue,
+        )
+        self._waiting: deque[ReceivedRequest] = deque()
         self._current: RequestInProgress | None = None
         self._is_busy = False
         self._is_discarding = False
-        self._is_rejected = False
         self._close_reason = ""
-        self._pending_error: tuple[int, str] | None = None
-        self._url = b""
-        self._headers: list[Header] = []
-        self._header_bytes = 0
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._is_reading_head = False
-        self._is_reading_message = False
-        self._keeps_alive = True
+        self._pending_rejection: Rejection | None = None
         self._current_keeps_alive = True
         self._current_is_http_1_1 = True
         self._is_chunked = False
-        self._is_http_1_1 = True
-        self.head_began_at_s = 0.0
         self.idle_since_s = self.kept_until_s = 0.0
         self._begin_idle()
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read, handled or queued."""
-        return not (self._is_busy or self._is_reading_message or self._pipelined)
+        return not (self._is_busy or self._reader.is_reading_message or self._waiting)
 
     @property
     def is_reading_head(self) -> bool:
         """Whether a request's head has arrived in part."""
-        return self._is_reading_head
-
-    @property
-    def _is_head_too_large(self) -> bool:
-        return self._header_bytes > self._handler.limits.max_header_bytes
+        return self._reader.is_reading_head
 
     @property
-    def _is_body_too_large(self) -> bool:
-        return self._body_bytes > self._handler.limits.max_body_bytes
+    def head_began_at_s(self) -> float:
+        """When the latest head began to arrive."""
+        return self._reader.head_began_at_s
 
     @override
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -123,82 +113,21 @@
 
     @override
     def data_received(self, data: bytes) -> None:
-        if self._is_discarding:
-            self._discard(data)
-            return
-        unfinished_head = self._headers if self._is_reading_head else None
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserCallbackError as error:
-            cause = error.__context__ or error
-            log_event(
-                "request_error",
-                level="ERROR",
-                error=repr(cause),
-                place=raised_at(cause.__traceback__),
-            )
-            self._reject(HTTPStatus.SERVICE_UNAVAILABLE, "router_error")
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._reject(HTTPStatus.BAD_REQUEST, "malformed_request")
-        if self._is_reading_head and self._headers is unfinished_head:
-            # Part of it may be in the parser, which passes on complete headers only.
-            self._header_bytes += len(data)
-        if self._is_reading_message:
-            self._reject_if_too_large()
+        self._reader.feed(data)
+        if self._reader.rejection is not None:
+            self._reject(self._reader.rejection)
         self._start_next_request()
 
-    # Callbacks of `httptools.HttpRequestParser`.
-
-    def on_message_begin(self) -> None:
-        """Start reading a request."""
-        self._url = b""
-        self._headers = []
-        self._header_bytes = 0
-        self._body = []
-        self._body_bytes = 0
-        self._is_reading_head = self._is_reading_message = True
-        self.head_began_at_s = self._loop.time()
-
-    def on_url(self, url: bytes) -> None:
-        """Add part of the request target."""
-        self._url += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header."""
-        self._headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        """Finish the head; respond to an Expect header with 100 Continue."""
-        self._is_reading_head = False
-        self._header_bytes = len(self._url) + sum(
-            len(name) + len(value) + 4 for name, value in self._headers
-        )
-        self._keeps_alive = self._parser.should_keep_alive()
-        self._is_http_1_1 = self._parser.get_http_version() == "1.1"
-        is_expecting = any(name.lower() == b"expect" for name, _ in self._headers)
-        if is_expecting and not (self._is_busy or self._is_discarding):
-            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
-
-    def on_body(self, data: bytes) -> None:
-        """Add part of the body, unless it is over the limit."""
-        self._body_bytes += len(data)
-        if not self._is_body_too_large:
-            self._body.append(data)
+    def _queue_request(self, received: ReceivedRequest) -> None:
+        if self._is_discarding or self._reader.rejection is not None:
+            reason = self._close_reason or "rejected"
+            self._handler.unanswered(received.request, reason, stage="discarded")
+        else:
+            self._waiting.append(received)
 
-    def on_message_complete(self) -> None:
-        """Queue the complete request."""
-        self._is_reading_message = False
-        if self._reject_if_too_large():
-            return
-        head = RequestHead(
-            method=self._parser.get_method(), target=self._url, headers=self._headers
-        )
-        request = ClientRequest(head=head, body=b"".join(self._body))
-        self._body = []
-        if self._is_discarding:
-            self._handler.unanswered(request, self._close_reason, stage="discarded")
-            return
-        self._pipelined.append((request, self._keeps_alive, self._is_http_1_1))
+    def _send_continue(self) -> None:
+        if not (self._is_busy or self._is_discarding):
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     # Responses.
 
@@ -329,27 +258,29 @@
 
     def reject_slow_head(self) -> None:
         """Reject a request whose head took too long to arrive."""
-        self._reject(HTTPStatus.REQUEST_TIMEOUT, "head_timed_out")
+        self._reader.stop()
+        self._reject(Rejection(HTTPStatus.REQUEST_TIMEOUT, "head_timed_out"))
         self._start_next_request()
 
     def _start_next_request(self) -> None:
-        while self._pipelined and not self._is_busy and self._transport is not None:
-            request, keeps_alive, is_http_1_1 = self._pipelined.popleft()
+        while self._waiting and not self._is_busy and self._transport is not None:
+            received = self._waiting.popleft()
             self._is_busy = True
-            self._current_keeps_alive = keeps_alive
-            self._current_is_http_1_1 = is_http_1_1
-            self._current = self._handler.handle(request, self)
+            self._current_keeps_alive = received.keeps_alive
+            self._current_is_http_1_1 = received.is_http_1_1
+            self._current = self._handler.handle(received.request, self)
             if not self._is_busy:
                 self._current = None
-        if self._pending_error is not None and not (self._is_busy or self._pipelined):
-            self._send_rejection(*self._pending_error)
+        rejection = self._pending_rejection
+        if rejection is not None and not (self._is_busy or self._waiting):
+            self._send_rejection(rejection)
         self._pause_or_resume_reading()
 
     def _pause_or_resume_reading(self) -> None:
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        may_read = len(self._pipelined) <= MAX_PIPELINED_REQUESTS
+        may_read = len(self._waiting) <= MAX_PIPELINED_REQUESTS
         if may_read and not transport.is_reading():
             transport.resume_reading()
         elif not may_read and transport.is_reading():
@@ -366,32 +297,23 @@
 
     @property
     def _has_more_to_answer(self) -> bool:
-        return bool(self._pipelined) or self._pending_error is not None
+        return bool(self._waiting) or self._pending_rejection is not None
 
     def _begin_idle(self) -> None:
         """Keep the connection for the idle timeout that its client knows of now."""
         self.idle_since_s = self._loop.time()
         self.kept_until_s = self.idle_since_s + self._handler.limits.idle_timeout_s
 
-    def _reject_if_too_large(self) -> bool:
-        """Reject what is being read if it is over a limit; return whether it is."""
-        if self._is_head_too_large:
-            self._reject(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large")
-        elif self._is_body_too_large:
-            self._reject(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large")
-        else:
-            return False
-        return True
-
-    def _reject(self, status: int, reason: str) -> None:
-        """Read no more; the rejection follows the responses to earlier requests."""
+    def _reject(self, rejection: Rejection) -> None:
+        """Take no more requests; the rejection follows earlier responses."""
         if self._is_discarding:
             return
-        self._is_discarding = self._is_rejected = True
-        self._close_reason = reason
-        self._pending_error = (status, reason)
+        self._is_discarding = True
+        self._close_reason = rejection.reason
+        self._pending_rejection = rejection
 
-    def _send_rejection(self, status: int, reason: str) -> None:
+    def _send_rejection(self, rejection: Rejection) -> None:
+        status, reason = rejection.status, rejection.reason
         self._handler.rejected(status, reason)
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
         phrase = HTTPStatus(status).phrase.encode()
@@ -401,23 +323,13 @@
     def _begin_close(self, reason: str) -> None:
         self._is_discarding = True
         self._close_reason = self._close_reason or reason
-        self._pending_error = None
+        self._pending_rejection = None
         self._drop_queued(self._close_reason)
 
     def _drop_queued(self, reason: str) -> None:
-        while self._pipelined:
-            request, _, _ = self._pipelined.popleft()
-            self._handler.unanswered(request, reason, stage="queued")
-
-    def _discard(self, data: bytes) -> None:
-        """Drop bytes, and report the whole requests among them."""
-        if self._is_rejected:
-            return
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            # No request can be told in these bytes or after them.
-            self._is_rejected = True
+        while self._waiting:
+            received = self._waiting.popleft()
+            self._handler.unanswered(received.request, reason, stage="queued")
 
     def _connection_headers(self) -> list[Header]:
         """Return `Connection: close` if the connection closes after this response."""
--- a/tests/gateway/test_unanswered_requests.py
+++ b/tests/gateway/test_unanswered_requests.py
@@ -25,12 +25,10 @@
 from citrondock_cli.log_lines import parse_log_lines
 from citrondock_core.routing.route import Route
 from citrondock_router.gateway import gateway as gateway_module
-from citrondock_router.gateway.client_connection import (
-    MAX_PIPELINED_REQUESTS,
-    ClientConnection,
-)
+from citrondock_router.gateway.client_connection import MAX_PIPELINED_REQUESTS
 from citrondock_router.gateway.exchange import Exchange
 from citrondock_router.gateway.grant_requester import GrantRequester
+from citrondock_router.gateway.request_reader import RequestReader
 from citrondock_router.gateway.target_connection import TargetConnection
 from citrondock_router.log import configure_logging
 
@@ -623,7 +621,7 @@
             async with Harness([target]) as harness:
                 other = await open_idle_client(harness)
                 with monkeypatch.context() as patch:
-                    patch.setattr(ClientConnection, "on_header", raising)
+                    patch.setattr(RequestReader, "on_header", raising)
                     sent = harness.get("/unsafe/x", "r1")
                     assert (await asyncio.wait_for(sent, 3)).status == 503
                 other.writer.write(request("/safe/x", "r2"))
