Do not count paused reading against the timeout for a head

Since reading pauses while many pipelined requests wait, a head whose rest was left unread was rejected with 408 for the pause. The timeout now applies only while the rest is awaited, and from the moment at which reading resumes.

Failed before: 'HTTP/1.1 408 Request Timeout' in place of the last response.

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -76,8 +76,9 @@
 
     @property
     def is_reading_head(self) -> bool:
-        """Whether a request's head has arrived in part."""
-        return self._reader.is_reading_head
+        """Whether a request's head has arrived in part and the rest is awaited."""
+        may_read = len(self._waiting) <= MAX_PIPELINED_REQUESTS
+        return self._reader.is_reading_head and may_read
 
     @property
     def head_began_at_s(self) -> float:
@@ -282,6 +283,7 @@
             return
         may_read = len(self._waiting) <= MAX_PIPELINED_REQUESTS
         if may_read and not transport.is_reading():
+            self._reader.head_began_at_s = self._loop.time()
             transport.resume_reading()
         elif not may_read and transport.is_reading():
             transport.pause_reading()
--- a/tests/gateway/test_unanswered_requests.py
+++ b/tests/gateway/test_unanswered_requests.py
@@ -481,6 +481,35 @@
 
         run(check())
 
+    def test_time_in_which_nothing_is_read_does_not_count_for_a_head(self):
+        async def check():
+            may_answer = asyncio.Event()
+
+            async def answer_later(got, writer):
+                await may_answer.wait()
+                writer.write(complete_response(got))
+
+            target = ScriptedTarget("t0", answer_later)
+            async with Harness([target]) as harness:
+                client = await open_socket(harness)
+                last = request("/safe/x", "last")
+                waiting = request("/safe/x", "r0") * 2 * MAX_PIPELINED_REQUESTS
+                client.sendall(waiting + last[:-10])
+                await asyncio.sleep(0.05)
+                client.sendall(last[-10:])
+                # Longer than the timeout for heads.
+                await asyncio.sleep(0.7)
+                harness.gateway.close_idle_clients()
+                may_answer.set()
+                received = b""
+                while b"Request-Id: last" not in received:
+                    part = await receive(client)
+                    assert part and b" 408 " not in part
+                    received += part
+                client.close()
+
+        run(check())
+
 
 class UnexpectedError(Exception):
     """Stands for an error that no code expects."""
