Do not let the registry's old copy bring back targets that left

What callers would see: after the store came back from an older copy, requests go to targets that are draining or gone, and a target that registered in the lost seconds is dropped with its requests. Cause: the directory takes each listing for newer than all before, and compares plain revisions of registries. The first listing of a new era is older than what was known, and revisions of two eras say nothing about each other. Ruled out: the grace after an outage alone. It keeps what the listing lacks, and does nothing about what the listing shows. Why this works: only an entry whose revision is above that of the era's first listing was written in the era. Targets known to be leaving wait for such a write. Those whose entry was removed, or that another router's registry shows as departed, wait for the grace, as live targets have written by then and one that lives may have nothing to change. A later incarnation that was known holds back an earlier one in the same way. Entries that the listing lacks get the grace even if no outage was noticed. The target's own word now outlasts the registry's confirmation of it in an earlier era. Departures between routers get an optional era; datagrams are read in both directions as before.

--- a/packages/citrondock-core/src/citrondock_core/routing/target_departure.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/target_departure.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from citrondock_core.routing.store_position import StorePosition
+
 REPORT_S = 10.0
 """Time for which other routers are told of a departure."""
 
@@ -23,17 +25,27 @@
         Revision of the registry that shows it; None if the target itself said so.
     age_s : float
         Time since this became known.
+    registry_era : int or None
+        Era of that revision; None if it is not stated.
     """
 
     target_id: str
     started_at_ms: int
     registry_revision: int | None
     age_s: float
+    registry_era: int | None = None
+
+    def position_in(self, era: int) -> StorePosition | None:
+        """Return the registry's position; an era that is not stated is ``era``."""
+        if self.registry_revision is None:
+            return None
+        stated = era if self.registry_era is None else self.registry_era
+        return StorePosition(stated, self.registry_revision)
 
 
 @attrs.define
 class _KnownDeparture:
-    registry_revision: int | None
+    departure: TargetDeparture
     known_at_s: float
 
 
@@ -46,12 +58,12 @@
 
     def record(self, departure: TargetDeparture, *, now_s: float) -> bool:
         """Record a departure; return whether it is news."""
-        revision = departure.registry_revision
-        key = (departure.target_id, departure.started_at_ms, revision is None)
+        is_own_word = departure.registry_revision is None
+        key = (departure.target_id, departure.started_at_ms, is_own_word)
         known = self._known.get(key)
-        if known is not None and (known.registry_revision or 0) >= (revision or 0):
+        if known is not None and _order(known.departure) >= _order(departure):
             return False
-        self._known[key] = _KnownDeparture(revision, now_s - departure.age_s)
+        self._known[key] = _KnownDeparture(departure, now_s - departure.age_s)
         return True
 
     def reports(self, *, now_s: float) -> list[TargetDeparture]:
@@ -61,13 +73,12 @@
             for key, known in self._known.items()
             if now_s - known.known_at_s <= REPORT_S
         }
-        newest = sorted(self._known.items(), key=lambda item: -item[1].known_at_s)
+        newest = sorted(self._known.values(), key=lambda known: -known.known_at_s)
         return [
-            TargetDeparture(
-                target_id=target_id,
-                started_at_ms=started_at_ms,
-                registry_revision=known.registry_revision,
-                age_s=now_s - known.known_at_s,
-            )
-            for (target_id, started_at_ms, _), known in newest[:MAX_REPORTED]
+            attrs.evolve(known.departure, age_s=now_s - known.known_at_s)
+            for known in newest[:MAX_REPORTED]
         ]
+
+
+def _order(departure: TargetDeparture) -> StorePosition:
+    return departure.position_in(0) or StorePosition()
--- a/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
@@ -1,9 +1,10 @@
 """Directory of the targets that requests may be sent to."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import attrs
 
+from citrondock_core.routing.store_position import StorePosition
 from citrondock_core.routing.target_departure import TargetDeparture
 from citrondock_core.routing.target_entry import TargetEntry
 
@@ -13,7 +14,8 @@
 
 
 MAX_DEPARTED = 4096
-"""Most departures that are remembered; the oldest targets have ended long ago."""
+"""Most departures, and most removed entries, that are remembered; the oldest targets
+have ended long ago."""
 
 
 @attrs.frozen(kw_only=True)
@@ -25,6 +27,47 @@
     removed: tuple[TargetEntry, ...] = ()
 
 
+@attrs.define(kw_only=True)
+class _Departure:
+    """Why a target is taken to be leaving whatever its entry says.
+
+    Parameters
+    ----------
+    entry : TargetEntry
+        The incarnation that departed.
+    position : StorePosition or None
+        Position of the registry that shows it; None if the target itself said so.
+    is_registered : bool
+        Whether this router's own registry said leaving, in an earlier era.
+    is_provisional : bool
+        Whether it counts only until the registry's new era is settled.
+    shown_in_era : int or None
+        Era in which the registry confirmed the target's own word.
+    """
+
+    entry: TargetEntry
+    position: StorePosition | None
+    is_registered: bool = False
+    is_provisional: bool = False
+    shown_in_era: int | None = None
+
+    def is_overruled(self, position: StorePosition, *, is_written: bool) -> bool:
+        """Return whether an entry that says ready brings the target back.
+
+        Parameters
+        ----------
+        position : StorePosition
+            Position of the registry that shows the entry.
+        is_written : bool
+            Whether the entry was written in that era.
+        """
+        if self.position is None:
+            return self.shown_in_era == position.era
+        if self.position.era < position.era:
+            return is_written
+        return self.position < position
+
+
 class TargetDirectory:
     """Targets by id, kept through outages of the registry.
 
@@ -36,6 +79,13 @@
     A target may also leave by its own word, or by that of another router whose registry
     is ahead; the registry's older entries do not bring it back.
 
+    The first listing of a new era of the registry may be a copy that is seconds old.
+    Its entries do not bring back targets that were known to be leaving; only a write of
+    the new era does. Targets that were removed, or that only another router's registry
+    shows as departed, come back once the grace is over, as live targets have written
+    again by then; so do incarnations before the one that was known. Entries that the
+    copy lacks get the grace, too.
+
     Parameters
     ----------
     grace_s : float
@@ -47,14 +97,21 @@
         self._entries: dict[str, TargetEntry] = {}
         self._missing_until_s: dict[str, float] = {}
         self._trusted_from_s = 0.0
-        # The departed entry, and the registry revision that shows its departure; None
-        # if the target itself said so.
-        self._departed: dict[str, tuple[TargetEntry, int | None]] = {}
-        self.revision = 0
+        self._departed: dict[str, _Departure] = {}
+        self._removed: dict[str, TargetEntry] = {}
+        # Position of the first listing of the era; None before any.
+        self._era_start: StorePosition | None = None
+        self._era_settles_at_s: float | None = None
+        self.position = StorePosition()
 
     def __len__(self) -> int:
         return len(self._entries)
 
+    @property
+    def revision(self) -> int:
+        """Revision of the registry, within the era of `position`."""
+        return self.position.revision
+
     def get(self, target_id: str) -> TargetEntry | None:
         """Return the entry of a target, or None."""
         return self._entries.get(target_id)
@@ -72,14 +129,16 @@
         self._trusted_from_s = now_s + self._grace_s
 
     def replace(
-        self, entries: Iterable[TargetEntry], *, revision: int, now_s: float
+        self, entries: Iterable[TargetEntry], *, position: StorePosition, now_s: float
     ) -> DirectoryChange:
         """Replace all entries by a full listing of the registry."""
         listed = {entry.target_id: entry for entry in entries}
-        change = self._put(listed.values(), revision)
+        if self._era_start is None or position.era != self.position.era:
+            self._enter_era(listed, position, now_s=now_s)
+        change = self._put(listed.values(), position)
         missing = [entry for key, entry in self._entries.items() if key not in listed]
         removed = self._remove_missing(missing, now_s=now_s)
-        self.revision = revision
+        self.position = position
         return attrs.evolve(change, removed=removed)
 
     def apply(
@@ -87,32 +146,46 @@
         *,
         put: Iterable[TargetEntry],
         deleted: Iterable[str],
-        revision: int,
+        position: StorePosition,
         now_s: float,
     ) -> DirectoryChange:
-        """Apply changes from a watch of the registry."""
-        change = self._put(put, revision)
+        """Apply changes from a watch of the registry.
+
+        Changes of another era than the last listing's are ignored. They may lack some,
+        so that the registry must be listed again.
+        """
+        if position.era != self.position.era:
+            return DirectoryChange()
+        change = self._put(put, position, is_watched=True)
         missing = [self._entries[key] for key in deleted if key in self._entries]
         removed = self._remove_missing(missing, now_s=now_s)
-        self.revision = max(self.revision, revision)
+        self.position = max(self.position, position)
         return attrs.evolve(change, removed=removed)
 
     def depart(self, departure: TargetDeparture) -> DirectoryChange:
         """Mark a target as leaving, unless the registry is known to say otherwise."""
-        target_id, revision = departure.target_id, departure.registry_revision
+        target_id = departure.target_id
         entry = self._entries.get(target_id)
         if entry is None or entry.started_at_ms != departure.started_at_ms:
             return DirectoryChange()
-        is_missing = target_id in self._missing_until_s
-        if revision is not None and revision <= self.revision and not is_missing:
+        position = departure.position_in(self.position.era)
+        is_known_here = position is not None and position <= self.position
+        is_provisional = is_known_here and target_id not in self._missing_until_s
+        if is_provisional and not self._may_be_outdated(entry, position):
             return DirectoryChange()
-        known, known_revision = self._departed.get(target_id, (entry, 0))
-        if known_revision is None and not entry.is_other_incarnation_of(known):
-            # The registry of another router does not overrule the target's own word.
-            revision = None
-        self._departed[target_id] = (entry, revision)
-        if len(self._departed) > MAX_DEPARTED:
-            del self._departed[next(iter(self._departed))]
+        known = self._departed.get(target_id)
+        if known is not None and entry.is_other_incarnation_of(known.entry):
+            known = None
+        # The registry of another router does not overrule the target's own word.
+        if known is None or known.position is not None or position is None:
+            self._remember_departure(
+                _Departure(
+                    entry=entry,
+                    position=position,
+                    is_registered=known.is_registered if known else entry.is_leaving,
+                    is_provisional=is_provisional,
+                )
+            )
         if entry.is_leaving:
             return DirectoryChange()
         leaving = attrs.evolve(entry, is_leaving=True)
@@ -120,21 +193,114 @@
         return DirectoryChange(changed=(leaving,))
 
     def expire(self, *, now_s: float) -> DirectoryChange:
-        """Remove missing entries whose grace period has passed."""
+        """Remove missing entries, and settle a new era, once their grace has passed."""
         due = [
             key for key, until_s in self._missing_until_s.items() if until_s <= now_s
         ]
         removed = []
         for key in due:
             del self._missing_until_s[key]
-            removed.append(self._entries.pop(key))
-        return DirectoryChange(removed=tuple(removed))
+            removed.append(self._remove(key))
+        changed: tuple[TargetEntry, ...] = ()
+        if self._era_settles_at_s is not None and self._era_settles_at_s <= now_s:
+            self._era_settles_at_s = None
+            changed = self._end_provisional_departures()
+        return DirectoryChange(changed=changed, removed=tuple(removed))
 
-    def _put(self, entries: Iterable[TargetEntry], revision: int) -> DirectoryChange:
+    def _enter_era(
+        self,
+        listed: Mapping[str, TargetEntry],
+        position: StorePosition,
+        *,
+        now_s: float,
+    ) -> None:
+        if self._era_start is not None:
+            self.registry_recovered(now_s=now_s)
+        self._era_start = position
+        self._era_settles_at_s = now_s + self._grace_s
+        for known in self._departed.values():
+            known.is_provisional = known.position is not None and not (
+                known.is_registered
+            )
+        gone = [entry for entry in self._entries.values() if entry.is_leaving]
+        gone += [self._removed[key] for key in listed if key in self._removed]
+        for entry in gone:
+            known_departure = self._departed.get(entry.target_id)
+            if known_departure is None or entry.is_other_incarnation_of(
+                known_departure.entry
+            ):
+                self._remember_departure(
+                    _Departure(
+                        entry=entry,
+                        position=self.position,
+                        is_registered=entry.is_leaving,
+                        is_provisional=not entry.is_leaving,
+                    )
+                )
+        for entry in listed.values():
+            if self._is_known_as_restarted(entry):
+                self._remember_departure(
+                    _Departure(entry=entry, position=self.position, is_provisional=True)
+                )
+
+    def _is_known_as_restarted(self, entry: TargetEntry) -> bool:
+        """Return whether a later incarnation of the target was known."""
+        departure = self._departed.get(entry.target_id)
+        known = (
+            self._entries.get(entry.target_id),
+            self._removed.get(entry.target_id),
+            departure.entry if departure else None,
+        )
+        return any(
+            other is not None and other.started_at_ms > entry.started_at_ms
+            for other in known
+        )
+
+    def _may_be_outdated(
+        self, entry: TargetEntry, position: StorePosition | None
+    ) -> bool:
+        """Return whether an entry may lack a change at a position before its era."""
+        return (
+            position is not None
+            and position.era < self.position.era
+            and self._era_settles_at_s is not None
+            and not entry.is_leaving
+            and not self._is_written_in_era(entry)
+        )
+
+    def _is_written_in_era(self, entry: TargetEntry) -> bool:
+        start = self._era_start or StorePosition()
+        return entry.registered_revision > start.revision
+
+    def _remember_departure(self, departure: _Departure) -> None:
+        self._departed[departure.entry.target_id] = departure
+        if len(self._departed) > MAX_DEPARTED:
+            del self._departed[next(iter(self._departed))]
+
+    def _end_provisional_departures(self) -> tuple[TargetEntry, ...]:
+        ended = [key for key, known in self._departed.items() if known.is_provisional]
+        changed = []
+        for key in ended:
+            departed = self._departed.pop(key).entry
+            entry = self._entries.get(key)
+            if entry is not None and not entry.is_other_incarnation_of(departed):
+                self._entries[key] = attrs.evolve(entry, is_leaving=False)
+                changed.append(self._entries[key])
+        return tuple(changed)
+
+    def _put(
+        self,
+        entries: Iterable[TargetEntry],
+        position: StorePosition,
+        *,
+        is_watched: bool = False,
+    ) -> DirectoryChange:
         added, changed = [], []
         for registered in entries:
-            entry = self._with_departure(registered, revision)
+            is_written = is_watched or self._is_written_in_era(registered)
+            entry = self._with_departure(registered, position, is_written=is_written)
             self._missing_until_s.pop(entry.target_id, None)
+            self._removed.pop(entry.target_id, None)
             known = self._entries.get(entry.target_id)
             self._entries[entry.target_id] = entry
             if known is None:
@@ -143,22 +309,32 @@
                 changed.append(entry)
         return DirectoryChange(added=tuple(added), changed=tuple(changed))
 
-    def _with_departure(self, entry: TargetEntry, revision: int) -> TargetEntry:
+    def _with_departure(
+        self, entry: TargetEntry, position: StorePosition, *, is_written: bool
+    ) -> TargetEntry:
         """Return an entry of the registry, marked as leaving if its target departed."""
-        departed = self._departed.get(entry.target_id)
-        if departed is None:
+        known = self._departed.get(entry.target_id)
+        if known is None:
+            return entry
+        if entry.is_leaving and known.position is None:
+            known.shown_in_era = position.era
             return entry
-        departed_entry, departed_revision = departed
-        is_overruled = departed_revision is not None and departed_revision < revision
         if (
             entry.is_leaving
-            or is_overruled
-            or entry.is_other_incarnation_of(departed_entry)
+            or entry.is_other_incarnation_of(known.entry)
+            or known.is_overruled(position, is_written=is_written)
         ):
             del self._departed[entry.target_id]
             return entry
         return attrs.evolve(entry, is_leaving=True)
 
+    def _remove(self, target_id: str) -> TargetEntry:
+        entry = self._entries.pop(target_id)
+        self._removed[target_id] = entry
+        if len(self._removed) > MAX_DEPARTED:
+            del self._removed[next(iter(self._removed))]
+        return entry
+
     def _remove_missing(
         self, missing: list[TargetEntry], *, now_s: float
     ) -> tuple[TargetEntry, ...]:
@@ -166,7 +342,7 @@
         for entry in missing:
             if entry.is_leaving or not self._may_have_expired(entry, missing, now_s):
                 self._missing_until_s.pop(entry.target_id, None)
-                removed.append(self._entries.pop(entry.target_id))
+                removed.append(self._remove(entry.target_id))
             else:
                 until_s = max(now_s, self._trusted_from_s)
                 if now_s >= self._trusted_from_s:
--- a/packages/citrondock-core/src/citrondock_core/routing/target_entry.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/target_entry.py
@@ -23,6 +23,9 @@
         Whether it is shutting down and takes no new requests.
     started_at_ms : int
         Start of its process in Unix milliseconds; 0 if unknown.
+    registered_revision : int
+        Revision of the registry at which the entry was written; 0 if unknown. Entries
+        that differ in it alone are equal.
     """
 
     target_id: str
@@ -33,6 +36,7 @@
     max_concurrency: int
     is_leaving: bool
     started_at_ms: int = 0
+    registered_revision: int = attrs.field(default=0, eq=False)
 
     def is_other_incarnation_of(self, other: "TargetEntry") -> bool:
         """Return whether the target restarted or moved since ``other``."""
--- a/packages/citrondock-router/src/citrondock_router/gateway/departure_exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/departure_exchange.py
@@ -63,13 +63,15 @@
 
     def registry_changed(self, change: DirectoryChange) -> None:
         """Tell other routers of departures that the registry shows."""
+        position = self._directory.position
         leaving = [entry for entry in change.changed if entry.is_leaving]
         for entry in (*leaving, *change.removed):
             departure = TargetDeparture(
                 target_id=entry.target_id,
                 started_at_ms=entry.started_at_ms,
-                registry_revision=self._directory.revision,
+                registry_revision=position.revision,
                 age_s=0.0,
+                registry_era=position.era,
             )
             self._recent.record(departure, now_s=self._loop.time())
             self._tell_all_as_home(entry, departure)
@@ -101,7 +103,9 @@
             target=departure.target_id,
             origin=origin,
             age_s=departure.age_s,
+            era=departure.registry_era,
             revision=departure.registry_revision,
+            directory_era=self._directory.position.era,
             directory_revision=self._directory.revision,
         )
         self._on_change(change)
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -166,6 +166,7 @@
                     service=entry.service,
                     address=f"{entry.host}:{entry.port}",
                     leaving=entry.is_leaving,
+                    era=self.directory.position.era,
                     revision=self.directory.revision,
                 )
         self.scheduler.directory_changed(change)
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -270,7 +270,7 @@
         self.gateway.scheduler.gossip.tick()
         self._update_retry_budgets()
         change = self.directory.expire(now_s=self.loop.time())
-        if change.removed:
+        if change.changed or change.removed:
             self.gateway.targets_changed(change)
 
     def _update_retry_budgets(self) -> None:
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -335,6 +335,7 @@
             longest_pause_s=exchange.longest_pause_s,
             duration_s=self._loop.time() - arrived_at_s,
             configuration=exchange.configuration_version,
+            directory_era=self._directory.position.era,
             directory_revision=self._directory.revision,
         )
 
--- a/packages/citrondock-wire/grants.thrift
+++ b/packages/citrondock-wire/grants.thrift
@@ -90,6 +90,7 @@
   2: i64 started_at_ms         // Unix time; 0 if unknown
   3: i64 registry_revision     // 0 if the target itself said so
   4: i32 age_ms
+  5: optional i64 registry_era // of registry_revision; unset by earlier versions
 }
 
 // How far the sender has followed the objects of one kind in the store.
--- a/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
+++ b/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
@@ -863,15 +863,17 @@
      - started_at_ms
      - registry_revision
      - age_ms
+     - registry_era
 
     """
 
 
-    def __init__(self, target=None, started_at_ms=None, registry_revision=None, age_ms=None,):
+    def __init__(self, target=None, started_at_ms=None, registry_revision=None, age_ms=None, registry_era=None,):
         self.target = target
         self.started_at_ms = started_at_ms
         self.registry_revision = registry_revision
         self.age_ms = age_ms
+        self.registry_era = registry_era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -902,6 +904,11 @@
                     self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.registry_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -928,6 +935,10 @@
             oprot.writeFieldBegin('age_ms', TType.I32, 4)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
+        if self.registry_era is not None:
+            oprot.writeFieldBegin('registry_era', TType.I64, 5)
+            oprot.writeI64(self.registry_era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1390,6 +1401,7 @@
     (2, TType.I64, 'started_at_ms', None, None, ),  # 2
     (3, TType.I64, 'registry_revision', None, None, ),  # 3
     (4, TType.I32, 'age_ms', None, None, ),  # 4
+    (5, TType.I64, 'registry_era', None, None, ),  # 5
 )
 all_structs.append(StoreView)
 StoreView.thrift_spec = (
--- a/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
+++ b/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
@@ -368,6 +368,7 @@
         started_at_ms=departure.started_at_ms,
         registry_revision=departure.registry_revision or 0,
         age_ms=_to_ms(departure.age_s),
+        registry_era=departure.registry_era,
     )
 
 
@@ -377,6 +378,7 @@
         started_at_ms=departure.started_at_ms,
         registry_revision=departure.registry_revision or None,
         age_s=departure.age_ms / MS_PER_S,
+        registry_era=departure.registry_era,
     )
 
 
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -17,6 +17,7 @@
     ServiceOptions,
     ServiceShare,
 )
+from citrondock_core.routing.store_position import StorePosition
 from citrondock_core.routing.target_entry import TargetEntry
 from citrondock_platform.headers import PlatformHeaderCodec
 from citrondock_router.gateway import event_loop
@@ -265,7 +266,9 @@
             self.gateway.configure(self.configured)
         entries = [target.entry for target in self.targets]
         self.gateway.targets_changed(
-            self.process.directory.replace(entries, revision=1, now_s=0)
+            self.process.directory.replace(
+                entries, position=StorePosition(0, 1), now_s=0
+            )
         )
         await self.process.is_listening.wait()
         self.port = self.process.client_port
--- a/tests/gateway/test_deadly_prompt_part.py
+++ b/tests/gateway/test_deadly_prompt_part.py
@@ -12,6 +12,8 @@
     stream_head,
 )
 
+from citrondock_core.routing.store_position import StorePosition
+
 MAX_CRASHES = 5
 MAX_FURTHER_REQUESTS = 3
 """The users' rule: so many more requests with the part may reach engines."""
@@ -82,7 +84,9 @@
         entries = [engine.entry for engine in self.engines]
         for gateway in (self.first, self.second):
             gateway.gateway.targets_changed(
-                gateway.process.directory.replace(entries, revision=1, now_s=0)
+                gateway.process.directory.replace(
+                    entries, position=StorePosition(0, 1), now_s=0
+                )
             )
 
     async def send(self, number, parts):
--- a/tests/gateway/test_engine_limits.py
+++ b/tests/gateway/test_engine_limits.py
@@ -12,6 +12,8 @@
     stream_head,
 )
 
+from citrondock_core.routing.store_position import StorePosition
+
 LIMIT_PER_S = 2.0
 WINDOW_S = 4.0
 LOAD_S = 6.0
@@ -63,7 +65,9 @@
         first, second = self.gateways
         entries = [target.entry for target in self.targets]
         second.gateway.targets_changed(
-            second.process.directory.replace(entries, revision=1, now_s=0)
+            second.process.directory.replace(
+                entries, position=StorePosition(0, 1), now_s=0
+            )
         )
         second.process.broker.announce([first.process.broker.link.socket.address])
         await asyncio.sleep(0.05)
--- a/tests/gateway/test_grant_broker.py
+++ b/tests/gateway/test_grant_broker.py
@@ -582,6 +582,7 @@
                     started_at_ms=1_764_900_000_000,
                     registry_revision=7,
                     age_s=0.5,
+                    registry_era=2,
                 ),
                 TargetDeparture(
                     target_id="e2", started_at_ms=0, registry_revision=None, age_s=0.0
@@ -614,12 +615,21 @@
 
 
 class TestDatagramsOfProcessesThatKnowNoEra:
-    FIRST_NEW_FIELDS = {"store_views": 4}
+    FIRST_NEW_FIELDS = {"departures": 5, "store_views": 4}
 
     def sent(self, era):
         return PeerDatagram(
             vm_name="v1",
             incarnation=1,
+            departures=[
+                TargetDeparture(
+                    target_id="e1",
+                    started_at_ms=1000,
+                    registry_revision=7,
+                    age_s=0.5,
+                    registry_era=era,
+                )
+            ],
             store_views=[
                 StoreView(kind="servers", changed_revision=7, is_lost=True, era=era)
             ],
--- a/tests/gateway/test_leaving_targets.py
+++ b/tests/gateway/test_leaving_targets.py
@@ -13,6 +13,7 @@
     send_many,
 )
 
+from citrondock_core.routing.store_position import StorePosition
 from citrondock_core.routing.target_departure import TargetDeparture
 
 
@@ -59,7 +60,7 @@
                 born = attrs.evolve(leaving.entry, started_at_ms=7)
                 directory = harness.process.directory
                 harness.gateway.targets_changed(
-                    directory.replace([born], revision=2, now_s=0)
+                    directory.replace([born], position=StorePosition(0, 2), now_s=0)
                 )
                 assert (await harness.get("/safe/x", "r3")).status == 200
 
@@ -73,7 +74,7 @@
             async with first, second:
                 second.gateway.targets_changed(
                     second.process.directory.replace(
-                        [leaving.entry], revision=1, now_s=0
+                        [leaving.entry], position=StorePosition(0, 1), now_s=0
                     )
                 )
                 link = first.process.broker.link
@@ -95,7 +96,7 @@
             async with first, second:
                 second.gateway.targets_changed(
                     second.process.directory.replace(
-                        [target.entry], revision=1, now_s=0
+                        [target.entry], position=StorePosition(0, 1), now_s=0
                     )
                 )
                 link = first.process.broker.link
@@ -103,7 +104,7 @@
                 await asyncio.sleep(0.1)
                 first.gateway.targets_changed(
                     first.process.directory.apply(
-                        put=[], deleted=["t1"], revision=2, now_s=0
+                        put=[], deleted=["t1"], position=StorePosition(0, 2), now_s=0
                     )
                 )
                 # The home router tells all at once, gossip within some seconds.
@@ -132,7 +133,7 @@
                 await leaving.start()
                 harness.gateway.targets_changed(
                     harness.process.directory.replace(
-                        [leaving.entry], revision=2, now_s=0
+                        [leaving.entry], position=StorePosition(0, 2), now_s=0
                     )
                 )
                 departures.handle_datagram(datagram)
--- a/tests/platform/test_late_removal.py
+++ b/tests/platform/test_late_removal.py
@@ -1,5 +1,6 @@
 """A router that the store turned away drops engines that left meanwhile (DRAIN)."""
 
+from citrondock_core.routing.store_position import StorePosition
 from citrondock_core.routing.target_directory import TargetDirectory
 from citrondock_core.routing.target_entry import TargetEntry
 from citrondock_platform.settings import REGISTRY_RECOVERY_S
@@ -22,11 +23,11 @@
             is_leaving=False,
         )
         directory = TargetDirectory(grace_s=REGISTRY_RECOVERY_S)
-        directory.replace([entry], revision=1, now_s=0.0)
+        directory.replace([entry], position=StorePosition(0, 1), now_s=0.0)
         # The store is back at 0 s; the follower asks it again after its longest pause.
         noticed_at_s = FollowerOptions().max_backoff_s
         directory.registry_recovered(now_s=noticed_at_s)
-        directory.replace([], revision=2, now_s=noticed_at_s)
+        directory.replace([], position=StorePosition(0, 2), now_s=noticed_at_s)
         now_s = noticed_at_s
         while now_s + HOUSEKEEPING_S <= STABLE_S:
             now_s += HOUSEKEEPING_S
--- a/tests/routing/test_routes.py
+++ b/tests/routing/test_routes.py
@@ -10,6 +10,7 @@
     ServiceShare,
 )
 from citrondock_core.routing.route_table import ConfigurationHolder, RouteTable
+from citrondock_core.routing.store_position import StorePosition
 from citrondock_core.routing.target_directory import TargetDirectory
 from citrondock_core.routing.target_entry import TargetEntry
 
@@ -99,22 +100,34 @@
 class TestTargetDirectory:
     def test_a_deleted_target_is_removed_at_once(self):
         directory = TargetDirectory(grace_s=2)
-        directory.replace([entry("a"), entry("b"), entry("c")], revision=1, now_s=0)
-        change = directory.apply(put=(), deleted=["a"], revision=2, now_s=5)
+        directory.replace(
+            [entry("a"), entry("b"), entry("c")], position=StorePosition(0, 1), now_s=0
+        )
+        change = directory.apply(
+            put=(), deleted=["a"], position=StorePosition(0, 2), now_s=5
+        )
         assert [removed.target_id for removed in change.removed] == ["a"]
 
     def test_a_leaving_target_is_not_usable(self):
         directory = TargetDirectory(grace_s=2)
-        directory.replace([entry("a"), entry("b")], revision=1, now_s=0)
+        directory.replace(
+            [entry("a"), entry("b")], position=StorePosition(0, 1), now_s=0
+        )
         leaving = entry("a", is_leaving=True)
-        directory.apply(put=[leaving], deleted=(), revision=2, now_s=1)
+        directory.apply(
+            put=[leaving], deleted=(), position=StorePosition(0, 2), now_s=1
+        )
         assert [usable.target_id for usable in directory.usable("s")] == ["b"]
 
     def test_entries_missing_after_an_outage_are_kept_for_the_grace_period(self):
         directory = TargetDirectory(grace_s=2)
-        directory.replace([entry("a"), entry("b"), entry("c")], revision=1, now_s=0)
+        directory.replace(
+            [entry("a"), entry("b"), entry("c")], position=StorePosition(0, 1), now_s=0
+        )
         directory.registry_recovered(now_s=10)
-        directory.replace([entry("b"), entry("c")], revision=9, now_s=10)
+        directory.replace(
+            [entry("b"), entry("c")], position=StorePosition(0, 9), now_s=10
+        )
         assert len(directory.usable("s")) == 3
         assert directory.expire(now_s=11.9).removed == ()
         expired = directory.expire(now_s=12.1).removed
@@ -122,24 +135,30 @@
 
     def test_a_target_that_registers_again_within_the_grace_period_stays(self):
         directory = TargetDirectory(grace_s=2)
-        directory.replace([entry("a")], revision=1, now_s=0)
+        directory.replace([entry("a")], position=StorePosition(0, 1), now_s=0)
         directory.registry_recovered(now_s=10)
-        directory.replace([], revision=9, now_s=10)
-        directory.apply(put=[entry("a")], deleted=(), revision=11, now_s=11)
+        directory.replace([], position=StorePosition(0, 9), now_s=10)
+        directory.apply(
+            put=[entry("a")], deleted=(), position=StorePosition(0, 11), now_s=11
+        )
         assert directory.expire(now_s=20).removed == ()
 
     def test_a_leaving_target_gets_no_grace_period(self):
         directory = TargetDirectory(grace_s=2)
-        directory.replace([entry("a", is_leaving=True)], revision=1, now_s=0)
+        directory.replace(
+            [entry("a", is_leaving=True)], position=StorePosition(0, 1), now_s=0
+        )
         directory.registry_recovered(now_s=10)
-        change = directory.replace([], revision=2, now_s=10)
+        change = directory.replace([], position=StorePosition(0, 2), now_s=10)
         assert [removed.target_id for removed in change.removed] == ["a"]
 
     def test_most_targets_missing_at_once_are_kept_for_the_grace_period(self):
         directory = TargetDirectory(grace_s=2)
         entries = [entry(name) for name in "abcd"]
-        directory.replace(entries, revision=1, now_s=0)
-        directory.apply(put=(), deleted=["a", "b", "c"], revision=2, now_s=5)
+        directory.replace(entries, position=StorePosition(0, 1), now_s=0)
+        directory.apply(
+            put=(), deleted=["a", "b", "c"], position=StorePosition(0, 2), now_s=5
+        )
         assert len(directory.usable("s")) == 4
         directory.expire(now_s=7.1)
         assert len(directory.usable("s")) == 1
--- a/tests/routing/test_target_departures.py
+++ b/tests/routing/test_target_departures.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from citrondock_core.routing.store_position import StorePosition
 from citrondock_core.routing.target_departure import (
     MAX_REPORTED,
     REPORT_S,
@@ -30,7 +31,9 @@
 
 def known(revision=5):
     directory = TargetDirectory(grace_s=2.0)
-    directory.replace([ENTRY, OTHER, THIRD], revision=revision, now_s=0.0)
+    directory.replace(
+        [ENTRY, OTHER, THIRD], position=StorePosition(0, revision), now_s=0.0
+    )
     return directory
 
 
@@ -49,24 +52,34 @@
     def test_a_later_entry_of_the_same_incarnation_does_not_bring_it_back(self):
         directory = known()
         directory.depart(OWN_WORD)
-        directory.apply(put=[ENTRY], deleted=[], revision=9, now_s=1.0)
+        directory.apply(
+            put=[ENTRY], deleted=[], position=StorePosition(0, 9), now_s=1.0
+        )
         assert usable_ids(directory) == ["e2", "e3"]
-        directory.apply(put=[], deleted=["e1"], revision=10, now_s=2.0)
-        directory.apply(put=[ENTRY], deleted=[], revision=11, now_s=3.0)
+        directory.apply(
+            put=[], deleted=["e1"], position=StorePosition(0, 10), now_s=2.0
+        )
+        directory.apply(
+            put=[ENTRY], deleted=[], position=StorePosition(0, 11), now_s=3.0
+        )
         assert usable_ids(directory) == ["e2", "e3"]
 
     def test_the_registry_of_another_router_does_not_overrule_it(self):
         directory = known()
         directory.depart(OWN_WORD)
         directory.depart(attrs.evolve(OWN_WORD, registry_revision=8))
-        directory.apply(put=[ENTRY], deleted=[], revision=9, now_s=1.0)
+        directory.apply(
+            put=[ENTRY], deleted=[], position=StorePosition(0, 9), now_s=1.0
+        )
         assert usable_ids(directory) == ["e2", "e3"]
 
     def test_its_next_incarnation_is_used(self):
         directory = known()
         directory.depart(OWN_WORD)
         again = attrs.evolve(ENTRY, started_at_ms=2000)
-        directory.apply(put=[again], deleted=[], revision=9, now_s=1.0)
+        directory.apply(
+            put=[again], deleted=[], position=StorePosition(0, 9), now_s=1.0
+        )
         assert usable_ids(directory) == ["e1", "e2", "e3"]
         assert directory.depart(OWN_WORD).changed == ()
 
@@ -74,9 +87,13 @@
         directory = known()
         directory.depart(OWN_WORD)
         leaving = attrs.evolve(ENTRY, is_leaving=True)
-        directory.apply(put=[leaving], deleted=[], revision=8, now_s=1.0)
+        directory.apply(
+            put=[leaving], deleted=[], position=StorePosition(0, 8), now_s=1.0
+        )
         assert usable_ids(directory) == ["e2", "e3"]
-        directory.apply(put=[ENTRY], deleted=[], revision=9, now_s=2.0)
+        directory.apply(
+            put=[ENTRY], deleted=[], position=StorePosition(0, 9), now_s=2.0
+        )
         assert usable_ids(directory) == ["e1", "e2", "e3"]
 
 
@@ -97,7 +114,7 @@
     def test_it_ends_the_grace_of_an_entry_that_is_missing_after_an_outage(self):
         directory = known(revision=5)
         directory.registry_recovered(now_s=10.0)
-        directory.replace([OTHER, THIRD], revision=9, now_s=10.0)
+        directory.replace([OTHER, THIRD], position=StorePosition(0, 9), now_s=10.0)
         assert "e1" in usable_ids(directory)
         directory.depart(self.departure(6))
         assert usable_ids(directory) == ["e2", "e3"]
@@ -105,7 +122,9 @@
     def test_a_newer_entry_brings_the_target_back(self):
         directory = known(revision=5)
         directory.depart(self.departure(6))
-        directory.apply(put=[ENTRY], deleted=[], revision=7, now_s=1.0)
+        directory.apply(
+            put=[ENTRY], deleted=[], position=StorePosition(0, 7), now_s=1.0
+        )
         assert usable_ids(directory) == ["e1", "e2", "e3"]
 
 
@@ -122,6 +141,15 @@
         assert not recent.record(attrs.evolve(first, registry_revision=5), now_s=0.0)
         assert recent.record(attrs.evolve(first, registry_revision=8), now_s=0.0)
 
+    def test_a_lower_revision_of_a_newer_era_is_news(self):
+        recent = RecentDepartures()
+        first = attrs.evolve(OWN_WORD, registry_revision=60, registry_era=1)
+        assert recent.record(first, now_s=0.0)
+        later = attrs.evolve(first, registry_revision=45, registry_era=2)
+        assert recent.record(later, now_s=0.0)
+        assert not recent.record(first, now_s=0.0)
+        assert recent.reports(now_s=0.0) == [later]
+
     def test_old_ones_are_not_reported(self):
         recent = RecentDepartures()
         recent.record(attrs.evolve(OWN_WORD, age_s=REPORT_S - 1), now_s=0.0)
