Do not take a kept entry for the registry's word that a target leaves

What callers would see: requests go again to an engine that said it leaves, after another writer wrote an odd entry under its name and a sound one followed. Found on reading. Cause: in place of an unreadable entry the sink passes the directory's own entry, which is marked as leaving. The directory took the mark for the registry's confirmation, and the next sound entry for the target's return. Evidence: test_an_odd_entry_does_not_bring_back_an_engine_that_said_it_leaves, before: Left contains one more item: TargetEntry(target_id='a', service='s', ...) Ruled out: a readable entry; it is decoded anew and never the directory's own object. Why this works: an entry that is the kept one says nothing new, except that it exists.

--- a/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
@@ -297,6 +297,10 @@
     ) -> DirectoryChange:
         added, changed = [], []
         for registered in entries:
+            if registered is self._entries.get(registered.target_id):
+                # Kept in place of an unreadable one, which says nothing new.
+                self._missing_until_s.pop(registered.target_id, None)
+                continue
             is_written = is_watched or self._is_written_in_era(registered)
             entry = self._with_departure(registered, position, is_written=is_written)
             self._missing_until_s.pop(entry.target_id, None)
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -3,11 +3,13 @@
 import asyncio
 import json
 
+import attrs
 import pytest
 from hypothesis import HealthCheck, given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
+from citrondock_core.routing.target_departure import TargetDeparture
 from citrondock_core.routing.target_directory import TargetDirectory
 from citrondock_platform import configuration
 from citrondock_platform.configuration import ConfigurationSink
@@ -235,6 +237,21 @@
         sink.listed(Snapshot(objects=[item], revision=1))
         assert directory.usable() == []
 
+    def test_an_odd_entry_does_not_bring_back_an_engine_that_said_it_leaves(self):
+        directory = TargetDirectory(grace_s=1.0)
+        sink = TargetSink(directory, lambda change: None, lambda: 0.0)
+        value = json.loads(spec())
+        sound = WatchedObject(name="a", revision=1, value=value)
+        odd = WatchedObject(name="a", revision=2, value=None, problem="no JSON")
+        sink.listed(Snapshot(objects=[sound], revision=1))
+        own_word = TargetDeparture(
+            target_id="a", started_at_ms=0, registry_revision=None, age_s=0.0
+        )
+        directory.depart(own_word)
+        sink.changed(Snapshot(objects=[odd], revision=2))
+        sink.changed(Snapshot(objects=[attrs.evolve(sound, revision=3)], revision=3))
+        assert directory.usable() == []
+
 
 class TestSettingsFile:
     @pytest.mark.parametrize("body", [NESTED, b'{"listen":%b}' % NESTED, LONG_NUMBER])
