Let the stand-in of the object store come back from a copy

The platform's store may come back from a copy some seconds old. The stand-in could not: no test showed what the parts that keep state in the store do then. It takes a copy by /control/copy and comes back from it by /control/restore; its answers name the era in Store-Era, which rises by one each time. A watch or conditional write may name the era of its version and is then refused in another era, with 410 or 409. Clients that name none are served as before.

--- a/packages/citrondock-core/src/citrondock_core/object_store.py
+++ b/packages/citrondock-core/src/citrondock_core/object_store.py
@@ -34,6 +34,13 @@
     """A conditional write found another version; it took no effect."""
 
 
+class StoreRestoredError(ObjectStoreError):
+    """The store came back from a copy after the version that a watch starts from.
+
+    Changes may have been missed, and some have been undone: read the objects again.
+    """
+
+
 class StoreUnavailableError(ObjectStoreError):
     """The store refused the call or was not reached; the call took no effect."""
 
--- a/packages/citrondock-standins/src/citrondock_standins/memory_object_store.py
+++ b/packages/citrondock-standins/src/citrondock_standins/memory_object_store.py
@@ -44,6 +44,17 @@
             self.core.set_faults(faults)
             self.core.changed.notify_all()
 
+    def take_copy(self) -> None:
+        """Copy the objects, for a later `restore`."""
+        with self.core.changed:
+            self.core.take_copy()
+
+    def restore(self) -> None:
+        """Come back from the copy, for all clients of the core."""
+        with self.core.changed:
+            self.core.restore()
+            self.core.changed.notify_all()
+
     def get(self, key: str, *, timeout_s: float = 2.0) -> StoredObject:
         """Return the object."""
         return self._call(StoreCallKind.GET, timeout_s, lambda: self.core.get(key))
--- a/packages/citrondock-standins/src/citrondock_standins/object_store.py
+++ b/packages/citrondock-standins/src/citrondock_standins/object_store.py
@@ -3,7 +3,7 @@
 import asyncio
 import base64
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import attrs
 from absl import flags
@@ -14,6 +14,7 @@
     ObjectStoreError,
     StoreCallKind,
     StoredObject,
+    StoreRestoredError,
     StoreUnavailableError,
     VersionConflictError,
 )
@@ -27,6 +28,7 @@
     "reads_per_s", 2000.0, "Read calls allowed per second."
 )
 
+ERA_HEADER = "Store-Era"
 OBJECTS_PATH = "/v1/objects"
 DEFAULT_LIST_LIMIT = 500
 
@@ -44,6 +46,13 @@
             self._core.set_faults(StoreFaults(**request.json()))
             self._notify_watchers()
             reply.send_json(200, {})
+        elif request.path == "/control/copy":
+            self._core.take_copy()
+            reply.send_json(200, {})
+        elif request.path == "/control/restore":
+            self._core.restore()
+            self._notify_watchers()
+            reply.send_json(200, {"era": self._core.era})
         elif request.path == "/control/calls":
             calls = [attrs.asdict(count) for count in self._core.calls()]
             reply.send_json(200, {"calls": calls})
@@ -53,7 +62,7 @@
     async def _serve(self, request: HttpRequest, reply: Reply) -> None:
         kind = _call_kind(request)
         if kind is None:
-            reply.send_json(404, {"error": "no such path"})
+            self._send(reply, 404, {"error": "no such path"})
             return
         client = request.headers.get("x-client", "")
         try:
@@ -63,15 +72,27 @@
                 await self._answer(kind, request, reply)
         except StoreUnavailableError as error:
             status = 503 if error.reason == "outage" else 429
-            reply.send_json(status, {"error": error.reason}, {"Retry-After": "1"})
+            self._send(reply, status, {"error": error.reason}, {"Retry-After": "1"})
         except ObjectNotFoundError as error:
-            reply.send_json(404, {"error": str(error)})
+            self._send(reply, 404, {"error": str(error)})
+        except StoreRestoredError as error:
+            self._send(reply, 410, {"error": str(error)})
         except VersionConflictError:
-            reply.send_json(
-                409, {"version": self._core.version_of(_object_key(request))}
-            )
+            version = self._core.version_of(_object_key(request))
+            self._send(reply, 409, {"version": version})
         except ObjectStoreError as error:
-            reply.send_json(413, {"error": str(error), "max_bytes": MAX_VALUE_BYTES})
+            document: dict[str, object] = {"error": str(error)}
+            self._send(reply, 413, document | {"max_bytes": MAX_VALUE_BYTES})
+
+    def _send(
+        self,
+        reply: Reply,
+        status: int,
+        document: dict[str, object],
+        headers: Mapping[str, str] | None = None,
+    ) -> None:
+        era = {ERA_HEADER: str(self._core.era)}
+        reply.send_json(status, document, era | dict(headers or {}))
 
     async def _apply_outage(self, reply: Reply) -> None:
         while self._core.faults.outage is Outage.HANG:
@@ -96,12 +117,19 @@
         elif kind is StoreCallKind.WATCH:
             document = await self._watch(request)
         elif kind is StoreCallKind.DELETE:
-            self._core.delete(key, if_version=int(query["if_version"]))
+            self._core.delete(
+                key, if_version=int(query["if_version"]), if_era=_era(request)
+            )
             document = {}
         else:
             body = request.json()
             value = base64.b64decode(body["value"], validate=True)
-            version = self._core.put(key, value, if_version=int(body["if_version"]))
+            version = self._core.put(
+                key,
+                value,
+                if_version=int(body["if_version"]),
+                if_era=_era(request),
+            )
             document = {"version": version}
         is_write = request.method in ("PUT", "DELETE")
         if is_write:
@@ -110,7 +138,7 @@
         if is_write and self._core.loses_answer(key):
             reply.close()
         else:
-            reply.send_json(200, document)
+            self._send(reply, 200, document)
 
     async def _watch(self, request: HttpRequest) -> dict[str, object]:
         deadline_s = time.monotonic() + float(request.query["wait_s"])
@@ -118,6 +146,7 @@
             result = self._core.changes(
                 request.query.get("prefix", ""),
                 after_version=int(request.query["after_version"]),
+                era=_era(request),
             )
             left_s = deadline_s - time.monotonic()
             if result.changes or left_s <= 0:
@@ -161,6 +190,11 @@
     return request.path.removeprefix(OBJECTS_PATH + "/")
 
 
+def _era(request: HttpRequest) -> int | None:
+    era = request.headers.get(ERA_HEADER.lower())
+    return None if era is None else int(era)
+
+
 def _encode(stored: StoredObject) -> dict[str, object]:
     document = attrs.asdict(stored)
     document["value"] = base64.b64encode(stored.value).decode()
--- a/packages/citrondock-standins/src/citrondock_standins/processes.py
+++ b/packages/citrondock-standins/src/citrondock_standins/processes.py
@@ -234,6 +234,14 @@
         """Replace the faults of a stand-in; none given clears all."""
         self.post("/control/faults", faults, index=index)
 
+    def take_copy(self, *, index: int = 0) -> None:
+        """Copy the objects of an object store, for a later `restore`."""
+        self.post("/control/copy", {}, index=index)
+
+    def restore(self, *, index: int = 0) -> None:
+        """Let an object store come back from its copy."""
+        self.post("/control/restore", {}, index=index)
+
     def _request(self, method: str, path: str, document: object, index: int) -> Any:
         body = None if document is None else json.dumps(document).encode()
         url = self.http_url(index) + path
--- a/packages/citrondock-standins/src/citrondock_standins/store_core.py
+++ b/packages/citrondock-standins/src/citrondock_standins/store_core.py
@@ -15,6 +15,7 @@
     ObjectStoreError,
     StoreCallKind,
     StoredObject,
+    StoreRestoredError,
     StoreUnavailableError,
     VersionConflictError,
     WatchResult,
@@ -138,6 +139,8 @@
         and changes of the faults.
     faults : StoreFaults
         Current faults.
+    era : int
+        How often the store has come back from a copy.
     """
 
     def __init__(
@@ -145,7 +148,9 @@
     ) -> None:
         self.changed = threading.Condition()
         self.faults = StoreFaults()
+        self.era = 0
         self._objects = _Objects()
+        self._copy = self._objects.copy()
         self._stale: _Objects | None = None
         self._writes = RateLimit(writes_per_s)
         self._reads = RateLimit(reads_per_s)
@@ -164,6 +169,16 @@
         elif self._stale is None:
             self._stale = self._objects.copy()
 
+    def take_copy(self) -> None:
+        """Copy the objects, for a later `restore`."""
+        self._copy = self._objects.copy()
+
+    def restore(self) -> None:
+        """Come back from the copy: later writes are lost, their versions free again."""
+        self._objects = self._copy.copy()
+        self._stale = None
+        self.era += 1
+
     def admit(self, kind: StoreCallKind, *, client: str, now_s: float) -> None:
         """Count a call and check that it is allowed.
 
@@ -217,18 +232,23 @@
             raise ObjectNotFoundError(key, step="get", peer=PEER)
         return found
 
-    def put(self, key: str, value: bytes, *, if_version: int) -> int:
-        """Write an object if its version is ``if_version``, 0 for a new object."""
+    def put(
+        self, key: str, value: bytes, *, if_version: int, if_era: int | None = None
+    ) -> int:
+        """Write an object if its version is ``if_version``, 0 for a new object.
+
+        The write is refused too if the version is of another era than this one.
+        """
         if len(value) > MAX_VALUE_BYTES:
             raise ObjectStoreError("value too large", step="put", peer=PEER)
-        self._check_version(key, if_version)
+        self._check_version(key, if_version, if_era)
         return self._objects.write(key, value)
 
-    def delete(self, key: str, *, if_version: int) -> None:
-        """Delete an object if its version is ``if_version``."""
+    def delete(self, key: str, *, if_version: int, if_era: int | None = None) -> None:
+        """Delete an object if its version is ``if_version`` in this era."""
         if self.version_of(key) == 0:
             raise ObjectNotFoundError(key, step="delete", peer=PEER)
-        self._check_version(key, if_version)
+        self._check_version(key, if_version, if_era)
         self._objects.write(key, b"", deleted=True)
 
     def list(
@@ -244,8 +264,19 @@
                 found.append(by_key[key])
         return found
 
-    def changes(self, prefix: str, *, after_version: int) -> WatchResult:
-        """Return the objects under a prefix that changed after a version."""
+    def changes(
+        self, prefix: str, *, after_version: int, era: int | None = None
+    ) -> WatchResult:
+        """Return the objects under a prefix that changed after a version.
+
+        Raises `StoreRestoredError` if the version is of another era than this one.
+        """
+        if era is not None and era != self.era:
+            raise StoreRestoredError(
+                f"version {after_version} is of era {era}, the store is in {self.era}",
+                step="watch",
+                peer=PEER,
+            )
         objects = self._visible_objects()
         newer = objects.by_version.irange(minimum=after_version + 1)
         found = [objects.by_version[version] for version in newer]
@@ -254,7 +285,14 @@
             changes=[each for each in found if each.key.startswith(prefix)],
         )
 
-    def _check_version(self, key: str, if_version: int) -> None:
+    def _check_version(self, key: str, if_version: int, if_era: int | None) -> None:
+        if if_era is not None and if_era != self.era:
+            raise VersionConflictError(
+                f"version {if_version} of {key} is of era {if_era}, "
+                f"the store is in {self.era}",
+                step="put",
+                peer=PEER,
+            )
         version = self.version_of(key)
         if version != if_version:
             raise VersionConflictError(
--- a/tests/standins/test_object_store.py
+++ b/tests/standins/test_object_store.py
@@ -2,6 +2,7 @@
 import time
 
 import pytest
+import urllib3
 
 from citrondock_core.object_store import (
     MAX_VALUE_BYTES,
@@ -20,6 +21,8 @@
 class MemoryStoreUnderTest:
     def __init__(self):
         self.store = MemoryObjectStore(client="a")
+        self.take_copy = self.store.take_copy
+        self.restore = self.store.restore
 
     def set_faults(self, **faults):
         self.store.set_faults(StoreFaults(**faults))
@@ -29,6 +32,8 @@
     def __init__(self, process):
         self.store = HttpObjectStore(process.url, client="a")
         self.set_faults = process.set_faults
+        self.take_copy = process.take_copy
+        self.restore = process.restore
 
 
 @pytest.fixture(params=["memory", "http"])
@@ -148,6 +153,36 @@
         assert store.get("a").version == new
 
 
+class TestRestore:
+    def test_writes_after_the_copy_are_lost(self, under_test):
+        store = under_test.store
+        kept = store.create("kept", b"1")
+        under_test.take_copy()
+        store.update("kept", b"2", if_version=kept)
+        store.create("lost", b"3")
+
+        under_test.restore()
+
+        assert store.get("kept").value == b"1"
+        with pytest.raises(ObjectNotFoundError):
+            store.get("lost")
+
+    def test_the_era_is_in_all_answers_and_rises_by_one(self):
+        with StandinProcess.start("object_store") as process:
+            paths = (
+                "/v1/objects/none",
+                "/v1/objects",
+                "/v1/none",
+                "/v1/watch?wait_s=0",
+            )
+            for era in range(3):
+                for path in paths:
+                    query = "&after_version=0" if "?" in path else ""
+                    answer = urllib3.request("GET", process.url + path + query)
+                    assert answer.headers["Store-Era"] == str(era)
+                process.restore()
+
+
 class TestRateLimits:
     def test_calls_above_the_rate_are_refused_and_counted(self):
         core = StoreCore(writes_per_s=2)
