Tell versions apart that a restored store gives out again

Cause: a store that comes back from a copy gives out the numbers of its versions again, and every part compares them. A conditional write whose version was lost matched another value with the same number and overwrote it (claims of other routers, leases); a watch from a lost version was answered as if nothing had happened, and the changes below it were missed.

A version now holds the era beside the number. The clients take the era from Store-Era and send that of the version that a write or watch depends on; a write of another era gets VersionConflictError and a watch StoreRestoredError. Without the header the era is 0 and versions are the plain numbers, as before.

Failed before, 8 tests, in memory and over HTTP: test_no_write_matches_a_version_that_is_given_out_again: DID NOT RAISE VersionConflictError test_a_watch_from_before_does_not_miss_changes: DID NOT RAISE StoreRestoredError test_a_waiting_watch_ends: DID NOT RAISE StoreRestoredError test_a_store_that_ignores_the_era_of_a_watch_is_noticed: DID NOT RAISE StoreRestoredError After: tests/standins/test_object_store.py, tests/wire, tests/core and the tests of the follower and the reconciler pass; lint clean.

Not covered: a store that sends the header but ignores it in requests can still apply a write to a version given out again.

--- a/packages/citrondock-core/src/citrondock_core/object_store.py
+++ b/packages/citrondock-core/src/citrondock_core/object_store.py
@@ -58,7 +58,8 @@
     key : str
         Name of the object, separated by slashes.
     version : int
-        Version of the whole store at which this value was written.
+        Version of the whole store at which this value was written, with the store's
+        era, see `store_version`.
     value : bytes
         Content, at most `MAX_VALUE_BYTES` long.
     deleted : bool
@@ -92,6 +93,10 @@
 
     Every call takes at most ``timeout_s`` and raises an `ObjectStoreError` if it
     fails.
+
+    The store may come back from an older copy. Versions hold its era, so that a
+    conditional write based on a version of an earlier era raises
+    `VersionConflictError`, and a watch from such a version raises `StoreRestoredError`.
     """
 
     @abstractmethod
--- a/packages/citrondock-standins/src/citrondock_standins/memory_object_store.py
+++ b/packages/citrondock-standins/src/citrondock_standins/memory_object_store.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Sequence
 from typing import TypeVar
 
+import attrs
+
 from citrondock_core.object_store import (
     AnswerLostError,
     ObjectStore,
@@ -12,6 +14,7 @@
     StoreUnavailableError,
     WatchResult,
 )
+from citrondock_core.store_version import era_of, number_of, version_in
 from citrondock_standins.store_core import PEER, Outage, StoreCore, StoreFaults
 
 T = TypeVar("T")
@@ -57,13 +60,17 @@
 
     def get(self, key: str, *, timeout_s: float = 2.0) -> StoredObject:
         """Return the object."""
-        return self._call(StoreCallKind.GET, timeout_s, lambda: self.core.get(key))
+
+        def find() -> StoredObject:
+            return self._with_era(self.core.get(key))
+
+        return self._call(StoreCallKind.GET, timeout_s, find)
 
     def create(self, key: str, value: bytes, *, timeout_s: float = 2.0) -> int:
         """Write a new object."""
 
         def put() -> int:
-            return self.core.put(key, value, if_version=0)
+            return self._version(self.core.put(key, value, if_version=0))
 
         return self._call(StoreCallKind.CREATE, timeout_s, put, written_key=key)
 
@@ -73,7 +80,13 @@
         """Replace the value of an object."""
 
         def put() -> int:
-            return self.core.put(key, value, if_version=if_version)
+            number = self.core.put(
+                key,
+                value,
+                if_version=number_of(if_version),
+                if_era=_era_wanted(if_version),
+            )
+            return self._version(number)
 
         return self._call(StoreCallKind.UPDATE, timeout_s, put, written_key=key)
 
@@ -81,7 +94,9 @@
         """Delete an object."""
 
         def delete() -> None:
-            self.core.delete(key, if_version=if_version)
+            self.core.delete(
+                key, if_version=number_of(if_version), if_era=_era_wanted(if_version)
+            )
 
         self._call(StoreCallKind.DELETE, timeout_s, delete, written_key=key)
 
@@ -96,7 +111,8 @@
         """Return objects under a prefix."""
 
         def find() -> Sequence[StoredObject]:
-            return self.core.list(prefix, after_key=after_key, limit=limit)
+            found = self.core.list(prefix, after_key=after_key, limit=limit)
+            return [self._with_era(each) for each in found]
 
         return self._call(StoreCallKind.LIST, timeout_s, find)
 
@@ -106,16 +122,29 @@
 
         def wait() -> WatchResult:
             while True:
-                result = self.core.changes(prefix, after_version=after_version)
+                result = self.core.changes(
+                    prefix,
+                    after_version=number_of(after_version),
+                    era=_era_wanted(after_version),
+                )
                 left_s = deadline_s - time.monotonic()
                 if result.changes or left_s <= 0:
-                    return result
+                    return WatchResult(
+                        version=self._version(result.version),
+                        changes=[self._with_era(each) for each in result.changes],
+                    )
                 self.core.changed.wait(left_s)
                 if self.core.faults.outage is not Outage.NONE:
                     raise StoreUnavailableError("outage", step="watch", peer=PEER)
 
         return self._call(StoreCallKind.WATCH, wait_s, wait)
 
+    def _version(self, number: int) -> int:
+        return version_in(self.core.era, number)
+
+    def _with_era(self, found: StoredObject) -> StoredObject:
+        return attrs.evolve(found, version=self._version(found.version))
+
     def _call(
         self,
         kind: StoreCallKind,
@@ -142,3 +171,7 @@
         if is_lost or slow_s > timeout_s:
             raise AnswerLostError("answer lost", step=kind.value, peer=PEER)
         return result
+
+
+def _era_wanted(version: int) -> int | None:
+    return era_of(version) if version else None
--- a/packages/citrondock-wire/src/citrondock_wire/http_object_store.py
+++ b/packages/citrondock-wire/src/citrondock_wire/http_object_store.py
@@ -10,6 +10,7 @@
 from typing import Any
 from urllib.parse import quote, urlencode, urlsplit
 
+import attrs
 import urllib3
 from urllib3.exceptions import (
     ConnectTimeoutError,
@@ -25,11 +26,14 @@
     ObjectStoreError,
     StoreCallKind,
     StoredObject,
+    StoreRestoredError,
     StoreUnavailableError,
     VersionConflictError,
     WatchResult,
 )
+from citrondock_core.store_version import era_of, number_of, version_in
 
+ERA_HEADER = "Store-Era"
 DEFAULT_MAX_CONNECTIONS = 8
 READ_CHUNK_BYTES = 65_536
 WATCH_ANSWER_MARGIN_S = 2.0
@@ -53,9 +57,17 @@
             return {kind: self._counts[kind] for kind in StoreCallKind}
 
 
+@attrs.frozen(kw_only=True)
+class _Answer:
+    document: Mapping[str, Any]
+    era: int
+
+
 class HttpObjectStore(ObjectStore):
     """HTTP client of the object store; it never retries a call.
 
+    The versions that it returns and takes hold the store's era, see `store_version`.
+
     Parameters
     ----------
     url : str
@@ -87,7 +99,8 @@
     def get(self, key: str, *, timeout_s: float = 2.0) -> StoredObject:
         """Return an object."""
         answer = self._call(StoreCallKind.GET, "GET", _path(key), timeout_s=timeout_s)
-        return self._decode_objects(StoreCallKind.GET, [answer])[0]
+        entries = [answer.document]
+        return self._decode_objects(StoreCallKind.GET, entries, answer.era)[0]
 
     def create(self, key: str, value: bytes, *, timeout_s: float = 2.0) -> int:
         """Write a new object and return its version."""
@@ -101,8 +114,14 @@
 
     def delete(self, key: str, *, if_version: int, timeout_s: float = 2.0) -> None:
         """Delete the object if its version is still ``if_version``."""
-        path = f"{_path(key)}?if_version={if_version}"
-        self._call(StoreCallKind.DELETE, "DELETE", path, timeout_s=timeout_s)
+        path = f"{_path(key)}?if_version={number_of(if_version)}"
+        self._call(
+            StoreCallKind.DELETE,
+            "DELETE",
+            path,
+            base_version=if_version,
+            timeout_s=timeout_s,
+        )
 
     def list(
         self,
@@ -116,20 +135,37 @@
         query = {"prefix": prefix, "after_key": after_key, "limit": limit}
         path = f"/v1/objects?{urlencode(query)}"
         answer = self._call(StoreCallKind.LIST, "GET", path, timeout_s=timeout_s)
-        return self._decode_objects(StoreCallKind.LIST, answer.get("objects"))
+        return self._decode_objects(
+            StoreCallKind.LIST, answer.document.get("objects"), answer.era
+        )
 
     def watch(self, prefix: str, *, after_version: int, wait_s: float) -> WatchResult:
         """Wait for changes under ``prefix`` that are newer than ``after_version``."""
-        query = {"prefix": prefix, "after_version": after_version, "wait_s": wait_s}
+        query = {
+            "prefix": prefix,
+            "after_version": number_of(after_version),
+            "wait_s": wait_s,
+        }
+        kind = StoreCallKind.WATCH
         answer = self._call(
-            StoreCallKind.WATCH,
+            kind,
             "GET",
             f"/v1/watch?{urlencode(query)}",
+            base_version=after_version,
             timeout_s=wait_s + WATCH_ANSWER_MARGIN_S,
         )
-        changes = self._decode_objects(StoreCallKind.WATCH, answer.get("objects"))
-        version = self._version(StoreCallKind.WATCH, answer)
-        return WatchResult(version=version, changes=changes)
+        if after_version and answer.era != era_of(after_version):
+            raise self._error(
+                StoreRestoredError,
+                kind,
+                f"the watch is of era {era_of(after_version)}, "
+                f"the answer of era {answer.era}",
+            )
+        entries = answer.document.get("objects")
+        return WatchResult(
+            version=self._version(kind, answer),
+            changes=self._decode_objects(kind, entries, answer.era),
+        )
 
     def _put(
         self,
@@ -146,8 +182,15 @@
                 step=kind.value,
             )
         text = base64.b64encode(value).decode()
-        body = json.dumps({"value": text, "if_version": if_version}).encode()
-        answer = self._call(kind, "PUT", _path(key), body=body, timeout_s=timeout_s)
+        document = {"value": text, "if_version": number_of(if_version)}
+        answer = self._call(
+            kind,
+            "PUT",
+            _path(key),
+            body=json.dumps(document).encode(),
+            base_version=if_version,
+            timeout_s=timeout_s,
+        )
         return self._version(kind, answer)
 
     def _call(
@@ -157,11 +200,18 @@
         path: str,
         *,
         body: bytes | None = None,
+        base_version: int = 0,
         timeout_s: float,
-    ) -> Any:
+    ) -> _Answer:
+        """Make a call; ``base_version`` is the one that it depends on, 0 if none."""
         self.calls.add(kind)
+        headers = dict(self._headers)
+        if base_version:
+            headers[ERA_HEADER] = str(era_of(base_version))
         try:
-            status, content = self._exchange(method, path, body, timeout_s)
+            status, era, content = self._exchange(
+                method, path, headers, body, timeout_s
+            )
         except (NewConnectionError, ConnectTimeoutError) as error:
             raise self._error(StoreUnavailableError, kind, error) from error
         except (HTTPError, TimeoutError) as error:
@@ -169,22 +219,28 @@
         if status != 200:
             raise self._status_error(kind, status, path)
         try:
-            answer = json.loads(content)
+            document = json.loads(content)
+            answer_era = int(era)
         except ValueError as error:
             raise self._error(AnswerLostError, kind, error) from error
-        if not isinstance(answer, dict):
+        if not isinstance(document, dict):
             raise self._error(AnswerLostError, kind, "the answer is not a JSON object")
-        return answer
+        return _Answer(document=document, era=answer_era)
 
     def _exchange(
-        self, method: str, path: str, body: bytes | None, timeout_s: float
-    ) -> tuple[int, bytes]:
+        self,
+        method: str,
+        path: str,
+        headers: Mapping[str, str],
+        body: bytes | None,
+        timeout_s: float,
+    ) -> tuple[int, str, bytes]:
         deadline_s = time.monotonic() + timeout_s
         response = self._pool.urlopen(
             method,
             self._base_path + path,
             body=body,
-            headers=self._headers,
+            headers=headers,
             retries=False,
             redirect=False,
             timeout=urllib3.Timeout(total=timeout_s),
@@ -202,7 +258,8 @@
             response.close()
             raise
         response.release_conn()
-        return response.status, bytes(content)
+        era = response.headers.get(ERA_HEADER, "0")
+        return response.status, era, bytes(content)
 
     def _status_error(
         self, kind: StoreCallKind, status: int, path: str
@@ -210,6 +267,7 @@
         by_status = {
             404: ObjectNotFoundError,
             409: VersionConflictError,
+            410: StoreRestoredError,
             429: StoreUnavailableError,
             503: StoreUnavailableError,
         }
@@ -218,20 +276,20 @@
         return self._error(error, kind, f"HTTP status {status} for {path}")
 
     def _decode_objects(
-        self, kind: StoreCallKind, entries: Any
+        self, kind: StoreCallKind, entries: Any, era: int
     ) -> Sequence[StoredObject]:
         try:
-            return [_object_of(entry) for entry in entries]
+            return [_object_of(entry, era) for entry in entries]
         except (KeyError, TypeError, binascii.Error) as error:
             raise self._error(AnswerLostError, kind, error) from error
 
-    def _version(self, kind: StoreCallKind, answer: Mapping[str, Any]) -> int:
-        version = answer.get("version")
+    def _version(self, kind: StoreCallKind, answer: _Answer) -> int:
+        version = answer.document.get("version")
         if not isinstance(version, int):
             raise self._error(
                 AnswerLostError, kind, "the answer has no integer version"
             )
-        return version
+        return version_in(answer.era, version)
 
     def _error(
         self, error: type[ObjectStoreError], kind: StoreCallKind, reason: object
@@ -243,10 +301,10 @@
     return "/v1/objects/" + quote(key, safe="/")
 
 
-def _object_of(entry: Mapping[str, Any]) -> StoredObject:
+def _object_of(entry: Mapping[str, Any], era: int) -> StoredObject:
     return StoredObject(
         key=entry["key"],
-        version=entry["version"],
+        version=version_in(era, entry["version"]),
         value=base64.b64decode(entry["value"], validate=True),
         deleted=entry.get("deleted", False),
     )
--- a/tests/standins/test_object_store.py
+++ b/tests/standins/test_object_store.py
@@ -9,6 +9,7 @@
     AnswerLostError,
     ObjectNotFoundError,
     ObjectStoreError,
+    StoreRestoredError,
     StoreUnavailableError,
     VersionConflictError,
 )
@@ -167,6 +168,44 @@
         with pytest.raises(ObjectNotFoundError):
             store.get("lost")
 
+    def test_no_write_matches_a_version_that_is_given_out_again(self, under_test):
+        store = under_test.store
+        first = store.create("a", b"1")
+        under_test.take_copy()
+        lost = store.update("a", b"lost", if_version=first)
+        under_test.restore()
+        given_again = store.update("a", b"2", if_version=store.get("a").version)
+
+        for write in (
+            lambda: store.update("a", b"3", if_version=lost),
+            lambda: store.delete("a", if_version=lost),
+        ):
+            with pytest.raises(VersionConflictError):
+                write()
+        assert store.get("a").value == b"2"
+        assert given_again > lost
+
+    def test_a_watch_from_before_does_not_miss_changes(self, under_test):
+        store = under_test.store
+        under_test.take_copy()
+        lost = store.create("p/lost", b"1")
+        under_test.restore()
+        store.create("p/new", b"2")
+
+        with pytest.raises(StoreRestoredError):
+            store.watch("p/", after_version=lost, wait_s=0.05)
+        again = store.watch("p/", after_version=0, wait_s=0.05)
+        assert [each.key for each in again.changes] == ["p/new"]
+        assert store.watch("p/", after_version=again.version, wait_s=0).changes == []
+
+    def test_a_waiting_watch_ends(self, under_test):
+        version = under_test.store.create("a", b"1")
+        timer = threading.Timer(0.1, under_test.restore)
+        timer.start()
+        with pytest.raises(StoreRestoredError):
+            under_test.store.watch("", after_version=version, wait_s=20.0)
+        timer.join()
+
     def test_the_era_is_in_all_answers_and_rises_by_one(self):
         with StandinProcess.start("object_store") as process:
             paths = (
--- a/tests/wire/test_http_object_store.py
+++ b/tests/wire/test_http_object_store.py
@@ -9,6 +9,7 @@
     AnswerLostError,
     ObjectStoreError,
     StoreCallKind,
+    StoreRestoredError,
     StoreUnavailableError,
 )
 from citrondock_wire.http_object_store import HttpObjectStore
@@ -49,9 +50,10 @@
         time.sleep(pause_s)
 
 
-def answer(status, body, length=None):
+def answer(status, body, length=None, headers=b""):
     length = len(body) if length is None else length
-    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%b" % (status, length, body)
+    head = b"HTTP/1.1 %d X\r\n%bContent-Length: %d\r\n\r\n"
+    return head % (status, headers, length) + body
 
 
 @pytest.fixture
@@ -61,6 +63,26 @@
         yield f"http://127.0.0.1:{bound.getsockname()[1]}"
 
 
+class TestEra:
+    def test_a_store_that_names_no_era_has_plain_versions(self):
+        with serving(answer(200, b'{"version": 7, "objects": []}')) as url:
+            assert (
+                HttpObjectStore(url).watch("", after_version=7, wait_s=0).version == 7
+            )
+
+    def test_a_store_that_ignores_the_era_of_a_watch_is_noticed(self):
+        found = answer(
+            200, b'{"version": 9, "objects": []}', headers=b"Store-Era: 1\r\n"
+        )
+        with serving(found) as url, pytest.raises(StoreRestoredError):
+            HttpObjectStore(url).watch("", after_version=7, wait_s=0)
+
+    def test_an_era_that_is_no_number_is_a_lost_answer(self):
+        found = answer(200, b'{"version": 9}', headers=b"Store-Era: x\r\n")
+        with serving(found) as url, pytest.raises(AnswerLostError):
+            HttpObjectStore(url).create("a", b"1")
+
+
 class TestHttpObjectStore:
     def test_refused_connection_raises_store_unavailable(self, refused_url):
         store = HttpObjectStore(refused_url)
