Follow the configuration again after the store was restored

Callers would see an accepted edit that never comes into force: after a restore the follower kept its watch from a version of the old store. With versions that hold the era the watch is refused in each try, which the follower took for an outage of the store; before, it was answered without changes until the new numbers had passed the old one.

Cause: the follower never went back to reading the head. It now does when a watch is refused because the store came back from a copy, logs configuration_store_restored with its own revision, and asks peers as after a start, since an edit that the store lost may be in force only there. A head that is missing or older than the revision in force is reported as store_behind; the revision in force stays.

Failed before, on the commit before (the test of the peer copy passed there through the handling of an outage and stays as a guard): test_a_restored_store_does_not_revert_the_revision: AssertionError: assert False (store_behind) test_a_store_restored_to_before_the_first_edit_is_behind: AssertionError: assert False test_an_edit_that_was_missed_before_a_restore_changes_nothing: assert [10.0] == [10, 50] After: tests/router/test_configuration_follower.py passes; lint clean.

--- a/packages/citrondock-router/src/citrondock_router/configuration_follower.py
+++ b/packages/citrondock-router/src/citrondock_router/configuration_follower.py
@@ -16,7 +16,7 @@
 )
 from citrondock_core.configuration_reader import ConfigurationReader, VersionedHead
 from citrondock_core.errors import CitrondockError
-from citrondock_core.object_store import ObjectStore
+from citrondock_core.object_store import ObjectStore, StoreRestoredError
 from citrondock_router.log import log_event
 
 DEFAULT_WATCH_WAIT_S = 7.0
@@ -32,8 +32,8 @@
 """Time beyond the longest wait of a watch for which the store's last answer still
 counts as current."""
 START_WINDOW_S = 10.0
-"""Time after the start in which peers are asked as well as the store, until one of
-them has answered."""
+"""Time after the start, and after the store came back from a copy, in which peers are
+asked as well as the store, until one of them has answered."""
 START_WATCH_WAIT_S = 1.0
 """Longest wait of one watch in that time, so that peers are asked again soon."""
 MIN_WATCH_S = 1.0
@@ -114,8 +114,9 @@
 
     While the store is unavailable, the follower applies the highest revision that
     reachable peers hold. It asks peers after a start too, as a stale read of the store
-    must not take a restarted router back to an older revision. Only higher revisions
-    are applied, from the store and from peers alike.
+    must not take a restarted router back to an older revision, and after the store came
+    back from a copy, which may lack edits that peers have. Only higher revisions are
+    applied, from the store and from peers alike.
 
     Parameters
     ----------
@@ -167,7 +168,7 @@
         self._store_behind = False
         self._store_error = ""
         self._failure_count = 0
-        self._startup_deadline_s = clock() + START_WINDOW_S
+        self._peers_deadline_s = clock() + START_WINDOW_S
         self._encoded_cache = (0, b"")
 
     def start(self) -> None:
@@ -231,6 +232,8 @@
         """
         try:
             return self._follow_store()
+        except StoreRestoredError as error:
+            return self._follow_anew(error)
         except CitrondockError as error:
             return self._handle_store_error(error)
 
@@ -250,14 +253,15 @@
             versioned_head = self._reader.read_head()
             if versioned_head.version:
                 self._apply_head(versioned_head)
-                self._ask_peers_during_startup()
+                self._ask_peers_in_window()
                 self._record_store_success()
                 return 0.0
+            self._store_behind = self._configuration.revision > 0
         started_at_s = self._clock()
         watch = self._reader.wait_for_head(
             after_version=self._store_version, wait_s=self._next_wait_s()
         )
-        self._ask_peers_during_startup()
+        self._ask_peers_in_window()
         if watch.newer_head is not None:
             self._apply_head(watch.newer_head)
         elif watch.version < self._store_version:
@@ -270,16 +274,27 @@
         is_idle = watch.newer_head is None and waited_s < MIN_WATCH_S
         return MIN_WATCH_S if is_idle else 0.0
 
+    def _follow_anew(self, error: StoreRestoredError) -> float:
+        log_event(
+            "configuration_store_restored",
+            level="WARNING",
+            revision=self._configuration.revision,
+            error=str(error),
+        )
+        self._store_version = 0
+        self._peers_deadline_s = self._clock() + START_WINDOW_S
+        return self._rng.uniform(0, MIN_BACKOFF_S)
+
     def _next_wait_s(self) -> float:
-        if self._clock() < self._startup_deadline_s:
+        if self._clock() < self._peers_deadline_s:
             return min(START_WATCH_WAIT_S, self._watch_wait_s)
         return self._watch_wait_s
 
-    def _ask_peers_during_startup(self) -> None:
-        if self._clock() >= self._startup_deadline_s:
+    def _ask_peers_in_window(self) -> None:
+        if self._clock() >= self._peers_deadline_s:
             return
         if self._apply_newest_peer_copy():
-            self._startup_deadline_s = self._clock()
+            self._peers_deadline_s = self._clock()
 
     def _apply_head(self, versioned_head: VersionedHead) -> None:
         current = self._configuration
--- a/tests/router/test_configuration_follower.py
+++ b/tests/router/test_configuration_follower.py
@@ -30,14 +30,16 @@
         self.now_s = 0.0
         self.store = MemoryObjectStore(StoreCore(writes_per_s=1e6, reads_per_s=1e6))
         self.repository = ConfigurationRepository(self.store, pause=lambda _: None)
-        self.revision = 0
+        self.revision = self.edit_count = 0
         self.peer_copies = []
 
-    def edit(self):
-        text = TEXT.replace('"weight": 6', f'"weight": {10 + self.revision}', 1)
-        self.repository.commit(
+    def edit(self, weight=None):
+        weight = 10 + self.revision if weight is None else weight
+        text = TEXT.replace('"weight": 6', f'"weight": {weight}', 1)
+        self.edit_count += 1
+        commit = self.repository.commit(
             EditRequest(
-                edit_id=f"e{self.revision + 1}",
+                edit_id=f"e{self.edit_count}",
                 author="a",
                 reason="",
                 base_revision=self.revision,
@@ -46,7 +48,11 @@
                 now_epoch_s=0.0,
             )
         )
-        self.revision += 1
+        self.revision = commit.edit.revision
+
+    def restore(self, *, revision):
+        self.store.restore()
+        self.revision = revision
 
     def follower(self):
         applied = []
@@ -221,6 +227,60 @@
 
         assert [configuration.revision for configuration in applied] == [1]
 
+    def test_a_restored_store_does_not_revert_the_revision(self, deployment):
+        deployment.store.take_copy()
+        deployment.edit()
+        follower, applied = deployment.follower()
+        follower.step()
+        deployment.restore(revision=1)
+
+        for _ in range(3):
+            follower.step()
+
+        assert [configuration.revision for configuration in applied] == [2]
+        assert follower.status().store_behind
+
+    def test_a_store_restored_to_before_the_first_edit_is_behind(self):
+        deployment = Deployment()
+        deployment.edit()
+        follower, applied = deployment.follower()
+        follower.step()
+        deployment.restore(revision=0)
+
+        for _ in range(3):
+            follower.step()
+
+        assert [configuration.revision for configuration in applied] == [1]
+        assert follower.status().store_behind
+
+    def test_an_edit_that_was_missed_before_a_restore_changes_nothing(self, deployment):
+        follower, applied = deployment.follower()
+        follower.step()
+        deployment.store.take_copy()
+        deployment.edit()
+        deployment.restore(revision=1)
+
+        follower.step()
+        deployment.edit(weight=50)
+        follower.step()
+        follower.step()
+
+        assert [each.accounts["tag-drafts"].weight for each in applied] == [10, 50]
+
+    def test_an_edit_lost_in_a_restore_is_taken_from_a_peer(self, deployment):
+        follower, applied = deployment.follower()
+        follower.step()
+        deployment.now_s += START_WINDOW_S
+        deployment.store.take_copy()
+        deployment.edit()
+        deployment.peer_copies = [deployment.peer_copy(2)]
+        deployment.restore(revision=1)
+
+        follower.step()
+        follower.step()
+
+        assert [configuration.revision for configuration in applied] == [1, 2]
+
     def test_thread_starts_and_stops(self, deployment):
         follower, applied = deployment.follower()
         del follower._stopped.wait
