Give out no revision of the configuration twice after a restore

Operators would see an accepted edit that isn't in force, without an error: after a restore the repository gave the next edit a revision that routers had in force for an edit that the store had lost. They apply only higher revisions, so they ignored new edits until the revisions had passed the lost ones, and an edit based on a lost revision was accepted over another one of the same number that its author had not seen.

Cause: the next revision was counted from the head in the store, which had gone back. The head now holds the era that it was written in; the first edit in a later era leaves out 1,000 revisions for each era, more than a store can lose, so revisions only ever rise and nothing that compares them has to change, peers of older releases included. An edit names the revision that it is based on, since that is no longer the one before; the history and the garbage collector take gaps from it. Heads and edits without the new fields read as before.

Failed before: test_a_revision_that_was_lost_is_not_given_out_again: assert [2, 2, 2] == [2] test_a_copy_from_before_the_first_edit_gives_no_revision_again: assert 1 > 1 test_an_edit_based_on_a_lost_revision_is_refused: DID NOT RAISE EditConflictError test_edits_after_a_restore_are_in_force_at_once: assert 13.0 == 50 After: tests/core, tests/cli and the follower's tests pass; lint clean.

Remains: an edit that the store lost stays in force at the routers that have it until the next edit, which is made from the store's text. The command refuses an edit based on the lost revision, so its author learns of it; nothing writes the lost text again.

--- a/packages/citrondock-core/src/citrondock_core/configuration_garbage_collector.py
+++ b/packages/citrondock-core/src/citrondock_core/configuration_garbage_collector.py
@@ -82,7 +82,7 @@
         if last <= progress.revision:
             return 0
         history = self._reader.history(head, after_revision=progress.revision)
-        if len(history) != head.revision - progress.revision:
+        if not history or history[0].parent_revision > progress.revision:
             return 0
         accepted_ids = {edit.edit_id for edit in history}
         removed_count = 0
@@ -98,7 +98,9 @@
             if record.edit.edit_id in accepted_ids:
                 for part in record.dropped_parts:
                     removed_count += self._remove(part.key, version=part.version)
-                parent = manifest_key(revision - 1, record.edit.parent_edit_id)
+                parent = manifest_key(
+                    record.edit.parent_revision, record.edit.parent_edit_id
+                )
                 removed_count += self._remove(parent)
             else:
                 for key in record.written_keys:
--- a/packages/citrondock-core/src/citrondock_core/configuration_reader.py
+++ b/packages/citrondock-core/src/citrondock_core/configuration_reader.py
@@ -121,7 +121,7 @@
         call; those of further edits cost one list call. If the deltas do not reach
         back to ``configuration``, the snapshot is read.
         """
-        if configuration.revision == head.revision:
+        if configuration.edit_id == head.edit_id:
             return configuration
         advanced = _apply_chain(configuration, head, list(head.recent))
         behind = head.revision - configuration.revision
--- a/packages/citrondock-core/src/citrondock_core/configuration_repository.py
+++ b/packages/citrondock-core/src/citrondock_core/configuration_repository.py
@@ -31,6 +31,7 @@
 )
 from citrondock_core.revision_writer import RevisionWriter, digests_of, split_text
 from citrondock_core.store_retrier import FIRST_PAUSE_S, MAX_ATTEMPTS, StoreRetrier
+from citrondock_core.store_version import era_of
 
 T = TypeVar("T")
 
@@ -174,10 +175,12 @@
             before = self._retrier.retry(
                 lambda: self.read_snapshot(head.revision, head.edit_id)
             )
-        edit = _make_edit(request, head, delta_between(before, configuration))
+        era = self._store_era(current_head)
+        delta = delta_between(before, configuration)
+        edit = _make_edit(request, head, delta, era=era)
         written = self._writer.write(edit, text_parts, configuration, parent)
         try:
-            return self._update_head(request, edit, current_head, configuration)
+            return self._update_head(request, edit, current_head, configuration, era)
         except EditConflictError:
             self._writer.remove(edit, written)
             raise
@@ -188,13 +191,14 @@
         edit: Edit,
         current_head: VersionedHead,
         configuration: Configuration,
+        era: int,
     ) -> Commit:
         """Make the edit the new head.
 
         The update succeeds only on the version of the current head, so that retries
         cannot apply the edit twice.
         """
-        value = dump(current_head.head.with_edit(edit))
+        value = dump(current_head.head.with_edit(edit, era=era))
         may_be_accepted = False
         for attempt in range(MAX_ATTEMPTS):
             try:
@@ -259,9 +263,9 @@
         if head.revision <= request.base_revision:
             return None
         edits = list(head.recent)
-        if edits[0].revision > request.base_revision + 1:
+        if edits[0].parent_revision > request.base_revision:
             edits = list(self._history_since(head, request.base_revision))
-            if not edits or edits[0].revision > request.base_revision + 1:
+            if not edits or edits[0].parent_revision > request.base_revision:
                 raise _outcome_unknown(request, "the store's history has a gap")
         for index, edit in enumerate(edits):
             if edit.edit_id == request.edit_id:
@@ -293,6 +297,14 @@
     def _history_since(self, head: Head, revision: int) -> Sequence[Edit]:
         return self._retrier.retry(lambda: self.history(head, after_revision=revision))
 
+    def _store_era(self, head: VersionedHead) -> int:
+        if head.version:
+            return era_of(head.version)
+        watch = self._retrier.retry(
+            lambda: self.wait_for_head(after_version=0, wait_s=0.0)
+        )
+        return era_of(watch.version)
+
     def _write_head(self, value: bytes, version: int) -> int:
         timeout_s = self._call_timeout_s
         if version == 0:
@@ -302,11 +314,12 @@
         )
 
 
-def _make_edit(request: EditRequest, head: Head, delta: Delta) -> Edit:
+def _make_edit(request: EditRequest, head: Head, delta: Delta, *, era: int) -> Edit:
     keys = delta.keys
     is_small = len(dump(delta)) <= MAX_RECORD_DELTA_BYTES
     return Edit(
-        revision=head.revision + 1,
+        revision=head.next_revision(era=era),
+        parent_revision=head.revision,
         edit_id=request.edit_id,
         parent_edit_id=head.edit_id,
         author=request.author,
--- a/packages/citrondock-core/src/citrondock_core/configuration_revisions.py
+++ b/packages/citrondock-core/src/citrondock_core/configuration_revisions.py
@@ -22,6 +22,8 @@
 """Most bytes of the edits in the head."""
 MAX_RECORD_DELTA_BYTES = 200_000
 """Most bytes of a delta that the record of an edit holds."""
+MAX_LOST_REVISIONS = 1_000
+"""More revisions than the store can lose when it comes back from a copy."""
 MAX_SHOWN_CHANGES = 12
 """Most keys of changed entries that an edit lists."""
 
@@ -48,6 +50,8 @@
         Number of changed entries; 0 if only comments or formatting changed.
     delta : Delta or None
         The changes; None if they are too large to be stored with the edit.
+    parent_revision : int
+        Revision that it was based on.
     """
 
     revision: int
@@ -59,6 +63,9 @@
     changed: tuple[str, ...]
     changed_count: int
     delta: Delta | None = None
+    parent_revision: int = attrs.field(
+        default=attrs.Factory(lambda edit: edit.revision - 1, takes_self=True)
+    )
 
     def __str__(self) -> str:
         more = self.changed_count - len(self.changed)
@@ -117,11 +124,22 @@
         The revision, and the edit that made it.
     recent : tuple of Edit
         The most recent edits, oldest first; the last one made this revision.
+    era : int
+        Era of the store in which this head was written.
     """
 
     revision: int = 0
     edit_id: str = ""
     recent: tuple[Edit, ...] = ()
+    era: int = 0
+
+    def next_revision(self, *, era: int) -> int:
+        """Return the revision of the next edit, in the store's present era.
+
+        A store that came back from a copy may have lost edits that routers have in
+        force, so that its next revision leaves theirs out.
+        """
+        return self.revision + 1 + (era - self.era) * MAX_LOST_REVISIONS
 
     def has_deltas_since(self, edit_id: str) -> bool:
         """Whether the head holds the deltas of all edits after ``edit_id``."""
@@ -132,7 +150,7 @@
                 return all(later.delta is not None for later in later_edits)
         return False
 
-    def with_edit(self, edit: Edit) -> "Head":
+    def with_edit(self, edit: Edit, *, era: int = 0) -> "Head":
         """Return the head with an edit appended, within the limits on recent edits."""
         recent = [*self.recent, edit][-MAX_RECENT_COUNT:]
         sizes = [len(dump(item)) for item in recent]
@@ -141,7 +159,12 @@
             sizes.pop(0)
         if sizes[0] > MAX_RECENT_BYTES:
             recent = [attrs.evolve(recent[0], delta=None)]
-        return Head(revision=edit.revision, edit_id=edit.edit_id, recent=tuple(recent))
+        return Head(
+            revision=edit.revision,
+            edit_id=edit.edit_id,
+            recent=tuple(recent),
+            era=era,
+        )
 
 
 def edit_key(revision: int, edit_id: str) -> str:
--- a/tests/core/test_configuration_repository.py
+++ b/tests/core/test_configuration_repository.py
@@ -59,6 +59,11 @@
 
     before_update = after_update = None
 
+    def restore_last_writes(self):
+        """Come back from a copy that lacks nothing, in the next era."""
+        self.take_copy()
+        self.restore()
+
     def update(self, key, value, *, if_version, timeout_s=2.0):
         before_update, self.before_update = self.before_update, None
         after_update, self.after_update = self.after_update, None
@@ -88,6 +93,67 @@
     return {call.kind: call.count for call in calls if call.client == client}
 
 
+class TestRestoredStore:
+    def test_a_revision_that_was_lost_is_not_given_out_again(self, store, repository):
+        store.take_copy()
+        lost = repository.commit(edit_request("lost", base=1, weight=7))
+        store.restore()
+        later = repository.commit(edit_request("later", base=1, weight=8))
+        store.restore()
+
+        last = repository.commit(edit_request("last", base=1, weight=9))
+
+        revisions = [each.edit.revision for each in (lost, later, last)]
+        assert revisions == sorted(set(revisions))
+        following = edit_request("next", base=revisions[-1], weight=10)
+        assert repository.commit(following).edit.revision == revisions[-1] + 1
+
+    def test_a_copy_from_before_the_first_edit_gives_no_revision_again(self, store):
+        repository = ConfigurationRepository(store, pause=lambda _: None)
+        lost = repository.commit(edit_request("lost", base=0))
+        store.restore()
+
+        edit = repository.commit(edit_request("e", base=0, weight=7)).edit
+
+        assert edit.revision > lost.edit.revision
+
+    def test_an_edit_based_on_a_lost_revision_is_refused(self, store, repository):
+        store.take_copy()
+        repository.commit(edit_request("lost", base=1, weight=7))
+        store.restore()
+        for _ in range(2):
+            with pytest.raises(EditConflictError):
+                repository.commit(edit_request("next", base=2, weight=8))
+            repository.commit(edit_request("other", base=1, weight=9))
+
+    def test_a_repeated_commit_finds_its_edit_behind_the_gap(self, repository, store):
+        store.restore_last_writes()
+        first = repository.commit(edit_request("e", base=1, weight=7))
+        base = first.edit.revision
+        for number in range(12):
+            request = edit_request(f"e{number}", base=base, weight=8 + number)
+            base = repository.commit(request).edit.revision
+
+        again = repository.commit(edit_request("e", base=1, weight=7))
+
+        assert again.edit == first.edit
+        assert len(again.later_edits) == 12
+
+    def test_garbage_is_collected_beyond_the_gap(self, repository, store):
+        store.restore_last_writes()
+        base = 1
+        for number in range(80):
+            request = edit_request(f"e{number}", base=base, weight=7 + number)
+            base = repository.commit(request).edit.revision
+        collector = ConfigurationGarbageCollector(store, repository)
+        for _ in range(200):
+            collector.collect()
+
+        manifests = store.list("configuration/manifests/")
+        assert len(manifests) <= KEPT_REVISION_COUNT + 1
+        assert repository.read_text(base, "e79").decode() == text_with_weight(86)
+
+
 class TestCommit:
     def test_updates_head_text_snapshot_and_history(self, repository):
         commit = repository.commit(edit_request("second", base=1, weight=7))
--- a/tests/router/test_configuration_follower.py
+++ b/tests/router/test_configuration_follower.py
@@ -253,6 +253,21 @@
         assert [configuration.revision for configuration in applied] == [1]
         assert follower.status().store_behind
 
+    def test_edits_after_a_restore_are_in_force_at_once(self, deployment):
+        deployment.store.take_copy()
+        for _ in range(3):
+            deployment.edit()
+        follower, applied = deployment.follower()
+        follower.step()
+        deployment.restore(revision=1)
+
+        for weight in (50, 51):
+            deployment.edit(weight=weight)
+            follower.step()
+            follower.step()
+            assert applied[-1].accounts["tag-drafts"].weight == weight
+        assert not follower.status().store_behind
+
     def test_an_edit_that_was_missed_before_a_restore_changes_nothing(self, deployment):
         follower, applied = deployment.follower()
         follower.step()
