Trust no lease and reuse no fencing token after the store was restored

Operators would see two routers order the same engines: after a restore the lease that a router had acquired was gone or belonged to an earlier holder. Another router acquired it with a token that was in use already, so engines that compare tokens took the orders of both, and those that don't got orders from the new holder 2 s after the restore, while the former one relied on its lease for up to 13 s. A holder that read back its own earlier record went on too.

Cause: tokens were counted from the stored record, which had gone back, and a missing or released record was taken for a free lease. Tokens of an era of the store are now all greater than those of earlier ones. A lease from another era is void for its holder, which competes again. A router that takes a lease whose record can't show that it is free (missing, or released in an earlier era) waits out the time to live before orders to engines that don't compare tokens. In era 0 nothing changes.

Failed before: test_a_lease_from_before_is_void_until_it_is_acquired_again: assert Lease(...) is None test_a_token_that_was_lost_is_not_given_out_again: assert [1, 2, 2, 2] == [1, 2] test_a_lease_lost_from_the_store_gets_a_later_token: assert 1 > 1 test_orders_wait_for_a_holder_whose_renewal_was_lost (2): assert 102.0 > 113.0 test_a_lost_answer_across_a_restore_renews_nothing: assert Lease(...) is None After: tests/core/test_lease_holder.py and tests/router/test_engine_reconciler.py pass, 21 tests; lint clean. test_a_renewal_with_a_number_given_out_again_is_noticed passed before, since versions hold the era; it stays as a guard.

Remains: a holder learns of the restore with its next renewal, at most 5 s later.

--- a/packages/citrondock-core/src/citrondock_core/lease.py
+++ b/packages/citrondock-core/src/citrondock_core/lease.py
@@ -5,6 +5,9 @@
 
 from citrondock_core.errors import CitrondockError
 
+TOKENS_PER_ERA = 2**32
+"""Fencing tokens of one era of the store; those of a later era are all greater."""
+
 
 class LeaseLostError(CitrondockError):
     """The lease is not held, or expires too soon."""
@@ -42,7 +45,7 @@
     holder : str
         Router incarnation that holds the lease; empty after a release.
     fencing_token : int
-        Number that grows by one with each change of the holder.
+        Number that grows with each change of the holder.
     renewal_id : str
         Unique id of each write, by which a writer recognises its own.
     """
@@ -51,6 +54,18 @@
     fencing_token: int
     renewal_id: str
 
+    @property
+    def era(self) -> int:
+        """Era of the store in which the holder acquired the lease."""
+        return self.fencing_token // TOKENS_PER_ERA
+
+    def next_token(self, *, era: int) -> int:
+        """Return the token of the next holder, who acquires the lease in ``era``.
+
+        A store that came back from a copy may have lost the latest tokens.
+        """
+        return max(self.fencing_token + 1, first_token(era))
+
 
 @attrs.define(kw_only=True)
 class Lease:
@@ -74,6 +89,11 @@
     deadline_s: float
     orders_from_s: float
 
+    @property
+    def era(self) -> int:
+        """Era of the store in which the lease was acquired."""
+        return self.fencing_token // TOKENS_PER_ERA
+
     def check(self, *, now_s: float, needed_s: float = 0.0) -> None:
         """Raise `LeaseLostError` unless the lease is valid for ``needed_s`` more."""
         if now_s + needed_s >= self.deadline_s:
@@ -81,3 +101,8 @@
                 f"lease {self.name!r} expires before the operation can finish",
                 step="lease",
             )
+
+
+def first_token(era: int) -> int:
+    """Return the lowest fencing token of an era."""
+    return era * TOKENS_PER_ERA + 1
--- a/packages/citrondock-core/src/citrondock_core/lease_holder.py
+++ b/packages/citrondock-core/src/citrondock_core/lease_holder.py
@@ -6,7 +6,7 @@
 import attrs
 from cattrs.preconf.json import make_converter
 
-from citrondock_core.lease import Lease, LeaseOptions, LeaseRecord
+from citrondock_core.lease import Lease, LeaseOptions, LeaseRecord, first_token
 from citrondock_core.object_store import (
     AnswerLostError,
     ObjectNotFoundError,
@@ -14,6 +14,7 @@
     ObjectStoreError,
     VersionConflictError,
 )
+from citrondock_core.store_version import era_of
 
 LEASE_PREFIX = "leases/"
 
@@ -26,12 +27,17 @@
     version: int
     takeover_deadline_s: float
 
+    @property
+    def era(self) -> int:
+        return era_of(self.version)
+
 
 class LeaseHolder:
     """Competes with other routers for one lease.
 
     Wall clocks are never compared: a router takes over a lease after it has seen no
     renewal for the lease's time to live plus a margin, on its own monotonic clock.
+    A lease is void once the store came back from a copy, which may lack it.
 
     All calls come from one thread; they may block on the store.
 
@@ -126,9 +132,20 @@
         self, former: LeaseRecord | None, *, version: int, began_s: float
     ) -> None:
         self._lease = None
-        token = former.fencing_token + 1 if former else 1
-        if self._try_write(self._new_record(self._holder, token), version):
-            self._set_lease(token, began_s, self._clock() + self._options.margin_s)
+        era = era_of(version)
+        token = former.next_token(era=era) if former else first_token(era)
+        if not self._try_write(self._new_record(self._holder, token), version):
+            return
+        if self._observed is not None and self._observed.era != era:
+            # The era of a record that did not exist is known only from the answer.
+            era, version = self._observed.era, self._observed.version
+            token = first_token(era)
+            if not self._try_write(self._new_record(self._holder, token), version):
+                return
+        wait_s = self._options.margin_s
+        if not _is_surely_free(former, era):
+            wait_s += self._options.ttl_s
+        self._set_lease(token, began_s, self._clock() + wait_s)
 
     def _set_lease(self, token: int, began_s: float, orders_from_s: float) -> None:
         self._lease = Lease(
@@ -146,6 +163,8 @@
             return
         if self._observed is not None and self._observed.version == found.version:
             return
+        if self._lease is not None and self._lease.era != era_of(found.version):
+            self._lease = None
         self._observed = self._observation_of(
             _converter.loads(found.value, LeaseRecord), found.version
         )
@@ -165,7 +184,10 @@
             return False
         except AnswerLostError:
             self._read_record()
-            return self._observed is not None and self._observed.record == record
+            observed = self._observed
+            if observed is None or observed.record != record:
+                return False
+            return version == 0 or observed.era == era_of(version)
         self._observed = self._observation_of(record, written)
         return True
 
@@ -186,3 +208,14 @@
     @property
     def _key(self) -> str:
         return f"{LEASE_PREFIX}{self._name}"
+
+
+def _is_surely_free(former: LeaseRecord | None, era: int) -> bool:
+    """Whether no router can rely on a lease that the store has lost.
+
+    A record without a holder shows this only if it is of the present era. One that was
+    not renewed for the time to live shows it in any.
+    """
+    if era == 0 or (former is not None and former.holder):
+        return True
+    return former is not None and former.era == era
--- a/tests/core/test_lease_holder.py
+++ b/tests/core/test_lease_holder.py
@@ -2,6 +2,7 @@
 
 from citrondock_core.lease import LeaseLostError, LeaseOptions
 from citrondock_core.lease_holder import LeaseHolder
+from citrondock_core.object_store import AnswerLostError
 from citrondock_standins.memory_object_store import MemoryObjectStore
 from citrondock_standins.store_core import StoreFaults
 
@@ -93,3 +94,87 @@
         store.set_faults(StoreFaults())
         clock.now_s += 5.0
         assert (first.acquire_or_renew() is None) != (second.acquire_or_renew() is None)
+
+
+class TestRestoredStore:
+    def test_a_lease_from_before_is_void_until_it_is_acquired_again(
+        self, contend, store, clock
+    ):
+        first = contend("a")
+        old = first.acquire_or_renew()
+        store.take_copy()
+        store.restore()
+        clock.now_s += OPTIONS.renewal_period_s
+
+        assert first.acquire_or_renew() is None
+
+        clock.now_s += OPTIONS.ttl_s + OPTIONS.margin_s
+        assert first.acquire_or_renew().fencing_token > old.fencing_token
+
+    def test_a_token_that_was_lost_is_not_given_out_again(self, contend, store, clock):
+        contend("a").acquire_or_renew()
+        store.take_copy()
+        tokens = [1]
+        for holder in ("b", "c", "d"):
+            clock.now_s += 100.0
+            contender = contend(holder)
+            contender.acquire_or_renew()
+            clock.now_s += OPTIONS.ttl_s + OPTIONS.margin_s
+            tokens.append(contender.acquire_or_renew().fencing_token)
+            store.restore()
+
+        assert tokens == sorted(set(tokens))
+
+    def test_a_lease_lost_from_the_store_gets_a_later_token(self, contend, store):
+        old = contend("a").acquire_or_renew()
+        store.restore()
+
+        new = contend("b").acquire_or_renew()
+
+        assert new.fencing_token > old.fencing_token
+
+    @pytest.mark.parametrize("released_before_the_copy", [False, True])
+    def test_orders_wait_for_a_holder_whose_renewal_was_lost(
+        self, contend, store, clock, released_before_the_copy
+    ):
+        if released_before_the_copy:
+            earlier = contend("x")
+            earlier.acquire_or_renew()
+            earlier.release()
+        store.take_copy()
+        old = contend("a").acquire_or_renew()
+        store.restore()
+
+        new = contend("b").acquire_or_renew()
+
+        assert new.orders_from_s > old.deadline_s
+
+    def test_a_renewal_with_a_number_given_out_again_is_noticed(
+        self, contend, store, clock
+    ):
+        first, second = contend("a"), contend("b")
+        first.acquire_or_renew()
+        store.take_copy()
+        clock.now_s += OPTIONS.renewal_period_s
+        first.acquire_or_renew()
+        second.acquire_or_renew()
+        store.restore()
+        clock.now_s += OPTIONS.ttl_s + OPTIONS.margin_s
+        third = contend("a")
+        third.acquire_or_renew()
+
+        assert second.acquire_or_renew() is None
+
+    def test_a_lost_answer_across_a_restore_renews_nothing(self, store, clock):
+        class RestoringStore(MemoryObjectStore):
+            def update(self, key, value, *, if_version, timeout_s=2.0):
+                super().update(key, value, if_version=if_version)
+                self.take_copy()
+                self.restore()
+                raise AnswerLostError("lost", step="update")
+
+        holder = LeaseHolder(RestoringStore(store.core), "p", "a", OPTIONS, clock=clock)
+        holder.acquire_or_renew()
+        clock.now_s += OPTIONS.renewal_period_s
+
+        assert holder.acquire_or_renew() is None
