Run no keyed call twice after the store lost its claim

Callers would see a booking made twice: a call was sent under a claim, the store came back from a copy without the claim, and a retry with the same key at another router found none and ran the call again. At the router that had run it, a call whose outcome was unknown ran again too.

Cause: the only proof that a call may have run was the store's record. Each router now keeps its claims of the last 60 s in memory, answers retries from them, and writes them again into the store when it notices a new era, by an answer to its own calls or through the follower's watch, which each router has open at any time. Claims that it had released are released again. From then on a router claims no call newly for 15 s, so that the others have written theirs: such calls get 503 with ran=no and are not sent. A claim that was acquired across the restore is not used either, and one from before it lapses (10 s) before any router claims again.

What can't be promised: a call runs again if the router that ran it ends, or is cut off from the store for more than 15 s, before it wrote the lost claim again, or ended more than 4,000 keyed calls in 60 s. A router that starts on a store which ever came back from a copy refuses keyed calls for its first 15 s, since it can't tell how long ago that was.

--- a/packages/citrondock-core/src/citrondock_core/claim_change.py
+++ b/packages/citrondock-core/src/citrondock_core/claim_change.py
@@ -53,6 +53,18 @@
         return True
 
 
+class RestoreChange(ClaimChange):
+    """Adds a claim that the store lost when it came back from a copy."""
+
+    def __init__(self, record: ClaimRecord) -> None:
+        super().__init__(record.key, record.token)
+        self.record = record
+
+    def apply(self, shard: ClaimShard, *, now_unix_s: float) -> bool:
+        """Add the claim to the shard."""
+        return shard.restore(self.record)
+
+
 class AcquireChange(ClaimChange):
     """Adds a claim; a request waits for the result.
 
--- a/packages/citrondock-core/src/citrondock_core/claim_committer.py
+++ b/packages/citrondock-core/src/citrondock_core/claim_committer.py
@@ -23,6 +23,7 @@
     VersionConflictError,
 )
 from citrondock_core.shard_cache import LoadedShard, ShardCache
+from citrondock_core.store_version import era_of
 
 CLAIM_PREFIX = "claims/"
 MAX_CONFLICT_DELAY_S = 0.02
@@ -74,6 +75,10 @@
         Returns the Unix time in seconds.
     rng : random.Random
         Source of the jitter of retries.
+    clock : callable
+        Returns monotonic seconds that also count suspended time.
+    on_era : callable
+        Called when a new era of the store is noticed, with its number.
     """
 
     def __init__(
@@ -83,11 +88,17 @@
         *,
         wall_clock: Callable[[], float],
         rng: random.Random,
+        clock: Callable[[], float],
+        on_era: Callable[[int], None],
     ) -> None:
         self._store = store
         self._options = options
         self._wall_clock = wall_clock
         self._rng = rng
+        self._clock = clock
+        self._on_era = on_era
+        self._era = 0
+        self._settled_at_s = 0.0
         self._cache = ShardCache(max_bytes=options.max_cached_bytes)
         self._queues: dict[int, _ShardQueue] = {}
         self._pending_count = 0
@@ -111,6 +122,21 @@
         loaded = self._cache.get(shard_number)
         return loaded.shard if loaded else None
 
+    def note_era(self, era: int) -> None:
+        """Refuse new claims for a while if the store is in a new era."""
+        with self._condition:
+            if era <= self._era:
+                return
+            self._era = era
+            settle_s = max(self._options.settle_s, self._options.send_within_s)
+            self._settled_at_s = self._clock() + settle_s
+        self._on_era(era)
+
+    def check_settled(self) -> None:
+        """Raise `ClaimUnavailableError` while the store may lack claims."""
+        if self._clock() < self._settled_at_s:
+            raise _unsettled_error()
+
     def submit(self, change: ClaimChange) -> None:
         """Queue a change to be written; drop it if too many are pending."""
         number = change.key.shard(self._options.shard_count)
@@ -238,6 +264,8 @@
 
     def _commit(self, number: int, changes: Sequence[ClaimChange]) -> None:
         loaded = self._cache.get(number)
+        if loaded is not None and era_of(loaded.version) < self._era:
+            loaded = None
         is_fresh = loaded is None
         loaded = loaded or self._load(number)
         for _ in range(MAX_ATTEMPT_COUNT):
@@ -273,6 +301,7 @@
             )
         except ObjectNotFoundError:
             return LoadedShard(shard=ClaimShard())
+        self.note_era(era_of(stored.version))
         loaded = LoadedShard(
             shard=ClaimShard.decode(stored.value),
             version=stored.version,
@@ -303,6 +332,7 @@
             for change in _acquires(changes):
                 change.maybe_written |= change.added
             return False
+        self.note_era(era_of(version))
         self.statistics.change_count += len(changes)
         for change in _acquires(changes):
             change.maybe_written |= change.added
@@ -333,11 +363,21 @@
             )
 
     def _complete_acquires(self, changes: Sequence[ClaimChange]) -> None:
+        is_settled = self._clock() >= self._settled_at_s
         for change in _acquires(changes):
+            is_acquired = change.error is None and change.outcome is None
+            if is_acquired and not is_settled and not change.abandoned:
+                change.refuse(_unsettled_error())
             if not change.complete() and change.maybe_written:
                 self.submit(ReleaseChange(change.key, change.token))
 
 
+def _unsettled_error() -> ClaimUnavailableError:
+    return ClaimUnavailableError.of(
+        "the store came back from a copy and may lack claims", peer="object store"
+    )
+
+
 def _object_key(number: int) -> str:
     return f"{CLAIM_PREFIX}{number:05}"
 
--- a/packages/citrondock-core/src/citrondock_core/claim_manager.py
+++ b/packages/citrondock-core/src/citrondock_core/claim_manager.py
@@ -6,9 +6,19 @@
 import uuid
 from collections.abc import Callable
 
+import attrs
+from loguru import logger
+
 from citrondock_core.claim import Claim, ClaimKey, ClaimOutcome, ClaimState
-from citrondock_core.claim_change import AcquireChange, OutcomeChange, ReleaseChange
+from citrondock_core.claim_change import (
+    AcquireChange,
+    OutcomeChange,
+    ReleaseChange,
+    RestoreChange,
+)
 from citrondock_core.claim_committer import ClaimCommitter, CommitStatistics
+from citrondock_core.claim_errors import ClaimUnavailableError
+from citrondock_core.claim_memory import ClaimMemory
 from citrondock_core.claim_options import ClaimOptions
 from citrondock_core.claim_shard import ClaimRecord, earlier_outcome
 from citrondock_core.clocks import boot_time_s
@@ -58,12 +68,18 @@
         self._clock = clock
         self._wall_clock = wall_clock
         self._held_records: dict[str, ClaimRecord] = {}
+        self._ended = ClaimMemory(
+            remember_s=self._options.remember_s,
+            max_count=self._options.max_remembered_count,
+        )
         self._lock = threading.Lock()
         self._committer = ClaimCommitter(
             store,
             self._options,
             wall_clock=wall_clock,
             rng=rng or random.Random(),
+            clock=clock,
+            on_era=self._write_again,
         )
 
     @property
@@ -112,6 +128,7 @@
         known = self._known_outcome(key, request_digest)
         if known is not None:
             return known
+        self._committer.check_settled()
         change = AcquireChange(record)
         self._committer.submit(change)
         outcome = change.wait(self._options.acquire_timeout_s)
@@ -119,6 +136,7 @@
             return outcome
         with self._lock:
             self._held_records[key.text] = record
+        self._check_written_in_this_era(claim)
         return claim
 
     def authorise_send(self, claim: Claim) -> None:
@@ -138,7 +156,7 @@
         """Store the response to a sent call for later attempts."""
         claim.finish()
         bounded = outcome.bounded(self._options.max_body_bytes)
-        self._forget(claim)
+        self._end(claim, ClaimState.FINISHED, bounded)
         self._committer.submit(OutcomeChange(claim.key, claim.token, bounded))
 
     def give_up(self, claim: Claim) -> None:
@@ -147,15 +165,26 @@
         Later attempts are refused with ``ran`` set to ``maybe``.
         """
         claim.give_up()
-        self._forget(claim)
+        self._end(claim, ClaimState.UNKNOWN)
         self._committer.submit(OutcomeChange(claim.key, claim.token, None))
 
     def release(self, claim: Claim) -> None:
         """Release the key: nothing was sent, or the target did not run the call."""
         claim.release()
-        self._forget(claim)
+        self._end(claim, ClaimState.RELEASED)
         self._committer.submit(ReleaseChange(claim.key, claim.token))
 
+    def note_store_era(self, era: int) -> None:
+        """Write recent claims again if the store came back from a copy.
+
+        Parameters
+        ----------
+        era : int
+            The era that the store is in. In a new one, no call is newly claimed for
+            `ClaimOptions.settle_s`, as claims of other routers may be missing.
+        """
+        self._committer.note_era(era)
+
     def flush(self, timeout_s: float) -> bool:
         """Wait until all changes are written; return False on timeout."""
         return self._committer.flush(timeout_s)
@@ -190,6 +219,9 @@
             held = self._held_records.get(key.text)
         if held is not None:
             earlier_outcome(held, request_digest, now_unix_s=now_unix_s)
+        ended = self._ended.find(key, now_s=self._clock())
+        if ended is not None and ended.expiry_deadline_unix_s > now_unix_s:
+            return earlier_outcome(ended, request_digest, now_unix_s=now_unix_s)
         shard = self._committer.cached(key.shard(self._options.shard_count))
         found = shard.find(key) if shard else None
         if found is None or found.expiry_deadline_unix_s <= now_unix_s:
@@ -198,8 +230,34 @@
             return None
         return earlier_outcome(found, request_digest, now_unix_s=now_unix_s)
 
-    def _forget(self, claim: Claim) -> None:
+    def _check_written_in_this_era(self, claim: Claim) -> None:
+        """Release a claim if the store came back from a copy while it was acquired."""
+        try:
+            self._committer.check_settled()
+        except ClaimUnavailableError:
+            self.release(claim)
+            raise
+
+    def _end(
+        self, claim: Claim, state: ClaimState, outcome: ClaimOutcome | None = None
+    ) -> None:
         with self._lock:
             held = self._held_records.get(claim.key.text)
-            if held is not None and held.token == claim.token:
-                del self._held_records[claim.key.text]
+            if held is None or held.token != claim.token:
+                return
+            del self._held_records[claim.key.text]
+            ended = attrs.evolve(held, state=state, outcome=outcome)
+            self._ended.add(ended, now_s=self._clock())
+
+    def _write_again(self, era: int) -> None:
+        with self._lock:
+            records = [
+                *self._ended.records(now_s=self._clock()),
+                *self._held_records.values(),
+            ]
+        logger.warning("event=claims_written_again era={} count={}", era, len(records))
+        for record in records:
+            if record.state is ClaimState.RELEASED:
+                self._committer.submit(ReleaseChange(record.key, record.token))
+            else:
+                self._committer.submit(RestoreChange(record))
--- a/packages/citrondock-core/src/citrondock_core/claim_options.py
+++ b/packages/citrondock-core/src/citrondock_core/claim_options.py
@@ -38,6 +38,15 @@
         Most changes that wait in memory while the store is unavailable.
     max_cached_bytes : int
         Most bytes of shards that a router caches to save reads.
+    settle_s : float
+        Time after a new era of the store is noticed in which no call is newly claimed,
+        so that all routers can write again the claims that the store lost; at least
+        `send_within_s`, and more than a reachable router takes to notice.
+    remember_s : float
+        Time for which ended claims are kept in memory to be written again; more than
+        the age of a copy that the store comes back from.
+    max_remembered_count : int
+        Most ended claims kept in memory.
     min_backoff_s, max_backoff_s : float
         Longest delay before the first retry of a failed write, and before any.
     """
@@ -57,5 +66,8 @@
     max_body_bytes: int = attrs.field(default=4096, validator=ge(0))
     max_pending_count: int = attrs.field(default=10_000, validator=ge(1))
     max_cached_bytes: int = attrs.field(default=2_000_000, validator=ge(0))
+    settle_s: float = attrs.field(default=15.0, validator=gt(0))
+    remember_s: float = attrs.field(default=60.0, validator=gt(0))
+    max_remembered_count: int = attrs.field(default=4_000, validator=ge(1))
     min_backoff_s: float = attrs.field(default=0.2, validator=gt(0))
     max_backoff_s: float = attrs.field(default=5.0, validator=gt(0))
--- a/packages/citrondock-core/src/citrondock_core/claim_shard.py
+++ b/packages/citrondock-core/src/citrondock_core/claim_shard.py
@@ -142,6 +142,20 @@
         self._records[key.text] = attrs.evolve(found, state=state, outcome=outcome)
         return True
 
+    def restore(self, record: ClaimRecord) -> bool:
+        """Add a claim that the store lost; return whether the shard changed.
+
+        It replaces one that a router acquired since, as that router has sent nothing
+        yet, but not the end of a call.
+        """
+        found = self.find(record.key)
+        if found is not None:
+            is_same = found.token == record.token and found.state is record.state
+            if is_same or found.state is not ClaimState.HELD:
+                return False
+        self._records[record.key.text] = record
+        return True
+
     def release(self, key: ClaimKey, token: str) -> None:
         """Remove the claim of the attempt with this token."""
         found = self.find(key)
--- a/packages/citrondock-router/src/citrondock_router/call_claims.py
+++ b/packages/citrondock-router/src/citrondock_router/call_claims.py
@@ -99,6 +99,10 @@
             self._manager.release(call.claim)
             call.claim = None
 
+    def note_store_era(self, era: int) -> None:
+        """Write recent claims again if the store came back from a copy."""
+        self._manager.note_store_era(era)
+
     def close(self, *, timeout_s: float) -> None:
         """Write pending changes for up to ``timeout_s`` seconds, then stop."""
         self._manager.close(timeout_s)
--- a/packages/citrondock-router/src/citrondock_router/configuration_follower.py
+++ b/packages/citrondock-router/src/citrondock_router/configuration_follower.py
@@ -17,6 +17,7 @@
 from citrondock_core.configuration_reader import ConfigurationReader, VersionedHead
 from citrondock_core.errors import CitrondockError
 from citrondock_core.object_store import ObjectStore, StoreRestoredError
+from citrondock_core.store_version import era_of
 from citrondock_router.log import log_event
 
 DEFAULT_WATCH_WAIT_S = 7.0
@@ -126,6 +127,8 @@
         Called on the follower's thread with each new `Configuration`.
     fetch_peer_copies : callable, optional
         Fetches copies from reachable peers; given the revision in force.
+    on_store_era : callable, optional
+        Called on the follower's thread with each new era of the store.
     watch_wait_s : float
         Longest wait of one watch; each watch costs the store one read.
     call_timeout_s : float
@@ -144,6 +147,7 @@
         on_configuration: Callable[[Configuration], None],
         *,
         fetch_peer_copies: FetchPeerCopies = lambda _after_revision: (),
+        on_store_era: Callable[[int], None] = lambda _era: None,
         watch_wait_s: float = DEFAULT_WATCH_WAIT_S,
         call_timeout_s: float = DEFAULT_CALL_TIMEOUT_S,
         max_backoff_s: float = DEFAULT_MAX_BACKOFF_S,
@@ -153,6 +157,7 @@
         self._reader = ConfigurationReader(store, call_timeout_s=call_timeout_s)
         self._on_configuration = on_configuration
         self._fetch_peer_copies = fetch_peer_copies
+        self._on_store_era = on_store_era
         self._watch_wait_s = watch_wait_s
         self._max_backoff_s = max_backoff_s
         self._clock = clock
@@ -165,6 +170,7 @@
         self._applied_at_s: float | None = None
         self._confirmed_until_s = -1.0
         self._store_version = 0
+        self._store_era = 0
         self._store_behind = False
         self._store_error = ""
         self._failure_count = 0
@@ -251,6 +257,7 @@
     def _follow_store(self) -> float:
         if self._store_version == 0:
             versioned_head = self._reader.read_head()
+            self._note_era(versioned_head.version)
             if versioned_head.version:
                 self._apply_head(versioned_head)
                 self._ask_peers_in_window()
@@ -261,6 +268,7 @@
         watch = self._reader.wait_for_head(
             after_version=self._store_version, wait_s=self._next_wait_s()
         )
+        self._note_era(watch.version)
         self._ask_peers_in_window()
         if watch.newer_head is not None:
             self._apply_head(watch.newer_head)
@@ -285,6 +293,13 @@
         self._peers_deadline_s = self._clock() + START_WINDOW_S
         return self._rng.uniform(0, MIN_BACKOFF_S)
 
+    def _note_era(self, version: int) -> None:
+        era = era_of(version)
+        if era > self._store_era:
+            self._store_era = era
+            log_event("store_era_noted", era=era)
+            self._on_store_era(era)
+
     def _next_wait_s(self) -> float:
         if self._clock() < self._peers_deadline_s:
             return min(START_WATCH_WAIT_S, self._watch_wait_s)
--- a/packages/citrondock-router/src/citrondock_router/router.py
+++ b/packages/citrondock-router/src/citrondock_router/router.py
@@ -131,6 +131,7 @@
             fetch_peer_copies=lambda after: fetch_peer_copies(
                 self._network, after, rng=self._rng
             ),
+            on_store_era=lambda era: self._claims.note_store_era(era),
             watch_wait_s=platform.watch_wait_s,
             call_timeout_s=platform.call_timeout_s,
             max_backoff_s=platform.max_backoff_s,
--- a/tests/core/test_claim_manager.py
+++ b/tests/core/test_claim_manager.py
@@ -12,6 +12,7 @@
     ClaimUnresolvedError,
 )
 from citrondock_core.claim_manager import ClaimManager
+from citrondock_core.claim_memory import ClaimMemory
 from citrondock_core.claim_options import ClaimOptions
 from citrondock_core.claim_shard import ClaimRecord, ClaimShard
 from citrondock_core.object_store import (
@@ -23,6 +24,8 @@
     VersionConflictError,
 )
 from citrondock_core.request import Ran
+from citrondock_standins.memory_object_store import MemoryObjectStore
+from citrondock_standins.store_core import StoreCore
 
 BOOKED = ClaimOutcome(status=201, body=b"booked")
 OPTIONS = ClaimOptions(
@@ -306,3 +309,112 @@
         shard.remove_expired(now_unix_s=160.5)
         assert shard.find(self.record(0).key) is None
         assert shard.find(self.record(1).key) is not None
+
+
+class TestRestoredStore:
+    @pytest.fixture
+    def store(self):
+        store = MemoryObjectStore(StoreCore(writes_per_s=1e6, reads_per_s=1e6))
+        store.is_down = False
+        return store
+
+    @pytest.fixture
+    def finished(self, make_manager, store):
+        """A router that ran a call whose claim is then lost from the store."""
+        first = make_manager("a")
+        claim = acquire(first)
+        first.authorise_send(claim)
+        first.finish(claim, BOOKED)
+        assert first.flush(5)
+        store.restore()
+        return first
+
+    def test_its_router_does_not_run_a_call_again(self, finished):
+        assert acquire(finished) == BOOKED
+
+    def test_its_router_does_not_run_a_call_of_unknown_outcome_again(
+        self, make_manager, store
+    ):
+        first = make_manager("a")
+        claim = acquire(first)
+        first.authorise_send(claim)
+        first.give_up(claim)
+        assert first.flush(5)
+        store.restore()
+
+        with pytest.raises(ClaimUnresolvedError):
+            acquire(first)
+
+    def test_a_peer_does_not_run_a_call_again(self, finished, make_manager, clock):
+        second = make_manager("b")
+        with pytest.raises(ClaimUnavailableError) as caught:
+            acquire(second)
+        assert caught.value.ran is Ran.NO
+        finished.note_store_era(1)
+        assert finished.flush(5)
+        assert second.flush(5)
+
+        clock.now_s += OPTIONS.settle_s
+        assert acquire(second) == BOOKED
+
+    def test_a_peer_does_not_run_a_call_under_way(self, make_manager, store, clock):
+        first, second = make_manager("a"), make_manager("b")
+        first.authorise_send(acquire(first))
+        store.restore()
+        first.note_store_era(1)
+        second.note_store_era(1)
+        assert first.flush(5)
+
+        with pytest.raises(ClaimUnavailableError):
+            acquire(second, key="other")
+        clock.now_s += OPTIONS.settle_s
+        with pytest.raises(ClaimHeldError):
+            acquire(second)
+        assert isinstance(acquire(second, key="other"), Claim)
+
+    def test_a_claim_from_before_does_not_permit_a_send_after_it_settled(
+        self, make_manager, store, clock
+    ):
+        first = make_manager("a")
+        claim = acquire(first)
+        store.restore()
+        clock.now_s += OPTIONS.settle_s
+
+        with pytest.raises(ClaimLapsedError):
+            first.authorise_send(claim)
+
+    def test_a_call_that_did_not_run_may_be_claimed_again(
+        self, make_manager, store, clock
+    ):
+        first, second = make_manager("a"), make_manager("b")
+        claim = acquire(first)
+        store.take_copy()
+        first.release(claim)
+        assert first.flush(5)
+        store.restore()
+        first.note_store_era(1)
+        second.note_store_era(1)
+        clock.now_s += OPTIONS.settle_s
+        assert first.flush(5)
+
+        assert isinstance(acquire(second), Claim)
+
+    def test_claims_settle_once_an_era(self, make_manager, store, clock):
+        manager = make_manager()
+        store.restore()
+        manager.note_store_era(1)
+        clock.now_s += OPTIONS.settle_s
+        manager.note_store_era(1)
+
+        assert isinstance(acquire(manager), Claim)
+
+    def test_what_is_remembered_is_limited(self, clock):
+        memory = ClaimMemory(remember_s=60.0, max_count=2)
+        records = [TestShard().record(number) for number in range(3)]
+        for record in records:
+            memory.add(record, now_s=0.0)
+
+        assert memory.records(now_s=1.0) == records[1:]
+        assert memory.find(records[0].key, now_s=1.0) is None
+        assert memory.find(records[2].key, now_s=1.0) == records[2]
+        assert memory.records(now_s=60.0) == []
--- a/tests/router/test_configuration_follower.py
+++ b/tests/router/test_configuration_follower.py
@@ -32,6 +32,7 @@
         self.repository = ConfigurationRepository(self.store, pause=lambda _: None)
         self.revision = self.edit_count = 0
         self.peer_copies = []
+        self.eras = []
 
     def edit(self, weight=None):
         weight = 10 + self.revision if weight is None else weight
@@ -60,6 +61,7 @@
             self.store,
             applied.append,
             fetch_peer_copies=lambda _after: self.peer_copies,
+            on_store_era=self.eras.append,
             watch_wait_s=0.01,
             clock=lambda: self.now_s,
             rng=random.Random(1),
@@ -282,6 +284,17 @@
 
         assert [each.accounts["tag-drafts"].weight for each in applied] == [10, 50]
 
+    def test_each_new_era_is_passed_on_once(self, deployment):
+        follower, _ = deployment.follower()
+        follower.step()
+        assert deployment.eras == []
+        for _ in range(2):
+            deployment.restore(revision=0)
+            for _ in range(3):
+                follower.step()
+
+        assert deployment.eras == [1, 2]
+
     def test_an_edit_lost_in_a_restore_is_taken_from_a_peer(self, deployment):
         follower, applied = deployment.follower()
         follower.step()
