--- a/tests/features/at_most_once.feature
+++ b/tests/features/at_most_once.feature
@@ -100,3 +100,16 @@
     And the caller retries the booking at router-b1 until it succeeds
     Then the caller gets the first answer again
     And the service ran the booking once
+
+  Scenario: The object store comes back from a copy that lacks a booking's claim
+    Given two routers in front of a booking service
+    And a copy of the object store
+    And a booking that router-a1 has answered
+    When the object store comes back from the copy
+    And the caller retries the booking at router-b1
+    Then the caller gets an error with ran="no"
+    When the caller retries the booking at router-a1
+    Then the caller gets the first answer again
+    When the caller retries the booking at router-b1 until it succeeds
+    Then the caller gets the first answer again
+    And the service ran the booking once
--- a/tests/features/test_at_most_once.py
+++ b/tests/features/test_at_most_once.py
@@ -177,6 +177,16 @@
     )
 
 
+@given("a copy of the object store")
+def _(context):
+    context.fleet.store_process.take_copy()
+
+
+@when("the object store comes back from the copy")
+def _(context):
+    context.fleet.store_process.restore()
+
+
 @given("the object store's answers to router-a1 take 0.8 seconds")
 def _(context):
     late = Fault(kind=FaultKind.DELAY, direction=Direction.TO_CLIENT, delay_ms=800)
