Remove old parts of the configuration also after a restore

Operators would see the store grow: the garbage collector removes a part by the version that the record of an edit holds, which is of an earlier era once the store was restored, so that each removal met a conflict and the part stayed for good. Parts are never overwritten, so the collector now reads the version of such a part and removes it.

Failed before: test_garbage_from_before_a_restore_is_collected: assert 0 > 0. After: tests/core/test_configuration_repository.py passes; lint clean.

--- a/packages/citrondock-core/src/citrondock_core/configuration_garbage_collector.py
+++ b/packages/citrondock-core/src/citrondock_core/configuration_garbage_collector.py
@@ -4,6 +4,7 @@
 
 from citrondock_core.configuration_codec import inflate
 from citrondock_core.configuration_entries import dump, load
+from citrondock_core.configuration_parts import Part
 from citrondock_core.configuration_reader import ConfigurationReader
 from citrondock_core.configuration_revisions import (
     COLLECTED_KEY,
@@ -97,7 +98,7 @@
             record: EditRecord = load(inflate(found.value), EditRecord)
             if record.edit.edit_id in accepted_ids:
                 for part in record.dropped_parts:
-                    removed_count += self._remove(part.key, version=part.version)
+                    removed_count += self._remove_part(part)
                 parent = manifest_key(
                     record.edit.parent_revision, record.edit.parent_edit_id
                 )
@@ -120,6 +121,13 @@
             for found in self._store.list(prefix)
         )
 
+    def _remove_part(self, part: Part) -> int:
+        """Remove a part; its recorded version is void if the store was restored.
+
+        Parts are never overwritten, so that the version read now is the same part's.
+        """
+        return self._remove(part.key, version=part.version) or self._remove(part.key)
+
     def _remove(self, key: str, *, version: int | None = None) -> int:
         """Remove an object; return 1, or 0 if it was removed or changed since."""
         try:
--- a/tests/core/test_configuration_repository.py
+++ b/tests/core/test_configuration_repository.py
@@ -153,6 +153,21 @@
         assert len(manifests) <= KEPT_REVISION_COUNT + 1
         assert repository.read_text(base, "e79").decode() == text_with_weight(86)
 
+    def test_garbage_from_before_a_restore_is_collected(self, repository, store):
+        base, keys = 1, []
+        for number in range(KEPT_REVISION_COUNT + 2):
+            request = edit_request(f"e{number}", base=base, weight=7 + number)
+            base = repository.commit(request).edit.revision
+        collector = ConfigurationGarbageCollector(store, repository)
+        keys = {found.key for found in store.list(PARTS_PREFIX)}
+        store.restore_last_writes()
+
+        assert collector.collect() > 0
+
+        old_parts = {key for key in keys if "000000000001-" in key}
+        left = {found.key for found in store.list(PARTS_PREFIX)}
+        assert len(old_parts - left) > 0
+
 
 class TestCommit:
     def test_updates_head_text_snapshot_and_history(self, repository):
