--- a/tests/core/test_audit.py
+++ b/tests/core/test_audit.py
@@ -61,6 +61,23 @@
         assert trail.write()
         assert read_changes(store) == [f"change {n}" for n in range(4)]
 
+    @pytest.mark.parametrize("record_count", [1, 3])
+    def test_records_lost_in_a_restore_are_written_again(
+        self, store, clock, record_count
+    ):
+        trail = trail_of(store, clock)
+        for number in range(record_count):
+            if number == 1:
+                store.take_copy()
+            trail.record(record(clock, number))
+            trail.write()
+        store.restore()
+
+        trail.record(record(clock, record_count))
+        assert trail.write()
+
+        assert read_changes(store) == [f"change {n}" for n in range(record_count + 1)]
+
     def test_records_survive_an_outage_and_dropped_ones_are_counted(self, store, clock):
         trail = trail_of(store, clock)
         store.set_faults(StoreFaults(outage="refuse"))
