Do not take a target for silent while its connection is not read

Callers that read slowly had their stream moved to another target, which cost an attempt, a retry of the budget and the record of the sound target; the next connection was read although the caller was still slow, so that the rest of the stream piled up in the router.

Cause: reading from the target is paused while the caller's buffer is full, but the check for stalls counted that time as the target's silence.

Evidence: tests/gateway/test_slow_clients.py, on the code before: 'assert 2 == 1' (two targets got the request), with target_silent after 0.352 s and resumed_after=88 in the log. Now it passes, as do test_silent_targets.py and test_streams.py.

Fix: a response that is not being read is not silent, and the target's time counts from the moment at which reading goes on.

--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -213,6 +213,7 @@
         # Whether another target is looked for while a silent one keeps the request.
         self._is_searching = False
         self.is_silent = False
+        self.is_client_slow = False
         self.may_search_from_s = now_s
         self.grant_request_count = 0
         self.sent_at_s = 0.0
@@ -377,8 +378,11 @@
 
     @override
     def set_client_slow(self, is_slow: bool) -> None:
+        self.is_client_slow = is_slow
         if self._connection is not None and self.state is ExchangeState.RECEIVING:
             self._connection.pause() if is_slow else self._connection.resume()
+            # The target could send nothing while the connection was not read.
+            self.last_data_at_s = self._loop.time()
 
     # Called by the target's connection.
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/stall_detection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/stall_detection.py
@@ -39,8 +39,12 @@
         return False
     if exchange.is_waiting or now_s < exchange.may_search_from_s:
         return False
+    is_receiving = exchange.state is ExchangeState.RECEIVING
+    if is_receiving and exchange.is_client_slow:
+        # Nothing is read from the target now.
+        return False
     route = exchange.route
-    if exchange.state is ExchangeState.RECEIVING:
+    if is_receiving:
         timeout_s = options.pause_factor * route.max_pause_s
     else:
         timeout_s = options.first_byte_factor * route.first_answer_target_s
