Test that a restored older configuration is not taken again

No fault: a configuration is taken only with a higher version. The test holds this through a restore with watches cut and not, and that a router which starts before the operator writes again takes the older one until then.

--- a/tests/platform/test_store_restore.py
+++ b/tests/platform/test_store_restore.py
@@ -5,10 +5,13 @@
 
 import pytest
 from store_standin import StoreStandIn
+from test_process import configuration
 from test_store import FAST_OPTIONS, run, server, started, wait_until
 
+from citrondock_core.routing.route_table import ConfigurationHolder
 from citrondock_core.routing.target_directory import TargetDirectory
 from citrondock_platform import store as store_module
+from citrondock_platform.configuration import ConfigurationSink
 from citrondock_platform.peers import StorePeerRegistry
 from citrondock_platform.store import MAX_ERA_DIGITS, PlatformStore
 from citrondock_platform.targets import TargetSink
@@ -181,6 +184,49 @@
         run(check())
 
 
+class TestConfiguration:
+    """Until the operator writes again, the store holds an older configuration."""
+
+    def follow(self, store):
+        """Return what is in force, and the task that follows the store."""
+        in_force = ConfigurationHolder()
+        sink = ConfigurationSink(in_force.activate_if_newer)
+        follower = ObjectFollower(
+            store, "config", sink, options=FAST_OPTIONS, era=store.era
+        )
+        return in_force, asyncio.ensure_future(follower.run())
+
+    @pytest.mark.parametrize("cuts_watches", [True, False])
+    def test_an_older_one_is_not_taken_again(self, cuts_watches):
+        async def check():
+            standin, store = await started()
+
+            async def write(version):
+                value = {**configuration(), "version": version}
+                await standin.put("config", "main", value)
+
+            await write(3)
+            copy = standin.copy()
+            await write(5)
+            in_force, task = self.follow(store)
+            assert await soon(lambda: in_force.version == 5)
+            await asyncio.sleep(0.05)
+            await standin.restore(copy, cuts_watches=cuts_watches)
+            await asyncio.sleep(0.5)
+            assert in_force.version == 5
+            # A router without one has nothing to compare it with.
+            started_then, other_task = self.follow(store)
+            assert await soon(lambda: started_then.version == 3)
+            await write(5)
+            assert await soon(lambda: started_then.version == 5)
+            await write(6)
+            assert await soon(lambda: in_force.version == started_then.version == 6)
+            task.cancel()
+            other_task.cancel()
+
+        run(check())
+
+
 class InterruptedStore(PlatformStore):
     """A client that lets something happen after its first call."""
 
