--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,6 +10,7 @@
 REGRESSIONS = {
     112: "SIGHUP during the start ended the process",
     113: "SIGHUP during the start ended the process",
+    910: "routers watched on from a revision that the store had lost",
 }
 """Seeds that failed once, each with its cause; they run for the default time."""
 
@@ -71,6 +72,11 @@
         violations = self.record("resumable", body=body).violations()
         assert any("wrong answer" in line for line in violations)
 
+    def test_router_that_lacks_what_the_store_has_is_reported(self):
+        record = self.record()
+        record.stale_routers.append("v0 has version 1, the store 2")
+        assert record.violations() == ["v0 has version 1, the store 2"]
+
     def test_run_of_request_that_no_client_sent_is_reported(self):
         record = self.record()
         record.add_run("x", Run("t", 0, 0.0))
