Let the stand-in name the era in which a call took effect

The stand-in took the era when it sent an answer. A write that took effect just before a restore and was answered just after it named the new era, in which it was lost: a router took it for stored. The era is now taken with the effect.

Failed before: test_a_slow_answer_names_the_era_of_its_effect: assert 1 == 0. After: tests/standins/test_object_store.py passes; lint clean.

--- a/packages/citrondock-standins/src/citrondock_standins/object_store.py
+++ b/packages/citrondock-standins/src/citrondock_standins/object_store.py
@@ -134,11 +134,12 @@
         is_write = request.method in ("PUT", "DELETE")
         if is_write:
             self._notify_watchers()
+        era = self._core.era
         await asyncio.sleep(self._core.faults.slow_ms / 1000)
         if is_write and self._core.loses_answer(key):
             reply.close()
         else:
-            self._send(reply, 200, document)
+            reply.send_json(200, document, {ERA_HEADER: str(era)})
 
     async def _watch(self, request: HttpRequest) -> dict[str, object]:
         deadline_s = time.monotonic() + float(request.query["wait_s"])
--- a/tests/standins/test_object_store.py
+++ b/tests/standins/test_object_store.py
@@ -13,6 +13,7 @@
     StoreUnavailableError,
     VersionConflictError,
 )
+from citrondock_core.store_version import era_of
 from citrondock_standins.memory_object_store import MemoryObjectStore
 from citrondock_standins.processes import StandinProcess
 from citrondock_standins.store_core import StoreCore, StoreFaults
@@ -206,6 +207,17 @@
             under_test.store.watch("", after_version=version, wait_s=20.0)
         timer.join()
 
+    def test_a_slow_answer_names_the_era_of_its_effect(self):
+        with StandinProcess.start("object_store") as process:
+            store = HttpObjectStore(process.url)
+            process.set_faults(slow_ms=500)
+            timer = threading.Timer(0.2, process.restore)
+            timer.start()
+            version = store.create("a", b"1")
+            timer.join()
+
+        assert era_of(version) == 0
+
     def test_the_era_is_in_all_answers_and_rises_by_one(self):
         with StandinProcess.start("object_store") as process:
             paths = (
