Read a shard before claims are written into it again

Callers would still see a call run twice: a write of a claim's outcome took effect just before a restore and its answer, which came after it, named the new era. The router cached the shard as one of the new era; the claims to be written again were in it already, so nothing was written, and the store had none. The claims are now compared with what the store holds.

Failed before: test_a_lost_write_answered_after_a_restore_is_written_again: assert Claim(...) (a new claim instead of the stored answer). After: tests/core/test_claim_manager.py passes, three times; lint clean.

--- a/packages/citrondock-core/src/citrondock_core/claim_committer.py
+++ b/packages/citrondock-core/src/citrondock_core/claim_committer.py
@@ -10,7 +10,12 @@
 from loguru import logger
 
 from citrondock_core.backoff import backoff_s
-from citrondock_core.claim_change import AcquireChange, ClaimChange, ReleaseChange
+from citrondock_core.claim_change import (
+    AcquireChange,
+    ClaimChange,
+    ReleaseChange,
+    RestoreChange,
+)
 from citrondock_core.claim_errors import ClaimUnavailableError
 from citrondock_core.claim_options import ClaimOptions
 from citrondock_core.claim_shard import ClaimShard
@@ -264,7 +269,9 @@
 
     def _commit(self, number: int, changes: Sequence[ClaimChange]) -> None:
         loaded = self._cache.get(number)
-        if loaded is not None and era_of(loaded.version) < self._era:
+        if loaded is not None and (
+            era_of(loaded.version) < self._era or any(map(_is_restoration, changes))
+        ):
             loaded = None
         is_fresh = loaded is None
         loaded = loaded or self._load(number)
@@ -386,6 +393,10 @@
     return [change for change in changes if isinstance(change, AcquireChange)]
 
 
+def _is_restoration(change: ClaimChange) -> bool:
+    return isinstance(change, RestoreChange)
+
+
 def _is_abandoned(change: ClaimChange) -> bool:
     return isinstance(change, AcquireChange) and change.abandoned
 
--- a/tests/core/test_claim_manager.py
+++ b/tests/core/test_claim_manager.py
@@ -24,6 +24,7 @@
     VersionConflictError,
 )
 from citrondock_core.request import Ran
+from citrondock_core.store_version import version_in
 from citrondock_standins.memory_object_store import MemoryObjectStore
 from citrondock_standins.store_core import StoreCore
 
@@ -311,6 +312,38 @@
         assert shard.find(self.record(1).key) is not None
 
 
+class LateAnswerStore(MemoryObjectStore):
+    """Comes back from its copy between the effect of an update and the answer."""
+
+    is_down = False
+
+    def update(self, key, value, *, if_version, timeout_s=2.0):
+        number = super().update(key, value, if_version=if_version)
+        if self.core.era:
+            return number
+        self.restore()
+        return version_in(1, number)
+
+
+class TestLateAnswer:
+    @pytest.fixture
+    def store(self):
+        return LateAnswerStore(StoreCore(writes_per_s=1e6, reads_per_s=1e6))
+
+    def test_a_lost_write_answered_after_a_restore_is_written_again(
+        self, make_manager, store, clock
+    ):
+        first, second = make_manager("a"), make_manager("b")
+        claim = acquire(first)
+        first.authorise_send(claim)
+        first.finish(claim, BOOKED)
+        assert first.flush(5)
+
+        second.note_store_era(1)
+        clock.now_s += OPTIONS.settle_s
+        assert acquire(second) == BOOKED
+
+
 class TestRestoredStore:
     @pytest.fixture
     def store(self):
