Name the era's header of the product's own object API X-Era

tests/platform/test_boundary.py failed once the parts were joined: 'Store-Era' is a name of the platform and may only appear in platform/, while the product's own object API used the same. Its header is now X-Era, beside its X-Client.

--- a/packages/citrondock-standins/src/citrondock_standins/object_store.py
+++ b/packages/citrondock-standins/src/citrondock_standins/object_store.py
@@ -28,7 +28,7 @@
     "reads_per_s", 2000.0, "Read calls allowed per second."
 )
 
-ERA_HEADER = "Store-Era"
+ERA_HEADER = "X-Era"
 OBJECTS_PATH = "/v1/objects"
 DEFAULT_LIST_LIMIT = 500
 
--- a/packages/citrondock-wire/src/citrondock_wire/http_object_store.py
+++ b/packages/citrondock-wire/src/citrondock_wire/http_object_store.py
@@ -33,7 +33,7 @@
 )
 from citrondock_core.store_version import era_of, number_of, version_in
 
-ERA_HEADER = "Store-Era"
+ERA_HEADER = "X-Era"
 DEFAULT_MAX_CONNECTIONS = 8
 READ_CHUNK_BYTES = 65_536
 WATCH_ANSWER_MARGIN_S = 2.0
--- a/tests/standins/test_object_store.py
+++ b/tests/standins/test_object_store.py
@@ -230,7 +230,7 @@
                 for path in paths:
                     query = "&after_version=0" if "?" in path else ""
                     answer = urllib3.request("GET", process.url + path + query)
-                    assert answer.headers["Store-Era"] == str(era)
+                    assert answer.headers["X-Era"] == str(era)
                 process.restore()
 
 
--- a/tests/wire/test_http_object_store.py
+++ b/tests/wire/test_http_object_store.py
@@ -71,14 +71,12 @@
             )
 
     def test_a_store_that_ignores_the_era_of_a_watch_is_noticed(self):
-        found = answer(
-            200, b'{"version": 9, "objects": []}', headers=b"Store-Era: 1\r\n"
-        )
+        found = answer(200, b'{"version": 9, "objects": []}', headers=b"X-Era: 1\r\n")
         with serving(found) as url, pytest.raises(StoreRestoredError):
             HttpObjectStore(url).watch("", after_version=7, wait_s=0)
 
     def test_an_era_that_is_no_number_is_a_lost_answer(self):
-        found = answer(200, b'{"version": 9}', headers=b"Store-Era: x\r\n")
+        found = answer(200, b'{"version": 9}', headers=b"X-Era: x\r\n")
         with serving(found) as url, pytest.raises(AnswerLostError):
             HttpObjectStore(url).create("a", b"1")
 
