Tell whose word a departure is across a new era of the registry

What callers would see: after two restores, or with a router that is ahead of another, requests go to a target that this router's own registry had shown as leaving, or a live target stays unused for good.

Causes: a departure told by another router in the new era replaced this router's own knowledge, so that the copy's entry overruled it; a mark set for another router's word was remembered with a removed entry and outlasted the departure; a later incarnation that the copy lacks was forgotten.

tests/routing/test_target_eras.py on the code before, two of its tests failed: test_a_departure_of_the_new_era_does_not_let_a_copy_bring_it_back: assert not True test_it_does_not_hold_a_target_that_was_removed_meanwhile_for_good: assert False Now tests/routing/test_target_eras.py, test_target_departures.py and tests/gateway/test_leaving_targets.py pass.

--- a/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
@@ -219,9 +219,12 @@
         self._era_start = position
         self._era_settles_at_s = now_s + self._grace_s
         for known in self._departed.values():
-            known.is_provisional = known.position is not None and not (
-                known.is_registered
-            )
+            if known.position is None:
+                continue
+            known.is_provisional = not known.is_registered
+            if known.is_registered:
+                # Shown here in the former era, whatever another router's registry says.
+                known.position = min(known.position, self.position)
         gone = [entry for entry in self._entries.values() if entry.is_leaving]
         gone += [self._removed[key] for key in listed if key in self._removed]
         for entry in gone:
@@ -239,6 +242,9 @@
                 )
         for entry in listed.values():
             if self._is_known_as_restarted(entry):
+                later = self._entries.get(entry.target_id)
+                if later is not None:
+                    self._remember_removed(later)
                 self._remember_departure(
                     _Departure(entry=entry, position=self.position, is_provisional=True)
                 )
@@ -304,7 +310,9 @@
             is_written = is_watched or self._is_written_in_era(registered)
             entry = self._with_departure(registered, position, is_written=is_written)
             self._missing_until_s.pop(entry.target_id, None)
-            self._removed.pop(entry.target_id, None)
+            gone = self._removed.get(entry.target_id)
+            if gone is not None and gone.started_at_ms <= entry.started_at_ms:
+                del self._removed[entry.target_id]
             known = self._entries.get(entry.target_id)
             self._entries[entry.target_id] = entry
             if known is None:
@@ -334,10 +342,20 @@
 
     def _remove(self, target_id: str) -> TargetEntry:
         entry = self._entries.pop(target_id)
-        self._removed[target_id] = entry
+        known = self._departed.get(target_id)
+        gone = entry
+        if known is not None and known.position is not None and not known.is_registered:
+            # The mark is not the registry's, and must not outlast the departure.
+            gone = attrs.evolve(entry, is_leaving=False)
+        self._remember_removed(gone)
+        return entry
+
+    def _remember_removed(self, entry: TargetEntry) -> None:
+        latest = self._removed.get(entry.target_id)
+        if latest is None or latest.started_at_ms <= entry.started_at_ms:
+            self._removed[entry.target_id] = entry
         if len(self._removed) > MAX_DEPARTED:
             del self._removed[next(iter(self._removed))]
-        return entry
 
     def _remove_missing(
         self, missing: list[TargetEntry], *, now_s: float
--- a/tests/routing/test_target_eras.py
+++ b/tests/routing/test_target_eras.py
@@ -65,6 +65,12 @@
         restore(directory, era=3)
         assert not is_used(directory)
 
+    def test_a_departure_of_the_new_era_does_not_let_a_copy_bring_it_back(self):
+        directory = known([LEAVING, *OTHERS])
+        directory.depart(departure(2, 39))
+        restore(directory)
+        assert not is_used(directory)
+
     def test_a_write_of_the_new_era_does(self):
         for is_watched in (True, False):
             directory = known([LEAVING, *OTHERS])
@@ -165,6 +171,17 @@
         assert directory.depart(departure(1, 60)).changed == ()
         assert is_used(directory)
 
+    def test_it_does_not_hold_a_target_that_was_removed_meanwhile_for_good(self):
+        directory = known()
+        directory.depart(departure(1, 60))
+        restore(directory)
+        directory.apply(put=(), deleted=["e1"], position=at(2, 41), now_s=10.5)
+        directory.expire(now_s=10.0 + GRACE_S)
+        directory.replace([ENTRY, *OTHERS], position=at(3, 40), now_s=20.0)
+        assert not is_used(directory)
+        directory.expire(now_s=20.0 + GRACE_S)
+        assert is_used(directory)
+
     def test_one_of_the_old_era_counts_until_the_new_era_is_settled(self):
         directory = known()
         restore(directory)
