Keep a departure of the new era through the grace of its listing

A router that hears of a departure in the registry's new era, before its own first listing of that era is answered, marked the target as leaving only until the grace was over. If the listing was on its way with a lower revision and the watch after it brings nothing (the store turns the router away), requests went to a target that had left, 2.2 s after the listing.

Cause: on entering an era, each departure known from another router's registry was taken to be of an earlier era. One of the new era is ordered by its revision, and needs no provision.

The test failed before: "assert not True, where True = is_used(...)". Found by reading; not seen in a play.

--- a/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
@@ -221,7 +221,8 @@
         for known in self._departed.values():
             if known.position is None:
                 continue
-            known.is_provisional = not known.is_registered
+            is_earlier = known.position.era < position.era
+            known.is_provisional = is_earlier and not known.is_registered
             if known.is_registered:
                 # Shown here in the former era, whatever another router's registry says.
                 known.position = min(known.position, self.position)
--- a/tests/routing/test_target_eras.py
+++ b/tests/routing/test_target_eras.py
@@ -205,6 +205,15 @@
         restore(directory, revision=46)
         assert is_used(directory)
 
+    def test_one_of_the_new_era_heard_before_the_listing_outlasts_the_grace(self):
+        directory = known()
+        directory.depart(departure(2, 45))
+        restore(directory, revision=44)
+        directory.expire(now_s=10.0 + GRACE_S)
+        assert not is_used(directory)
+        directory.apply(put=[ENTRY], deleted=(), position=at(2, 46), now_s=13.0)
+        assert is_used(directory)
+
 
 class TestWatchFromTheOldEra:
     def test_its_changes_are_left_to_the_listing(self):
