Tell the next request and target that a client reads slowly

What callers would see: nothing themselves; a client that pipelines requests and does not read made the router keep whole streams in memory, at the cost of all others.

Cause: the transport reports only once that its buffer is full. A request that began later on the same connection, or another target of the same request, was read at full speed.

Evidence: tests/gateway/test_slow_clients.py, on the code before: 'assert 400 < 400' (all 400 events, 20 MB, had left the target although the client had read nothing).

Fix: the connection remembers the state and tells each request that it begins; the request applies it to each target once that responds.

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -60,6 +60,7 @@
         self._waiting: deque[ReceivedRequest] = deque()
         self._current: RequestInProgress | None = None
         self._is_busy = False
+        self._is_slow = False
         self._is_discarding = False
         self._close_reason = ""
         self._pending_rejection: Rejection | None = None
@@ -104,11 +105,13 @@
 
     @override
     def pause_writing(self) -> None:
+        self._is_slow = True
         if self._current is not None:
             self._current.set_client_slow(True)
 
     @override
     def resume_writing(self) -> None:
+        self._is_slow = False
         if self._current is not None:
             self._current.set_client_slow(False)
 
@@ -272,6 +275,8 @@
             self._current = self._handler.handle(received.request, self)
             if not self._is_busy:
                 self._current = None
+            elif self._is_slow and self._current is not None:
+                self._current.set_client_slow(True)
         rejection = self._pending_rejection
         if rejection is not None and not (self._is_busy or self._waiting):
             self._send_rejection(rejection)
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -435,6 +435,8 @@
             self.choice.load.last_data_at_s = now_s
         if self.state is ExchangeState.SENT:
             self.state = ExchangeState.RECEIVING
+            if self.is_client_slow and self._connection is not None:
+                self._connection.pause()
             self._scheduler.first_byte_received(self)
         if self._head.is_success and self.route.kind.is_stream:
             self._forward_events(data)
--- a/tests/gateway/test_slow_clients.py
+++ b/tests/gateway/test_slow_clients.py
@@ -7,6 +7,7 @@
     Harness,
     ScriptedTarget,
     chunk,
+    complete_response,
     configuration,
     request,
     run,
@@ -16,6 +17,8 @@
 EVENT_COUNT = 400
 EVENT_BYTES = 50_000
 PAUSE_S = 1.0
+FIRST_BODY_BYTES = 250_000
+FIRST_COUNT = 60
 
 
 def long_event(number):
@@ -49,3 +52,37 @@
                 client.writer.close()
 
         run(check())
+
+
+class TestNextRequest:
+    def test_it_is_not_read_from_its_target_while_the_client_is_slow(self):
+        async def check():
+            sent = []
+
+            async def count_events(got, writer):
+                writer.write(stream_head(got))
+                for number in range(EVENT_COUNT):
+                    writer.write(chunk(long_event(number)))
+                    await writer.drain()
+                    sent.append(got.request_id)
+                writer.write(chunk(b""))
+
+            async def answer_long(got, writer):
+                writer.write(complete_response(got, b"x" * FIRST_BODY_BYTES))
+
+            async def script(got, writer):
+                is_first = got.request_id != "last"
+                await (answer_long if is_first else count_events)(got, writer)
+
+            target = ScriptedTarget("t0", script)
+            async with Harness([target]) as harness:
+                client = await Client.connect(harness.port)
+                for number in range(FIRST_COUNT):
+                    client.writer.write(request("/safe/x", f"r{number}"))
+                client.writer.write(request("/resumable/x", "last"))
+                await asyncio.sleep(PAUSE_S)
+                assert len(target.received) == FIRST_COUNT + 1
+                assert len(sent) < EVENT_COUNT
+                client.writer.close()
+
+        run(check())
