Do not count the search in place of a silent target as a refused request

What callers would see: plain requests of a kind whose targets fall silent went ahead of other kinds of their account.

Cause: the queue prefers the kind with the lowest ratio of served to arrived requests. Each search for another target, twice a second and request, counted as an arrival; most searches end without another target, so none counted as served.

Evidence: the new test in tests/gateway/test_silent_targets.py, on the code before: 'assert 0.0 == 1.0' (the ratio of the kind after its only request was answered with 200). Now it passes, as do test_silent_targets.py, test_plain_requests.py and test_fair_fleet.py.

Fix: a request that keeps a silent target was served already and is counted neither way.

--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -178,7 +178,8 @@
             return
         queue = self._queue(exchange.service)
         if queue or not self._send_plain(exchange):
-            self._ratios.record_request(exchange.kind, now_s=self._loop.time())
+            if exchange.silent_target_id is None:
+                self._ratios.record_request(exchange.kind, now_s=self._loop.time())
             queue.push(exchange)
             self._send_waiting(exchange.service)
 
@@ -495,9 +496,10 @@
         self, exchange: Exchange, choice: PlacementChoice, *, has_waited: bool
     ) -> None:
         now_s = self._loop.time()
+        replaces_silent_target = exchange.silent_target_id is not None
         exchange.leave_silent_target()
         self._usage.add(exchange.account, exchange.cost_tokens, now_s=now_s)
-        if has_waited:
+        if has_waited and not replaces_silent_target:
             self._ratios.record_served(exchange.kind, now_s=now_s)
         self.start(exchange, choice)
 
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -112,6 +112,15 @@
 
         run(check())
 
+    def test_the_search_does_not_count_as_a_request_that_was_not_served(self):
+        async def check():
+            async with make_harness(answer_late) as harness:
+                ratios = harness.gateway.scheduler._ratios
+                assert (await harness.get("/safe/x")).status == 200
+                assert ratios.ratio("safe") == 1.0
+
+        run(check())
+
     def test_a_client_that_leaves_ends_the_search(self):
         async def check():
             async with make_harness(never_answer, service="llm") as harness:
