Tell other routers only of departures that the registry itself shows

What callers would see: after several restores within seconds, requests go to a target that had left.

Cause: a target that this router only holds as leaving, through a copy that says ready, was reported with the position of that copy. Another router took it for what its registry showed, in place of its own hold, and its next listing overruled it.

Its simulated router reports as the exchange does.

--- a/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
@@ -116,6 +116,11 @@
         """Return the entry of a target, or None."""
         return self._entries.get(target_id)
 
+    def is_held(self, target_id: str) -> bool:
+        """Return whether a target counts as leaving although its entry says ready."""
+        known = self._departed.get(target_id)
+        return known is not None and known.shown_in_era != self.position.era
+
     def usable(self, service: str | None = None) -> list[TargetEntry]:
         """Return the targets that take new requests, of one service or of all."""
         return [
--- a/packages/citrondock-router/src/citrondock_router/gateway/departure_exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/departure_exchange.py
@@ -64,7 +64,11 @@
     def registry_changed(self, change: DirectoryChange) -> None:
         """Tell other routers of departures that the registry shows."""
         position = self._directory.position
-        leaving = [entry for entry in change.changed if entry.is_leaving]
+        leaving = [
+            entry
+            for entry in change.changed
+            if entry.is_leaving and not self._directory.is_held(entry.target_id)
+        ]
         for entry in (*leaving, *change.removed):
             departure = TargetDeparture(
                 target_id=entry.target_id,
--- a/tests/routing/test_target_eras.py
+++ b/tests/routing/test_target_eras.py
@@ -3,7 +3,7 @@
 import random
 
 import attrs
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from citrondock_core.routing.store_position import StorePosition
@@ -319,7 +319,11 @@
 
     def report(self, change, now_s):
         position = self.directory.position
-        leaving = [entry for entry in change.changed if entry.is_leaving]
+        leaving = [
+            entry
+            for entry in change.changed
+            if entry.is_leaving and not self.directory.is_held(entry.target_id)
+        ]
         for entry in (*leaving, *change.removed):
             sent = TargetDeparture(
                 target_id=entry.target_id,
@@ -340,6 +344,14 @@
     """Any order of starts, departures, expiries, restores and late listings."""
 
     @settings(max_examples=150, deadline=None)
+    @example(
+        seed=3085919098,
+        change_share=0.11035156514977192,
+        expiry_share=0.003774725827821046,
+        restore_share=0.09884223713636583,
+        late_share=0.7533280660070851,
+        gossip_share=0.4584971687232809,
+    )
     @given(
         seed=st.integers(0, 2**32),
         change_share=st.floats(0, 0.2),
