Do not take a configuration that requests would fail on

On a weight that is a text or null, a name or service that is no text, or a target latency that is NaN closed the connection without an answer; a timeout that is NaN left the request unanswered. Since errors in a request are answered, it was a 503 for each, and the configuration was still in force.

Cause: only fields that the decoder itself calculates with were checked.

Fix: routes, shares, services, limits and account keys check what they hold, so that the decoder skips the whole configuration with configuration_unreadable, and the one before stays in force.

tests/platform/test_odd_configurations.py, on the code before: 59 failed with 'assert [2, 2] == [2]' (the odd one was taken). Now it passes, as do tests/platform and tests/routing/test_routes.py.

--- a/packages/citrondock-core/src/citrondock_core/routing/route.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/route.py
@@ -1,14 +1,47 @@
 """Configuration of routes, of the services behind them and of client limits."""
 
 import enum
+import math
+import reprlib
 from collections.abc import Mapping
+from typing import Any
 
 import attrs
 import xxhash
+from attrs.validators import ge, min_len
 
 _HASH_RANGE = 1 << 64
 
 
+def _is_text(_instance: object, attribute: "attrs.Attribute[Any]", value: Any) -> None:
+    if not isinstance(value, str) or not value or not value.isprintable():
+        raise ValueError(f"{attribute.name} is {reprlib.repr(value)}, not a text")
+
+
+def _has_texts(
+    instance: object,
+    attribute: "attrs.Attribute[Any]",
+    value: Mapping[Any, Any] | None,
+) -> None:
+    for key, text in (value or {}).items():
+        _is_text(instance, attribute, key)
+        _is_text(instance, attribute, text)
+
+
+def _is_positive(
+    _instance: object, attribute: "attrs.Attribute[Any]", value: float
+) -> None:
+    if not 0 < value < math.inf:
+        raise ValueError(f"{attribute.name} is {value!r}, not a number above 0")
+
+
+def _is_share(
+    _instance: object, attribute: "attrs.Attribute[Any]", value: float
+) -> None:
+    if not 0 <= value < math.inf:
+        raise ValueError(f"{attribute.name} is {value!r}, not a number from 0")
+
+
 class RouteKind(enum.Enum):
     """Whether a route's responses are streams, and which requests may run again."""
 
@@ -32,8 +65,8 @@
 class ServiceShare:
     """Relative share of a route's requests that goes to one service."""
 
-    service: str
-    weight: float
+    service: str = attrs.field(validator=_is_text)
+    weight: float = attrs.field(validator=_is_share)
 
 
 @attrs.frozen(kw_only=True)
@@ -64,17 +97,21 @@
         Whether requests need no account key.
     """
 
-    name: str
-    host: str
-    path_prefix: str
+    name: str = attrs.field(validator=_is_text)
+    host: str = attrs.field(validator=_is_text)
+    path_prefix: str = attrs.field(validator=_is_text)
     kind: RouteKind
-    shares: tuple[ServiceShare, ...]
-    timeout_s: float
-    first_answer_target_s: float
-    max_pause_s: float
-    max_attempts: int
+    shares: tuple[ServiceShare, ...] = attrs.field(validator=min_len(1))
+    timeout_s: float = attrs.field(validator=_is_positive)
+    first_answer_target_s: float = attrs.field(validator=_is_positive)
+    max_pause_s: float = attrs.field(validator=_is_positive)
+    max_attempts: int = attrs.field(validator=ge(1))
     is_public: bool
 
+    def __attrs_post_init__(self) -> None:
+        if not any(share.weight for share in self.shares):
+            raise ValueError(f"route {self.name} has no service with a share above 0")
+
     def service_for(self, request_id: str) -> str:
         """Return the service for a request id, the same on every router."""
         if len(self.shares) == 1:
@@ -116,7 +153,7 @@
         Capacity of its engines; None if its targets are no model engines.
     """
 
-    name: str
+    name: str = attrs.field(validator=_is_text)
     engine: ModelEngineOptions | None = None
 
 
@@ -134,10 +171,10 @@
         Time after which an idle connection is closed.
     """
 
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
+    max_header_bytes: int = attrs.field(validator=ge(1))
+    max_body_bytes: int = attrs.field(validator=ge(0))
+    header_timeout_s: float = attrs.field(validator=_is_positive)
+    idle_timeout_s: float = attrs.field(validator=_is_positive)
 
 
 @attrs.frozen(kw_only=True)
@@ -162,4 +199,4 @@
     routes: tuple[Route, ...]
     services: Mapping[str, ServiceOptions]
     limits: ClientLimits
-    account_by_key: Mapping[str, str] | None
+    account_by_key: Mapping[str, str] | None = attrs.field(validator=_has_texts)
