Keep connections to peers that stop reading for a few seconds

Callers that read nothing for more than about two seconds had their answer cut, although its engine was sound. A request with a long body to a target that read late got 502, also one that may run only once.

Cause: TCP_USER_TIMEOUT of 1.5 s is meant for dead peers, but Linux applies it to a peer with a full receive window as well, even if that peer acknowledges each probe.

Fix: while the write buffer is over its limit, which shows that the peer does not read, the timeout is 15 s; the request's own timeout still applies. A dead peer with so much unsent data is thus noticed later. Not covered: a peer that stops reading when only the kernel's buffer and less than the write buffer's limit are full.

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -20,6 +20,7 @@
     has_peer_closed,
     has_unread_data,
     reset_on_close,
+    tolerate_slow_peer,
 )
 
 LINGER_S = 1.0
@@ -105,15 +106,19 @@
 
     @override
     def pause_writing(self) -> None:
-        self._is_slow = True
-        if self._current is not None:
-            self._current.set_client_slow(True)
+        self._set_slow(is_slow=True)
 
     @override
     def resume_writing(self) -> None:
-        self._is_slow = False
+        self._set_slow(is_slow=False)
+
+    def _set_slow(self, *, is_slow: bool) -> None:
+        self._is_slow = is_slow
+        if self._transport is not None and not self._transport.is_closing():
+            sock = self._transport.get_extra_info("socket")
+            tolerate_slow_peer(sock, is_slow=is_slow)
         if self._current is not None:
-            self._current.set_client_slow(False)
+            self._current.set_client_slow(is_slow)
 
     @override
     def data_received(self, data: bytes) -> None:
--- a/packages/citrondock-router/src/citrondock_router/gateway/socket_options.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/socket_options.py
@@ -13,6 +13,9 @@
 USER_TIMEOUT_MS = 1500
 """Longest time that sent bytes stay unacknowledged before the connection ends."""
 
+SLOW_PEER_TIMEOUT_MS = 15_000
+"""The same while the peer reads slowly. The kernel applies the timeout to a peer that
+acknowledges everything but has no room for more, too."""
 
 _EXHAUSTION_ERRORS = frozenset({errno.EMFILE, errno.ENFILE})
 
@@ -53,6 +56,12 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def tolerate_slow_peer(sock: socket.socket, *, is_slow: bool) -> None:
+    """Keep the connection to a peer that has stopped reading for a while."""
+    timeout_ms = SLOW_PEER_TIMEOUT_MS if is_slow else USER_TIMEOUT_MS
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
 def reset_on_close(sock: socket.socket) -> None:
     """Make the next close of a socket send a TCP reset."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
@@ -11,7 +11,10 @@
 from typing_extensions import override
 
 from citrondock_router.gateway.header_codec import Header, ResponseHead
-from citrondock_router.gateway.socket_options import enable_dead_peer_detection
+from citrondock_router.gateway.socket_options import (
+    enable_dead_peer_detection,
+    tolerate_slow_peer,
+)
 
 MAX_OVERHEAD_BYTES = 262_144
 """Most bytes received in a row that are not passed on: heads, framing, and responses to
@@ -142,6 +145,14 @@
         if sock is not None and sock.family == socket.AF_INET:
             enable_dead_peer_detection(sock)
 
+    @override
+    def pause_writing(self) -> None:
+        self._tolerate_slow_target(is_slow=True)
+
+    @override
+    def resume_writing(self) -> None:
+        self._tolerate_slow_target(is_slow=False)
+
     @override
     def data_received(self, data: bytes) -> None:
         if self._listener is None or self._parser is None:
@@ -273,6 +284,13 @@
         if listener is not None:
             listener.response_failed(cause)
 
+    def _tolerate_slow_target(self, *, is_slow: bool) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        sock = self._transport.get_extra_info("socket")
+        if sock is not None and sock.family == socket.AF_INET:
+            tolerate_slow_peer(sock, is_slow=is_slow)
+
     def _close(self) -> None:
         if self._transport is not None:
             self._transport.abort()
--- a/tests/gateway/test_slow_clients.py
+++ b/tests/gateway/test_slow_clients.py
@@ -1,7 +1,8 @@
-"""A client that reads slowly is no reason to take its target for silent."""
+"""Clients and targets that stop reading for a while are served all the same."""
 
 import asyncio
 
+import attrs
 from harness import (
     Client,
     Harness,
@@ -11,12 +12,15 @@
     configuration,
     request,
     run,
+    send_complete_response,
     stream_head,
 )
 
 EVENT_COUNT = 400
 EVENT_BYTES = 50_000
 PAUSE_S = 1.0
+LONG_PAUSE_S = 3.0
+LONG_BODY_BYTES = 20_000_000
 FIRST_BODY_BYTES = 250_000
 FIRST_COUNT = 60
 
@@ -86,3 +90,36 @@
                 client.writer.close()
 
         run(check())
+
+
+class TestLongPause:
+    def test_a_stream_is_not_cut_when_its_client_reads_nothing_for_seconds(self):
+        async def check():
+            target = ScriptedTarget("t0", stream_long_events)
+            configured = configuration(timeout_s=9.0)
+            async with Harness([target], configured=configured) as harness:
+                client = await Client.connect(harness.port)
+                client.writer.write(request("/resumable/x"))
+                await asyncio.sleep(LONG_PAUSE_S)
+                assert (await client.read()).is_complete
+                client.writer.close()
+
+        run(check())
+
+    def test_a_request_is_not_cut_when_its_target_reads_nothing_for_seconds(self):
+        class LateTarget(ScriptedTarget):
+            async def _serve(self, reader, writer):
+                await asyncio.sleep(LONG_PAUSE_S)
+                await super()._serve(reader, writer)
+
+        async def check():
+            configured = configuration(timeout_s=9.0)
+            limits = attrs.evolve(configured.limits, max_body_bytes=LONG_BODY_BYTES)
+            configured = attrs.evolve(configured, limits=limits)
+            target = LateTarget("t0", send_complete_response)
+            async with Harness([target], configured=configured) as harness:
+                body = b"x" * LONG_BODY_BYTES
+                got = request("/unsafe/x", method="POST", body=body)
+                assert (await harness.send_and_receive(got)).status == 200
+
+        run(check())
