Keep a silent target's answer if the search for another meets an error

An unexpected error while another target was looked for ended the answer that was still under way. Found by the reviewer of the silent targets; no such error is known. A target that an earlier attempt had excluded also stays excluded after a search; the one that is searched in place of is left out by its name.

Failed before: 'assert 502 == 200'. tests/gateway/test_silent_targets.py and test_slow_clients.py pass.

--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -321,8 +321,12 @@
             self.may_search_from_s = self._loop.time() + SEARCH_PAUSE_S
             return
         self._is_searching = True
-        self.excluded.add(self.choice.load.entry.target_id)
-        self._scheduler.submit(self)
+        try:
+            self._scheduler.submit(self)
+        except Exception as error:
+            self._log("request_error", error=repr(error), place="search_elsewhere")
+            self._stop_search()
+            self.may_search_from_s = self._loop.time() + SEARCH_PAUSE_S
 
     def leave_silent_target(self) -> None:
         """End the attempt at a silent target, as another takes the request."""
@@ -673,8 +677,6 @@
     def _end_search(self) -> None:
         self._is_searching = False
         self._scheduler.return_retry(self)
-        if self.choice is not None:
-            self.excluded.discard(self.choice.load.entry.target_id)
 
     def _end_attempt(self, status: ExecutionStatus | None, reason: str) -> None:
         """Record the end of an attempt; ``status`` is None unless it failed."""
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -121,6 +121,22 @@
 
         run(check())
 
+    def test_an_error_in_the_search_does_not_end_the_answer(self, monkeypatch):
+        async def check():
+            async with make_harness(answer_late) as harness:
+                scheduler = harness.gateway.scheduler
+                submit = scheduler.submit
+
+                def fail_in_search(exchange):
+                    if exchange.silent_target_id is not None:
+                        raise RuntimeError("injected")
+                    submit(exchange)
+
+                monkeypatch.setattr(scheduler, "submit", fail_in_search)
+                assert (await harness.get("/safe/x")).status == 200
+
+        run(check())
+
     def test_a_client_that_leaves_ends_the_search(self):
         async def check():
             async with make_harness(never_answer, service="llm") as harness:
