Do not settle a restored registry's era while the registry is lost

Cause: the end of the grace is a point in time, set at the first listing of an era, whatever the store did meanwhile. A loss of the store now suspends it, and the return begins it anew.

Both tests failed before: "assert not True, where True = uses('e1')".

--- a/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
@@ -1,5 +1,6 @@
 """Directory of the targets that requests may be sent to."""
 
+import math
 from collections.abc import Iterable, Mapping
 
 import attrs
@@ -84,7 +85,7 @@
     the new era does. Targets that were removed, or that only another router's registry
     shows as departed, come back once the grace is over, as live targets have written
     again by then; so do incarnations before the one that was known. Entries that the
-    copy lacks get the grace, too.
+    copy lacks get the grace, too. An outage within the grace begins it anew.
 
     Parameters
     ----------
@@ -132,9 +133,16 @@
         known = self._departed.get(target_id)
         return known is None or known.shown_in_era == self.position.era
 
+    def registry_lost(self) -> None:
+        """Wait with settling a new era until the registry answers again."""
+        if self._era_settles_at_s is not None:
+            self._era_settles_at_s = math.inf
+
     def registry_recovered(self, *, now_s: float) -> None:
         """Start the grace period, as an outage of the registry has ended."""
         self._trusted_from_s = now_s + self._grace_s
+        if self._era_settles_at_s is not None:
+            self._era_settles_at_s = self._trusted_from_s
 
     def replace(
         self, entries: Iterable[TargetEntry], *, position: StorePosition, now_s: float
--- a/tests/platform/test_restored_registry.py
+++ b/tests/platform/test_restored_registry.py
@@ -41,6 +41,15 @@
         self.now_s = RESTORED_AT_S
         self.sink.listed(Snapshot(objects=[*objects, *OTHERS], revision=40, era=2))
 
+    def see_listing(self, objects, *, revision, era):
+        self.sink.listed(
+            Snapshot(objects=[*objects, *OTHERS], revision=revision, era=era)
+        )
+
+    def expire(self, *, after_s):
+        self.now_s += after_s
+        self.directory.expire(now_s=self.now_s)
+
     def uses(self, name):
         return name in {entry.target_id for entry in self.directory.usable()}
 
@@ -61,6 +70,27 @@
         router.see_restored([item("e1")])
         assert not router.uses("e1")
 
+    def test_it_stays_out_when_the_store_is_lost_again_within_the_grace(self, router):
+        router.see(item("e1", revision=52, is_deleted=True), revision=52)
+        router.see_restored([item("e1")])
+        router.sink.store_lost()
+        router.expire(after_s=5 * GRACE_S)
+        assert not router.uses("e1")
+        router.sink.store_returned()
+        router.see_listing([item("e1")], revision=41, era=2)
+        assert not router.uses("e1")
+        router.expire(after_s=GRACE_S)
+        assert router.uses("e1")
+
+    def test_it_stays_out_when_the_store_is_restored_twice(self, router):
+        router.see(item("e1", revision=52, is_deleted=True), revision=52)
+        router.see_restored([item("e1")])
+        router.sink.store_lost()
+        router.expire(after_s=GRACE_S)
+        router.sink.store_returned()
+        router.see_listing([item("e1")], revision=40, era=3)
+        assert not router.uses("e1")
+
 
 class TestEngineThatRegisteredInTheLostSeconds:
     def test_it_is_used_until_it_could_write_again(self, router):
