--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -196,6 +196,9 @@
     def __init__(self) -> None:
         super().__init__()
         self.revision = 10
+        self.era = 1
+        self.is_away = False
+        self._copy: tuple[int, dict[str, dict[str, dict]], list] | None = None
         self._objects: dict[str, dict[str, dict]] = {}
         self._history: list[tuple[int, str, dict]] = []
         self._changed = asyncio.Condition()
@@ -219,12 +222,36 @@
             task.cancel()
         return len(tasks)
 
+    def make_copy(self) -> None:
+        """Make the copy that the store comes back from."""
+        objects = {kind: dict(known) for kind, known in self._objects.items()}
+        self._copy = (self.revision, objects, list(self._history))
+
+    def go_away(self) -> None:
+        """Reset all connections, and turn away all calls with 503."""
+        self.is_away = True
+        for task, writer in list(self._writers.items()):
+            task.cancel()
+            writer.transport.abort()
+
+    async def come_back(self) -> None:
+        """Answer again, from the copy and in a new era."""
+        assert self._copy is not None
+        self.revision, objects, history = self._copy
+        self._objects = {kind: dict(known) for kind, known in objects.items()}
+        self._history = list(history)
+        self.era += 1
+        self.is_away = False
+
     async def _change(
         self, kind: str, name: str, spec: object, *, is_deleted: bool
     ) -> dict:
         async with self._changed:
-            self.revision += 1
             known = self._objects.setdefault(kind, {})
+            if not is_deleted and name in known and known[name]["spec"] == spec:
+                # A write that changes nothing makes no revision and no event.
+                return known[name]
+            self.revision += 1
             found = {
                 "metadata": {
                     "name": name,
@@ -252,10 +279,12 @@
         while True:
             request = await read_message(reader)
             method, target, _ = request.first_line.split(" ")
-            status, answer = await self._answer(method, target, request.body)
+            status, answer = 503, {}
+            if not self.is_away:
+                status, answer = await self._answer(method, target, request.body)
             data = encode_json(answer)
             writer.write(
-                f"HTTP/1.1 {status} X\r\nStore-Era: 1\r\n"
+                f"HTTP/1.1 {status} X\r\nStore-Era: {self.era}\r\n"
                 f"Content-Type: application/json\r\n"
                 f"Content-Length: {len(data)}\r\n\r\n".encode()
                 + data
@@ -292,6 +321,8 @@
     async def _watch(
         self, kind: str, after: int, query: dict[str, str]
     ) -> tuple[int, object]:
+        if after > self.revision:
+            return 410, {}
         loop = asyncio.get_running_loop()
         self.watches_began_s[kind] = loop.time()
         until_s = loop.time() + int(query["waitMs"]) / 1000
@@ -346,6 +377,7 @@
         self.record = record
         self.work_s = work_s
         self.born_ms = int(time.time() * 1000)
+        self.has_left = False
         # Time and request id of each request that reached it.
         self.arrivals: list[tuple[float, str]] = []
 
