--- a/review/3/case.py
+++ b/review/3/case.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 
-from routers import CONFIG_APPLY_S, LIMITS, STABLE_WINDOW_S, CannotRunError, Fleet
+from routers import CONFIG_APPLY_S, LIMITS, STABLE_WINDOW_S, Fleet, run_case
 from standins import Answer, Engine, Record, Store, send_request, send_steadily
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -144,8 +144,4 @@
 
 
 if __name__ == "__main__":
-    try:
-        sys.exit(asyncio.run(main()))
-    except (CannotRunError, OSError) as error:
-        print(f"cannot run: {error}")
-        sys.exit(2)
+    run_case(main)
--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
--- a/review/lib/routers.py
+++ b/review/lib/routers.py
@@ -6,8 +6,11 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import tomllib
+import traceback
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 
 from standins import HOST
@@ -51,11 +54,25 @@
 }
 
 
+EXIT_CANNOT_RUN = 2
+
+
 class CannotRunError(Exception):
     """The case cannot run here."""
 
 
-_first_ports = iter(range(21_000 + os.getpid() % 400 * 20, 32_000, 20))
+def run_case(main: Callable[[], Coroutine[None, None, int]]) -> None:
+    """Run a case, and exit with its code; with 2 if it could not run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_CANNOT_RUN))
+    try:
+        code = asyncio.run(main())
+    except Exception:
+        traceback.print_exc()
+        code = EXIT_CANNOT_RUN
+    sys.exit(code)
+
+
+_first_ports = iter(range(21_000 + os.getpid() * 7919 % 400 * 20, 32_000, 20))
 """No two routers get the same ports, also before they are bound."""
 
 
