--- a/review/3/case.py
+++ b/review/3/case.py
@@ -22,7 +22,7 @@
 """Streams that are asked for, so that all slots are taken; the rest is refused."""
 EVENTS, EVENT_PAUSE_S = 40, 0.1
 ROUTE_TIMEOUT_S = 15.0
-STOP_AT_S, SILENCE_AFTER_S, SILENCE_S = 1.5, 0.3, 1.2
+STOP_AT_S, SILENCE_AFTER_S, SILENCE_S = 1.5, 0.3, 1.3
 GRACE_S = float(BOUNDS["graceS"])
 
 
