--- a/review/1/case.py
+++ b/review/1/case.py
@@ -28,8 +28,9 @@
 STATUS_DEADLINE_S = 1.5
 SENT_FOR_S = 20.0
 TROUBLE_AT_S, TROUBLE_FOR_S = 5.0, 5.5
-SPOILED_COUNT = 6
-"""Answers that the engine in trouble spoils; 2 in 100 of what it answers in a day."""
+SPOILED_ONE_IN = 50
+"""Of the answers that the engine gives in its trouble, only this one is spoiled."""
+DRAFTS_PER_S = 60.0
 MIN_COUNTED = 8
 EVENTS, EVENT_PAUSE_S = 13, 0.03
 
@@ -43,11 +44,12 @@
 
     Attributes
     ----------
-    spoil_count : int
-        How many of its next answers it spoils.
+    is_in_trouble : bool
+        Whether it may spoil an answer.
     """
 
-    spoil_count = 0
+    is_in_trouble = False
+    _troubled_count = 0
 
     async def run(
         self, request: Message, request_id: str, writer: asyncio.StreamWriter
@@ -59,9 +61,10 @@
         first = int(request.headers.get("last-event-id", "-1")) + 1
         await asyncio.sleep(0.05)
         writer.write(head)
-        if self.spoil_count > 0:
-            self.spoil_count -= 1
-            await self._spoil(request_id, writer)
+        if self.is_in_trouble:
+            self._troubled_count += 1
+            if self._troubled_count == SPOILED_ONE_IN:
+                await self._spoil(request_id, writer)
         for number in range(first, EVENTS):
             event = b"id: %d\ndata: some words\n\n" % number
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
@@ -134,14 +137,13 @@
     }
 
 
-async def spoil(engine: ModelEngine, record: Record) -> None:
-    """Have the engine spoil some answers, spread over the time of its trouble."""
+async def trouble(engine: ModelEngine, record: Record) -> None:
+    """Put an engine into trouble for a while."""
     await asyncio.sleep(TROUBLE_AT_S)
     record.add("trouble_begins", engine=engine.engine_id)
-    for _ in range(SPOILED_COUNT):
-        engine.spoil_count += 1
-        await asyncio.sleep(TROUBLE_FOR_S / SPOILED_COUNT)
-    engine.spoil_count = 0
+    engine.is_in_trouble = True
+    await asyncio.sleep(TROUBLE_FOR_S)
+    engine.is_in_trouble = False
     record.add("trouble_ends", engine=engine.engine_id)
 
 
@@ -236,10 +238,10 @@
         if TROUBLE:
             model_engine = engines[0]
             assert isinstance(model_engine, ModelEngine)
-            tasks.append(asyncio.ensure_future(spoil(model_engine, record)))
+            tasks.append(asyncio.ensure_future(trouble(model_engine, record)))
         statuses, drafts = await asyncio.gather(
             send_steadily(send_status, per_s=24.0, for_s=SENT_FOR_S),
-            send_steadily(send_draft, per_s=24.0, for_s=SENT_FOR_S),
+            send_steadily(send_draft, per_s=DRAFTS_PER_S, for_s=SENT_FOR_S),
         )
         whole = sum(answer.status == 200 for answer in drafts)
         record.add("drafts", sent=len(drafts), answered=whole)
