Skip large odd entries of the store without decoding them

Cause: a page that orjson rejects was split token by token in Python on the event loop, each level anew: 2.8 to 4.2 s for a page of three such entries. Entries that orjson can read cost, too: 1 MB of empty lists is 350,000 values.

Ruled out: decoding in a thread (the interpreter's lock is held all the same); a decoder that skips values (they end at the same depth as orjson).

Why it works: values are skipped by whole-text operations, some kilobytes at a time, with turns for other tasks; of pages above 256 KiB an entry is decoded only up to 16 KiB. The splitting knows nothing of the platform and moved to the gateway, which keeps the adapter small.

--- /dev/null
+++ b/tests/gateway/test_json_splitter.py
@@ -0,0 +1,45 @@
+"""The parts of a split JSON text are those that a decoder finds."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+
+from citrondock_router.gateway.json_splitter import finish, split_array, split_object
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text('ab"\\[]{},: ', max_size=8),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(max_size=3), inner),
+    max_leaves=20,
+)
+
+
+class TestSplitting:
+    @hypothesis_settings(max_examples=300, deadline=None)
+    @given(items=st.lists(json_values), repeats=st.integers(1, 400))
+    def test_items_of_an_array(self, items, repeats):
+        expected = [items * repeats, *items]
+        parts = finish(split_array(json.dumps(expected).encode()))
+        assert [json.loads(part) for part in parts] == expected
+
+    @hypothesis_settings(max_examples=300, deadline=None)
+    @given(fields=st.dictionaries(st.text(max_size=5), json_values))
+    def test_members_of_an_object(self, fields):
+        parts = finish(split_object(json.dumps(fields, indent=1).encode()))
+        assert {name: json.loads(part) for name, part in parts.items()} == fields
+
+    @pytest.mark.parametrize("depth", [1, 15, 16, 17, 1_000, 100_000])
+    def test_nested_items_that_alternate(self, depth):
+        item = b"[" * depth + b"]" * depth
+        group = b'["]",%b]' % b",".join([item] * (200_000 // depth + 1))
+        parts = finish(split_array(b"[%b,%b,1]" % (group, item)))
+        assert parts == [group, item, b"1"]
+
+    @pytest.mark.parametrize(
+        "text", [b"", b"[", b"{}", b"[1", b'["', b'["]', b"[[]", b"[[[]", b"x[]"]
+    )
+    def test_what_is_no_array_is_an_error(self, text):
+        with pytest.raises(ValueError, match="JSON"):
+            finish(split_array(text))
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 
 import attrs
 import pytest
@@ -13,13 +14,14 @@
 from citrondock_core.routing.target_directory import TargetDirectory
 from citrondock_platform import configuration
 from citrondock_platform.configuration import ConfigurationSink
-from citrondock_platform.json_pages import decode_page
+from citrondock_platform.json_pages import MAX_VALUE_BYTES, decode_page
 from citrondock_platform.peers import StorePeerRegistry
 from citrondock_platform.settings import SettingsFileError, read_settings
 from citrondock_platform.store import PlatformStore
 from citrondock_platform.targets import TargetSink
 from citrondock_router.gateway.gateway_settings import Address
 from citrondock_router.gateway.http_client import HttpResponse
+from citrondock_router.gateway.json_splitter import Unreadable
 from citrondock_router.gateway.watched_store import Snapshot, WatchedObject
 
 DEPTH = 200_000
@@ -163,6 +165,91 @@
         assert asyncio.run(configured()) == []
 
 
+VALUE_BYTES = 1_000_000
+"""Size of an odd entry; the store takes objects of 1,048,576 bytes."""
+
+MAX_WAIT_S = 0.5
+"""Half a second after its timeout, a request must have an answer."""
+
+LARGE_VALUES = {
+    "nested_lists": b"[" * (VALUE_BYTES // 2) + b"]" * (VALUE_BYTES // 2),
+    "nested_objects": b'{"":' * (VALUE_BYTES // 5) + b"0" + b"}" * (VALUE_BYTES // 5),
+    "many_lists": b"[" + b"[]," * (VALUE_BYTES // 3) + b"[]]",
+    "many_lists_deep_down": b"[" * 2000
+    + b"[]," * (VALUE_BYTES // 3)
+    + b"[]"
+    + b"]" * 2000,
+    "many_texts": b"[" + b'"]",' * (VALUE_BYTES // 4) + b'"["]',
+    "many_objects_and_no_utf8": b"[" + b'{"":0},' * (VALUE_BYTES // 7) + b'"\xff"]',
+    "long_number": b"9" * VALUE_BYTES,
+    "long_text_of_quotes": b'"' + rb"\"" * (VALUE_BYTES // 2) + b'"',
+}
+
+
+async def longest_pause_s(call):
+    """Return the longest time for which a call keeps other tasks waiting."""
+    task = asyncio.ensure_future(call)
+    longest_s = 0.0
+    while not task.done():
+        began_s = time.monotonic()
+        await asyncio.sleep(0)
+        longest_s = max(longest_s, time.monotonic() - began_s)
+    await task
+    return longest_s
+
+
+@pytest.mark.parametrize("odd", LARGE_VALUES.values(), ids=LARGE_VALUES.keys())
+class TestLargeEntries:
+    def page(self, odd, count=3):
+        odd_entries = [entry(f"odd-{number}", odd) for number in range(count)]
+        return page([entry("a", spec()), *odd_entries, entry("c", spec())])
+
+    def test_the_sound_entries_beside_them_are_followed(self, odd):
+        assert followed([self.page(odd)]) == {"a", "c"}
+        odd_events = [entry(f"odd-{number}", odd) for number in range(3)]
+        events = [entry("a", spec()), *odd_events, entry("c", spec())]
+        assert watched(events) == {"a", "c"}
+
+    def test_others_are_served_while_they_are_read(self, odd):
+        async def check():
+            store = PagedStore([self.page(odd)])
+            assert await longest_pause_s(store.list("servers")) < MAX_WAIT_S
+
+        asyncio.run(check())
+
+    def test_they_are_not_decoded(self, odd):
+        items = decode_page(self.page(odd))["items"]
+        assert all(isinstance(item["spec"], Unreadable) for item in items[1:4])
+
+    def test_their_engines_are_known_by_name(self, odd):
+        items = decode_page(self.page(odd))["items"]
+        assert [item["metadata"]["name"] for item in items[1:4]] == [
+            "odd-0",
+            "odd-1",
+            "odd-2",
+        ]
+
+
+class TestSizeOfEntries:
+    def test_all_entries_of_a_large_page_are_read(self):
+        names = [f"engine-{number}" for number in range(5_000)]
+        body = page([entry(name, spec()) for name in names])
+        assert followed([body]) == set(names)
+
+    def test_one_over_the_limit_says_so(self):
+        items = [entry("a", spec(zone=b'"%b"' % (b"z" * MAX_VALUE_BYTES)))] * 20
+        reason = decode_page(page(items))["items"][0]["spec"].reason
+        assert f"exceeds {MAX_VALUE_BYTES} bytes" in reason
+
+    def test_a_configuration_may_be_as_large_as_the_store_takes_it(self):
+        async def read():
+            text = b'"%b"' % (b"x" * VALUE_BYTES)
+            store = PagedStore([page([entry("main", b'{"text":%b}' % text)])])
+            return await store.list("config")
+
+        assert len(asyncio.run(read()).objects[0].value["text"]) == VALUE_BYTES
+
+
 class TestAnyEntry:
     json_values = st.recursive(
         st.none()
