Leave a silent target only once another has begun to answer

Cause: the attempt at the silent target was ended when another was granted. If that one turns the request away, fails or is silent itself, and the attempts are used up, a stream that would have gone on is lost.

Ruled out: the empty record of the new home router as the cause; it makes the wrong grants, but a stream is lost only because its silent engine was left. Not counting rejected attempts: it would only repeat the loss elsewhere.

Why it works: Takeover sends the request to the other target beside the silent one, and the first of the two that answers has it. It holds for plain requests and for targets without grants, too.

--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -21,10 +21,17 @@
     EventBoundary,
     EventStreamFilter,
 )
-from citrondock_router.gateway.header_codec import Header, HeaderCodec, ResponseHead
+from citrondock_router.gateway.header_codec import (
+    Header,
+    HeaderCodec,
+    ResponseFacts,
+    ResponseHead,
+)
 from citrondock_router.gateway.outcome import Outcome
 from citrondock_router.gateway.request_handler import ClientRequest, RequestInProgress
+from citrondock_router.gateway.takeover import Takeover, TakeoverHandler
 from citrondock_router.gateway.target_connection import (
+    MAX_REFUSAL_BYTES,
     ResponseFailure,
     ResponseListener,
     TargetConnection,
@@ -38,9 +45,6 @@
 MAX_CONNECT_ATTEMPTS = 4
 """Most targets to which a connection is tried before the request is refused."""
 
-MAX_REFUSAL_BYTES = 65_536
-"""Bytes of a refusal's body that are read so that its connection can be used again."""
-
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses from which a client concludes that its request did not run."""
 
@@ -89,28 +93,42 @@
         """Record the arrival of the first bytes of a response."""
 
     @abstractmethod
-    def limit_shown(self, exchange: "Exchange", requests_per_s: float | None) -> None:
+    def limit_shown(
+        self, choice: PlacementChoice, requests_per_s: float | None, *, sent_at_s: float
+    ) -> None:
         """Record the limit that a response names; None if it names none."""
 
     @abstractmethod
-    def target_leaves(self, exchange: "Exchange") -> None:
-        """Record that the target states in a response that it is leaving."""
+    def target_leaves(self, choice: PlacementChoice) -> None:
+        """Record that a target states in a response that it is leaving."""
 
     @abstractmethod
-    def pause_requested(self, exchange: "Exchange", retry_after_s: float) -> None:
-        """Record that the target wants no further requests for some seconds."""
+    def pause_requested(
+        self, exchange: "Exchange", choice: PlacementChoice, retry_after_s: float
+    ) -> None:
+        """Record that a target wants no further requests for some seconds."""
 
     @abstractmethod
     def response_begun(self, exchange: "Exchange") -> None:
         """Record that the target has sent a whole event or a whole response."""
 
     @abstractmethod
-    def connection_lost(self, exchange: "Exchange") -> None:
+    def connection_lost(self, exchange: "Exchange", choice: PlacementChoice) -> None:
         """Record that a connection ended before the response had begun."""
 
     @abstractmethod
-    def connection_refused(self, exchange: "Exchange") -> None:
-        """Record that the target refused a connection."""
+    def connection_refused(self, choice: PlacementChoice) -> None:
+        """Record that a target refused a connection."""
+
+    @abstractmethod
+    def takeover_won(self, exchange: "Exchange") -> None:
+        """Record that the request is now at the target that was to take it over."""
+
+    @abstractmethod
+    def takeover_ended(
+        self, exchange: "Exchange", choice: PlacementChoice, *, failed: bool
+    ) -> None:
+        """Record that a target does not take a request over."""
 
     @abstractmethod
     def attempt_ended(self, exchange: "Exchange", *, failed: bool) -> None:
@@ -142,7 +160,7 @@
     return guarded
 
 
-class Exchange(ResponseListener, RequestInProgress):
+class Exchange(ResponseListener, RequestInProgress, TakeoverHandler):
     """Sends one request, retries it if allowed, and passes the response on.
 
     Whether a failed attempt may be retried is decided by `AttemptHistory` and the
@@ -213,6 +231,7 @@
         self.excluded: set[str] = set()
         # Whether another target is looked for while a silent one keeps the request.
         self._is_searching = False
+        self._takeover: Takeover | None = None
         self.is_silent = False
         self.is_client_slow = False
         self.may_search_from_s = now_s
@@ -266,6 +285,11 @@
         """Whether the request waits for a target, perhaps in place of a silent one."""
         return self.state is ExchangeState.WAITING or self._is_searching
 
+    @property
+    def has_takeover(self) -> bool:
+        """Whether another target was sent the request that a silent one keeps."""
+        return self._takeover is not None
+
     @property
     def silent_target_id(self) -> str | None:
         """Target that another is looked for in place of; None if there is none."""
@@ -277,7 +301,11 @@
 
     @_answers_on_error
     def send_to(self, choice: PlacementChoice) -> None:
-        """Send the request to a target."""
+        """Send the request to a target, which may have to take it over."""
+        if self._is_searching:
+            self._is_searching = False
+            self._begin_takeover(choice)
+            return
         self.choice = choice
         if not self._shutdown.may_send(self.route, now_s=self._loop.time()):
             self._end_unanswered(HTTPStatus.BAD_GATEWAY, "leaving", "leaving")
@@ -312,12 +340,12 @@
     def search_elsewhere(self) -> None:
         """Look for another target while the silent one keeps the request.
 
-        A sound target may be silent for a while, so it is left only for one that takes
-        the request at once.
+        A sound target may be silent for a while, so it is left only for one that has
+        begun to answer.
         """
         if self.state not in (ExchangeState.SENT, ExchangeState.RECEIVING):
             return
-        if self.is_waiting or not self.route.kind.may_run_again:
+        if self.is_waiting or self.has_takeover or not self.route.kind.may_run_again:
             return
         if self.choice is None or not self._take_retry():
             self.may_search_from_s = self._loop.time() + SEARCH_PAUSE_S
@@ -330,15 +358,6 @@
             self._stop_search()
             self.may_search_from_s = self._loop.time() + SEARCH_PAUSE_S
 
-    def leave_silent_target(self) -> None:
-        """End the attempt at a silent target, as another takes the request."""
-        if not self._is_searching:
-            return
-        self._is_searching = False
-        self._close_connection()
-        self._end_attempt(ExecutionStatus.MAY_HAVE_RUN, "silent")
-        self._prepare_next_attempt()
-
     def end_after_error(self, error: Exception) -> None:
         """End the request after an error that nothing else handles."""
         log_event(
@@ -401,27 +420,41 @@
             return True
 
     def _start_response(self, head: ResponseHead) -> bool:
-        facts = self._header_codec.response_facts(head)
-        if facts.is_leaving:
-            self._scheduler.target_leaves(self)
-        if facts.retry_after_s is not None:
-            self._scheduler.pause_requested(self, facts.retry_after_s)
-        if facts.request_id and facts.request_id != self.facts.request_id:
-            self._log("foreign_answer", answered_id=facts.request_id)
+        facts = self._read_facts(head, self.choice, sent_at_s=self.sent_at_s)
+        if facts is None:
             return False
         self._head = head
-        # A refusal that names no request may be one of an earlier request.
-        names_request = facts.request_id == self.facts.request_id
-        self._did_not_run = facts.did_not_run and names_request
-        is_genuine = facts.is_signed and bool(facts.request_id)
-        if facts.max_requests_per_s is not None or (head.is_success and is_genuine):
-            self._scheduler.limit_shown(self, facts.max_requests_per_s)
-        if head.is_success and not is_genuine:
+        self._did_not_run = self._is_own_refusal(facts)
+        if head.is_success and not facts.is_genuine:
             self._fail_response("unsigned_answer")
         elif head.is_success and not self._response.can_continue_with(head):
             self._fail_response("no_continuation")
         return True
 
+    def _read_facts(
+        self, head: ResponseHead, choice: PlacementChoice | None, *, sent_at_s: float
+    ) -> ResponseFacts | None:
+        """Record what a target states; return None if it is of another request."""
+        facts = self._header_codec.response_facts(head)
+        if choice is not None and facts.is_leaving:
+            self._scheduler.target_leaves(choice)
+        if choice is not None and facts.retry_after_s is not None:
+            self._scheduler.pause_requested(self, choice, facts.retry_after_s)
+        if facts.request_id and facts.request_id != self.facts.request_id:
+            self._log("foreign_answer", answered_id=facts.request_id)
+            return None
+        names_limit = facts.max_requests_per_s is not None
+        is_answer = head.is_success and facts.is_genuine
+        if choice is not None and (names_limit or is_answer):
+            self._scheduler.limit_shown(
+                choice, facts.max_requests_per_s, sent_at_s=sent_at_s
+            )
+        return facts
+
+    def _is_own_refusal(self, facts: ResponseFacts) -> bool:
+        # A refusal that names no request may be one of an earlier request.
+        return facts.did_not_run and facts.request_id == self.facts.request_id
+
     @override
     @_answers_on_error
     def response_data(self, data: bytes) -> None:
@@ -479,9 +512,9 @@
             self._handle_not_run()
             return
         is_lost = cause in (ResponseFailure.CLOSED, ResponseFailure.RESET)
-        if is_lost and not self._has_begun:
+        if is_lost and not self._has_begun and self.choice is not None:
             self.history.record_lost()
-            self._scheduler.connection_lost(self)
+            self._scheduler.connection_lost(self, self.choice)
         self._retry_or_fail(cause.value)
 
     # Connecting and sending.
@@ -494,7 +527,7 @@
         except (OSError, TimeoutError) as error:
             self._connect_task = None
             if isinstance(error, ConnectionRefusedError):
-                self._scheduler.connection_refused(self)
+                self._scheduler.connection_refused(self.choice)
             self._connect_failed(str(error) or type(error).__name__)
             return
         except Exception as error:
@@ -516,9 +549,26 @@
     @_answers_on_error
     def _send_request(self, connection: TargetConnection) -> None:
         assert self.choice is not None
-        entry = self.choice.load.entry
-        now_s = self._loop.time()
-        time_left_s = self.deadline_s - now_s
+        request_bytes = self._request_for(self.choice)
+        self._await_response(connection, sent_at_s=self._loop.time())
+        connection.send(request_bytes, self, is_head=self._is_head_request)
+
+    def _await_response(
+        self, connection: TargetConnection, *, sent_at_s: float
+    ) -> None:
+        """Start to wait for the response on a connection."""
+        self.state = ExchangeState.SENT
+        self.sent_at_s = self.last_data_at_s = sent_at_s
+        self._head = None
+        self._did_not_run = self._has_begun = False
+        self._refusal_bytes = 0
+        self._response.discard_buffer()
+        self._connection = connection
+
+    def _request_for(self, choice: PlacementChoice) -> bytes:
+        """Return the request as it is sent to a target now, and record that."""
+        entry = choice.load.entry
+        time_left_s = self.deadline_s - self._loop.time()
         resume_after = self.facts.resume_after_event_id
         if self._event_filter is not None:
             resume_after = self._event_filter.last_event_id
@@ -529,22 +579,15 @@
             time_left_s=time_left_s,
             resume_after_event_id=resume_after,
         )
-        self.state = ExchangeState.SENT
-        self.sent_at_s = self.last_data_at_s = now_s
-        self._head = None
-        self._did_not_run = self._has_begun = False
-        self._refusal_bytes = 0
-        self._response.discard_buffer()
-        self._connection = connection
         self.history.record_sent(entry.target_id)
         self._log(
             "request_sent",
+            choice=choice,
             attempt=self.history.sent_count,
             time_left_s=time_left_s,
             resumed_after=resume_after,
         )
-        request_bytes = self._encode_request(headers)
-        connection.send(request_bytes, self, is_head=self._is_head_request)
+        return self._encode_request(headers)
 
     def _encode_request(self, headers: Sequence[Header]) -> bytes:
         head, body = self.request.head, self.request.body
@@ -575,6 +618,7 @@
     def _record_progress(self) -> None:
         self.last_data_at_s = self._last_received_at_s
         self._stop_search()
+        self._cancel_takeover("silent_target_resumed")
         if self.is_silent:
             self.is_silent = False
             self._scheduler.target_resumed(self)
@@ -626,13 +670,13 @@
         """Spend a retry if a response with an error status is to be retried."""
         if head.status < 500 or not self.route.kind.may_run_again:
             return False
-        return not self._response.is_buffer_exceeded and self._take_retry()
+        return not self._response.is_buffer_exceeded and self._take_next_attempt()
 
     def _handle_not_run(self) -> None:
         assert self._head is not None
         reason = f"rejected with {self._head.status}"
         self._end_attempt(ExecutionStatus.NOT_RUN, reason)
-        if self._take_retry():
+        if self._take_next_attempt():
             self._resubmit()
         elif self._response.has_begun:
             self._abort_response(reason)
@@ -652,24 +696,153 @@
     def _retry_or_fail(self, reason: str) -> None:
         # The history needs this attempt to decide whether another is allowed.
         self._end_attempt(ExecutionStatus.MAY_HAVE_RUN, reason)
-        if self._take_retry():
+        if self._take_next_attempt():
             self._resubmit()
         elif self._response.has_begun:
             self._abort_response(reason)
         else:
             self._fail(HTTPStatus.BAD_GATEWAY, reason)
 
+    # Another target while a silent one keeps the request.
+
+    def _begin_takeover(self, choice: PlacementChoice) -> None:
+        self._takeover = Takeover(choice, self, self._connections, self._loop)
+        if self._shutdown.may_send(self.route, now_s=self._loop.time()):
+            self._takeover.begin(self.facts.request_id, is_head=self._is_head_request)
+        else:
+            self._cancel_takeover("leaving")
+
+    def _adopt_takeover(self, takeover: Takeover) -> None:
+        """Wait for the response of the other target alone, from now on."""
+        assert takeover.connection is not None
+        self._takeover = None
+        self.choice = takeover.choice
+        self._await_response(takeover.connection, sent_at_s=takeover.sent_at_s)
+        takeover.connection.pass_to(self)
+        self._scheduler.takeover_won(self)
+
+    def give_up_takeover(self, *, sent_before_s: float) -> None:
+        """Let the search go on if the other target is silent, too."""
+        takeover = self._takeover
+        if takeover is None or not takeover.is_sent or not self._may_send_again():
+            return
+        if takeover.sent_at_s < sent_before_s:
+            self._cancel_takeover("silent", failed=True)
+
+    def _cancel_takeover(self, reason: str, *, failed: bool = False) -> None:
+        """Take the request back from the other target, if there is one."""
+        if self._takeover is not None:
+            self._takeover.cancel()
+            status = ExecutionStatus.NOT_RUN
+            if self._takeover.is_sent:
+                status = ExecutionStatus.MAY_HAVE_RUN
+            self._end_takeover(self._takeover, status, reason, failed=failed)
+
+    def _end_takeover(
+        self,
+        takeover: Takeover,
+        status: ExecutionStatus,
+        reason: str,
+        *,
+        failed: bool = True,
+    ) -> None:
+        if takeover is not self._takeover:
+            return
+        self._takeover = None
+        self._log(
+            "takeover_ended",
+            choice=takeover.choice,
+            reason=reason,
+            proof=status.value,
+            attempt=self.history.sent_count,
+        )
+        if takeover.is_sent:
+            self.history.record_ended(status)
+        else:
+            self._scheduler.return_retry(self)
+        if failed:
+            self.excluded.add(takeover.choice.load.entry.target_id)
+        self.may_search_from_s = self._loop.time() + SEARCH_PAUSE_S
+        self._scheduler.takeover_ended(self, takeover.choice, failed=failed)
+
+    @override
+    def takeover_request(self, takeover: Takeover) -> bytes:
+        return self._request_for(takeover.choice)
+
+    @override
+    def takeover_answered(self, takeover: Takeover, head: ResponseHead) -> bool:
+        if takeover is not self._takeover:
+            return True
+        facts = self._read_facts(head, takeover.choice, sent_at_s=takeover.sent_at_s)
+        if facts is None:
+            return False
+        can_continue = self._response.can_continue_with(head)
+        if head.is_success and facts.is_genuine and can_continue:
+            self._close_connection()
+            self._end_attempt(ExecutionStatus.MAY_HAVE_RUN, "silent")
+            self._prepare_next_attempt()
+            self._adopt_takeover(takeover)
+            self._head = head
+            return True
+        if self._is_own_refusal(facts) and takeover.connection is not None:
+            takeover.connection.refused_request_ids.add(self.facts.request_id)
+            status = ExecutionStatus.NOT_RUN
+        else:
+            takeover.cancel()
+            status = ExecutionStatus.MAY_HAVE_RUN
+        self._end_takeover(takeover, status, f"status {head.status}")
+        return True
+
+    @override
+    @_answers_on_error
+    def takeover_rejected(self, takeover: Takeover) -> None:
+        self._end_takeover(takeover, ExecutionStatus.MAY_HAVE_RUN, "no_answer")
+
+    @override
+    @_answers_on_error
+    def takeover_lost(self, takeover: Takeover, cause: ResponseFailure) -> None:
+        if takeover is not self._takeover:
+            return
+        if cause in (ResponseFailure.CLOSED, ResponseFailure.RESET):
+            self.history.record_lost()
+            self._scheduler.connection_lost(self, takeover.choice)
+        self._end_takeover(takeover, ExecutionStatus.MAY_HAVE_RUN, cause.value)
+
+    @override
+    @_answers_on_error
+    def takeover_unconnected(
+        self, takeover: Takeover, error: OSError | TimeoutError
+    ) -> None:
+        if isinstance(error, ConnectionRefusedError):
+            self._scheduler.connection_refused(takeover.choice)
+        reason = str(error) or type(error).__name__
+        self._end_takeover(takeover, ExecutionStatus.NOT_RUN, f"connect: {reason}")
+
     # Retries and the end of the request.
 
     def _take_retry(self) -> bool:
         """Spend a retry if one is allowed; return whether it is."""
+        return self._may_send_again() and self._scheduler.take_retry(self)
+
+    def _may_send_again(self) -> bool:
         if self._response.is_buffer_exceeded or self._loop.time() >= self.deadline_s:
             return False
-        return self.history.may_send_again() and self._scheduler.take_retry(self)
+        return self.history.may_send_again()
+
+    def _take_next_attempt(self) -> bool:
+        """Return whether the request is at another target or may be sent to one."""
+        if self._takeover is not None and self._takeover.is_sent:
+            return True
+        self._cancel_takeover("silent_target_failed")
+        return self._take_retry()
 
     def _resubmit(self) -> None:
+        """Let another target answer: that which was sent the request, or a new one."""
         self._prepare_next_attempt()
-        self._scheduler.submit(self)
+        if self._takeover is not None:
+            self._adopt_takeover(self._takeover)
+        else:
+            self._scheduler.submit(self)
 
     def _prepare_next_attempt(self) -> None:
         if self._event_filter is not None:
@@ -723,6 +896,7 @@
 
     def _cancel_attempt(self) -> None:
         self._stop_search()
+        self._cancel_takeover("request_ended")
         if self.state is ExchangeState.WAITING:
             self._scheduler.withdraw(self)
         if self.state in (ExchangeState.SENT, ExchangeState.RECEIVING):
@@ -773,6 +947,7 @@
         self._finish(Outcome(status=0, reason=f"broken_off: {reason}"))
 
     def _finish(self, outcome: Outcome) -> None:
+        self._cancel_takeover("request_ended")
         self.state = ExchangeState.DONE
         self._timer.cancel()
         if outcome.is_complete:
@@ -784,8 +959,11 @@
             )
         self._scheduler.finished(self, outcome)
 
-    def _log(self, event: str, **fields: LogValue) -> None:
-        target = self.choice.load.entry.target_id if self.choice else ""
+    def _log(
+        self, event: str, *, choice: PlacementChoice | None = None, **fields: LogValue
+    ) -> None:
+        choice = choice or self.choice
+        target = choice.load.entry.target_id if choice else ""
         log_event(
             event,
             level="INFO",
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
@@ -135,9 +135,10 @@
         self._crashes = crashes
         self._loop = loop
         # The search of a request that waits, and that which led to its present engine;
-        # a request at a silent engine has both.
+        # a request at a silent engine has both, or one that led to another engine.
         self._searches: dict[int, _EngineSearch] = {}
         self._granted: dict[int, _EngineSearch] = {}
+        self._takeovers: dict[int, _EngineSearch] = {}
 
     def submit(
         self, exchange: Exchange, prompt: PromptFacts, *, wait_until_s: float
@@ -189,6 +190,17 @@
         search = self._granted.pop(id(exchange), None)
         self._finish(search, Stage.FAILED if failed else Stage.ENDED)
 
+    def takeover_won(self, exchange: Exchange) -> None:
+        """Record that a request is now at the engine that was to take it over."""
+        search = self._takeovers.pop(id(exchange), None)
+        if search is not None:
+            self._granted[id(exchange)] = search
+
+    def takeover_ended(self, exchange: Exchange, *, failed: bool) -> None:
+        """Report to the home router that its engine does not take a request over."""
+        search = self._takeovers.pop(id(exchange), None)
+        self._finish(search, Stage.FAILED if failed else Stage.ENDED)
+
     def _finish(self, search: _EngineSearch | None, stage: Stage) -> None:
         if search is None:
             return
@@ -338,8 +350,9 @@
         if engine is not None:
             self._placement.record_sent(search.prompt, target_id, engine.memory_tokens)
         predicted = attrs.evolve(choice, first_answer_s=answer.first_answer_s)
-        exchange.leave_silent_target()
-        self._granted[id(exchange)] = self._searches.pop(id(exchange))
+        is_takeover = exchange.silent_target_id is not None
+        granted = self._takeovers if is_takeover else self._granted
+        granted[id(exchange)] = self._searches.pop(id(exchange))
         self._pool.start(exchange, predicted)
 
     def _handle_trial_refusal(
--- a/packages/citrondock-router/src/citrondock_router/gateway/header_codec.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/header_codec.py
@@ -97,6 +97,11 @@
     is_leaving: bool = False
     retry_after_s: float | None = None
 
+    @property
+    def is_genuine(self) -> bool:
+        """Whether the response is signed and names its request."""
+        return self.is_signed and bool(self.request_id)
+
 
 class HeaderCodec(ABC):
     """Reads facts from headers and writes the headers of both connections.
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -37,7 +37,11 @@
 from citrondock_router.gateway.grant_requester import EnginePool, GrantRequester
 from citrondock_router.gateway.outcome import Outcome
 from citrondock_router.gateway.permit_requester import PermitRequester
-from citrondock_router.gateway.stall_detection import StallOptions, is_stalled
+from citrondock_router.gateway.stall_detection import (
+    StallOptions,
+    first_byte_timeout_s,
+    is_stalled,
+)
 from citrondock_router.gateway.target_connection_pool import TargetConnectionPool
 from citrondock_router.log import log_event
 
@@ -223,24 +227,22 @@
         )
 
     @override
-    def limit_shown(self, exchange: Exchange, requests_per_s: float | None) -> None:
-        if exchange.choice is not None:
-            self._broker.limits.response_received(
-                exchange.choice.load.entry,
-                requests_per_s,
-                sent_at_s=exchange.sent_at_s,
-            )
+    def limit_shown(
+        self, choice: PlacementChoice, requests_per_s: float | None, *, sent_at_s: float
+    ) -> None:
+        self._broker.limits.response_received(
+            choice.load.entry, requests_per_s, sent_at_s=sent_at_s
+        )
 
     @override
-    def target_leaves(self, exchange: Exchange) -> None:
-        if exchange.choice is not None:
-            self.departures.target_leaves(exchange.choice.load.entry)
+    def target_leaves(self, choice: PlacementChoice) -> None:
+        self.departures.target_leaves(choice.load.entry)
 
     @override
-    def pause_requested(self, exchange: Exchange, retry_after_s: float) -> None:
-        if exchange.choice is None:
-            return
-        load = exchange.choice.load
+    def pause_requested(
+        self, exchange: Exchange, choice: PlacementChoice, retry_after_s: float
+    ) -> None:
+        load = choice.load
         now_s = self._loop.time()
         load.record_pause(retry_after_s, now_s=now_s)
         log_event(
@@ -256,19 +258,31 @@
         self._grant_requester.response_begun(exchange)
 
     @override
-    def connection_lost(self, exchange: Exchange) -> None:
-        if exchange.choice is None:
-            return
-        entry = exchange.choice.load.entry
+    def connection_lost(self, exchange: Exchange, choice: PlacementChoice) -> None:
+        entry = choice.load.entry
         known = self._directory.get(entry.target_id)
         # An engine that has left may close its connections.
         if known is not None and not known.is_leaving:
             self._grant_requester.connection_lost(exchange, entry)
 
     @override
-    def connection_refused(self, exchange: Exchange) -> None:
-        if exchange.choice is not None:
-            self.crashes.connection_refused(exchange.choice.load.entry)
+    def connection_refused(self, choice: PlacementChoice) -> None:
+        self.crashes.connection_refused(choice.load.entry)
+
+    @override
+    def takeover_won(self, exchange: Exchange) -> None:
+        self._grant_requester.takeover_won(exchange)
+        self._sent[id(exchange)] = exchange
+
+    @override
+    def takeover_ended(
+        self, exchange: Exchange, choice: PlacementChoice, *, failed: bool
+    ) -> None:
+        self._grant_requester.takeover_ended(exchange, failed=failed)
+        choice.load.record_ended(exchange.key)
+        if failed:
+            choice.load.record_failure(now_s=self._loop.time())
+        self._send_waiting(exchange.service)
 
     @override
     def attempt_ended(self, exchange: Exchange, *, failed: bool) -> None:
@@ -409,7 +423,10 @@
         now_s = self._loop.time()
         for exchange in list(self._sent.values()):
             try:
-                if is_stalled(exchange, self._stall_options, now_s=now_s):
+                if exchange.has_takeover:
+                    patience_s = first_byte_timeout_s(exchange, self._stall_options)
+                    exchange.give_up_takeover(sent_before_s=now_s - patience_s)
+                elif is_stalled(exchange, self._stall_options, now_s=now_s):
                     self._handle_silence(exchange)
                     exchange.search_elsewhere()
             except Exception as error:
@@ -497,7 +514,6 @@
     ) -> None:
         now_s = self._loop.time()
         replaces_silent_target = exchange.silent_target_id is not None
-        exchange.leave_silent_target()
         self._usage.add(exchange.account, exchange.cost_tokens, now_s=now_s)
         if has_waited and not replaces_silent_target:
             self._ratios.record_served(exchange.kind, now_s=now_s)
--- a/packages/citrondock-router/src/citrondock_router/gateway/stall_detection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/stall_detection.py
@@ -43,12 +43,10 @@
     if is_receiving and exchange.is_client_slow:
         # Nothing is read from the target now.
         return False
-    route = exchange.route
+    timeout_s = first_byte_timeout_s(exchange, options)
     if is_receiving:
-        timeout_s = options.pause_factor * route.max_pause_s
-    else:
-        timeout_s = options.first_byte_factor * route.first_answer_target_s
-    timeout_s = max(timeout_s, options.min_timeout_s)
+        pause_s = options.pause_factor * exchange.route.max_pause_s
+        timeout_s = max(pause_s, options.min_timeout_s)
     waited_s = now_s - exchange.last_data_at_s
     if waited_s < timeout_s:
         return False
@@ -57,3 +55,9 @@
     # A busy engine is slow with long prompts but still sends data to other requests.
     load = exchange.choice.load if exchange.choice else None
     return load is not None and now_s - load.last_data_at_s >= options.idle_target_s
+
+
+def first_byte_timeout_s(exchange: Exchange, options: StallOptions) -> float:
+    """Return the time after which a request's target has sent too late a first byte."""
+    timeout_s = options.first_byte_factor * exchange.route.first_answer_target_s
+    return max(timeout_s, options.min_timeout_s)
--- a/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
@@ -21,6 +21,9 @@
 """Most bytes received in a row that are not passed on: heads, framing, and responses to
 other requests. A target in trouble may send such bytes without end."""
 
+MAX_REFUSAL_BYTES = 65_536
+"""Most bytes of a refusal's body that are read to use its connection again."""
+
 _NO_BODY_STATUSES = frozenset({204, 304})
 _INTERIM_STATUSES = range(100, 200)
 
@@ -123,6 +126,10 @@
         self._start_parser()
         self._transport.write(data)
 
+    def pass_to(self, listener: ResponseListener) -> None:
+        """Pass the rest of the response that is being received to another listener."""
+        self._listener = listener
+
     def abort(self) -> None:
         """Close the connection at once, without a call of the listener."""
         self._listener = None
--- a/tests/gateway/test_silent_targets.py
+++ b/tests/gateway/test_silent_targets.py
@@ -151,6 +151,212 @@
         run(check())
 
 
+async def reject(got, writer):
+    writer.write(
+        f"HTTP/1.1 503 Busy\r\nRequest-Id: {got.request_id}\r\nNot-Executed: 1\r\n"
+        "Content-Length: 0\r\n\r\n".encode()
+    )
+
+
+async def reject_at_length(got, writer):
+    writer.write(
+        f"HTTP/1.1 503 Busy\r\nRequest-Id: {got.request_id}\r\nNot-Executed: 1\r\n"
+        "Content-Length: 10000000\r\n\r\n".encode()
+    )
+    while not writer.is_closing():
+        writer.write(b"x" * 65_536)
+        await writer.drain()
+
+
+async def close(_got, writer):
+    writer.close()
+    await asyncio.sleep(0)
+
+
+async def fail(got, writer):
+    writer.write(complete_response(got, b"", "500 Oops"))
+
+
+async def answer_another_request(_got, writer):
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nResponse-Signature: sig\r\n"
+        b"Content-Length: 1\r\n\r\nx"
+    )
+
+
+async def answer_unsigned(got, writer):
+    writer.write(complete_response(got, ALL_EVENTS, signed=False))
+
+
+class FirstAndOther:
+    """Scripts for two targets, by which of them is asked first."""
+
+    def __init__(self, first, other):
+        self.scripts = [first, other]
+        self.targets = []
+
+    async def __call__(self, got, writer):
+        port = writer.get_extra_info("sockname")[1]
+        if port not in self.targets:
+            self.targets.append(port)
+        await self.scripts[self.targets.index(port)](got, writer)
+
+
+def make_pair(first, other, **options):
+    script = FirstAndOther(first, other)
+    return make_harness(script, script, **options)
+
+
+def assert_nothing_is_left(harness):
+    scheduler = harness.gateway.scheduler
+    requester = scheduler._grant_requester
+    assert harness.gateway.live_count == 0
+    assert not (requester._searches or requester._granted or requester._takeovers)
+    assert not scheduler._sent
+    assert all(load.running_count == 0 for load in scheduler._loads.values())
+
+
+KINDS = pytest.mark.parametrize(
+    ("service", "path", "headers"),
+    [("app", "/resumable/x", {}), ("llm", "/model/x", PROMPT)],
+)
+
+
+class TestATargetThatDoesNotTakeOver:
+    @KINDS
+    @pytest.mark.parametrize("first", [pause_midway, start_late])
+    @pytest.mark.parametrize(
+        "other",
+        [
+            reject,
+            reject_at_length,
+            close,
+            fail,
+            answer_another_request,
+            answer_unsigned,
+            never_answer,
+        ],
+    )
+    def test_the_silent_one_goes_on(self, first, other, service, path, headers):
+        async def check():
+            async with make_pair(first, other, service=service) as harness:
+                reply = await harness.get(path, **headers)
+                assert (reply.status, reply.is_complete) == (200, True)
+                assert reply.body == ALL_EVENTS
+                assert [len(t.received) for t in harness.targets] == [1, 1]
+                assert_nothing_is_left(harness)
+
+        run(check())
+
+    @pytest.mark.parametrize("other", [reject, close, fail, never_answer])
+    def test_a_plain_answer_that_comes_late_is_passed_on(self, other):
+        async def check():
+            async with make_pair(answer_late, other) as harness:
+                reply = await harness.get("/safe/x")
+                assert (reply.status, reply.body) == (200, b"done")
+                assert [len(t.received) for t in harness.targets] == [1, 1]
+                assert_nothing_is_left(harness)
+
+        run(check())
+
+    @KINDS
+    def test_one_that_refuses_connections(self, service, path, headers):
+        async def check():
+            harness = make_pair(pause_midway, reject, service=service)
+            async with harness:
+                reply_task = asyncio.ensure_future(harness.get(path, **headers))
+                while not any(target.received for target in harness.targets):
+                    await asyncio.sleep(0.01)
+                other = next(t for t in harness.targets if not t.received)
+                other.stop()
+                reply = await reply_task
+                assert (reply.body, reply.is_complete) == (ALL_EVENTS, True)
+                assert_nothing_is_left(harness)
+
+        run(check())
+
+    @KINDS
+    def test_it_is_left_when_the_silent_one_goes_on(self, service, path, headers):
+        async def check():
+            async with make_pair(
+                pause_midway, never_answer, service=service
+            ) as harness:
+                reply = await harness.get(path, **headers)
+                assert reply.body == ALL_EVENTS
+                other = harness.targets[0]
+                if len(other.disconnected_at_s) == 0:
+                    other = harness.targets[1]
+                await asyncio.sleep(0.05)
+                assert other.disconnected_at_s
+
+        run(check())
+
+    @KINDS
+    def test_it_answers_if_the_silent_one_ends(self, service, path, headers):
+        async def pause_and_close(got, writer):
+            writer.write(stream_head(got) + chunk(event(0)) + chunk(b"id: 1"))
+            await asyncio.sleep(PAUSE_S)
+            writer.close()
+
+        async def answer_much_later(got, writer):
+            await asyncio.sleep(PAUSE_S)
+            await stream_at_once(got, writer)
+
+        async def check():
+            async with make_pair(
+                pause_and_close, answer_much_later, service=service
+            ) as harness:
+                reply = await harness.get(path, **headers)
+                assert (reply.body, reply.is_complete) == (ALL_EVENTS, True)
+                assert [len(t.received) for t in harness.targets] == [1, 1]
+                assert_nothing_is_left(harness)
+
+        run(check())
+
+    @KINDS
+    def test_a_client_that_leaves_ends_both(self, service, path, headers):
+        async def check():
+            async with make_pair(
+                never_answer, never_answer, service=service
+            ) as harness:
+                client = await Client.connect(harness.port)
+                client.writer.write(request(path, **headers))
+                while not all(target.received for target in harness.targets):
+                    await asyncio.sleep(0.01)
+                client.writer.close()
+                await asyncio.sleep(0.2)
+                assert all(target.disconnected_at_s for target in harness.targets)
+                assert_nothing_is_left(harness)
+
+        run(check())
+
+    @KINDS
+    def test_the_timeout_of_the_route_ends_both(self, service, path, headers):
+        async def check():
+            script = FirstAndOther(never_answer, never_answer)
+            targets = [ScriptedTarget(f"t{n}", script, service) for n in range(2)]
+            async with Harness(targets, configured=configuration()) as harness:
+                assert (await harness.get(path, **headers)).status == 504
+                await asyncio.sleep(0.1)
+                assert all(target.disconnected_at_s for target in harness.targets)
+                assert_nothing_is_left(harness)
+
+        run(check())
+
+    def test_a_third_target_is_tried_if_attempts_are_left(self):
+        async def check():
+            script = FirstAndOther(never_answer, never_answer)
+            script.scripts.append(stream_at_once)
+            targets = [ScriptedTarget(f"t{n}", script) for n in range(3)]
+            configured = configuration(timeout_s=LONG_TIMEOUT_S, max_attempts=3)
+            async with Harness(targets, configured=configured) as harness:
+                reply = await harness.get("/resumable/x")
+                assert (reply.body, reply.is_complete) == (ALL_EVENTS, True)
+                assert_nothing_is_left(harness)
+
+        run(check())
+
+
 class TestAnotherTarget:
     @pytest.mark.parametrize(
         ("service", "path", "headers"),
