Drop targets that leave together in calm before they exit

Cause: if most of a service's entries go missing at once, the directory took them for expired and kept them for the grace after an outage (2.2 s, and up to 0.5 s until the next housekeeping), although the store was never out.

Ruled out: the pause of the follower and the spread among routers; with one engine that leaves nothing is late.

Why it works: without an outage such targets are kept for 0.5 s only, which leaves time to hear of one; then the whole grace applies. A follower tells of an outage that only others noticed before it passes on deletions.

--- a/packages/citrondock-core/src/citrondock_core/routing/store_watch_plan.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/store_watch_plan.py
@@ -185,6 +185,16 @@
         self._were_lost.discard(view.kind)
         return not self._own.setdefault(view.kind, _OwnView()).is_lost
 
+    def is_outage_known(self, *, now_s: float) -> bool:
+        """Return whether the store is lost to a follower here or to all watchers."""
+        if any(own.is_lost for own in self._own.values()):
+            return True
+        for kind in {kind for _, kind in self._statements}:
+            statements = self._live_statements(kind, now_s)
+            if statements and all(known.view.is_lost for known in statements):
+                return True
+        return False
+
     def must_ask_now(
         self, kind: str, *, wait_s: float, asked_at_s: float, now_s: float
     ) -> bool:
--- a/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
@@ -10,9 +10,12 @@
 from citrondock_core.routing.target_entry import TargetEntry
 
 _MASS_EXPIRY_SHARE = 0.5
-"""If more than this share of a service's targets go missing together, their entries are
-taken to have expired in the registry while the targets live."""
+"""If more than this share of a service's targets go missing together, their entries may
+have expired in an outage of the registry that is not known yet."""
 
+UNEXPLAINED_GRACE_S = 0.5
+"""Time for which such targets are kept without an outage. They may as well have left,
+and serve for two seconds then."""
 
 MAX_DEPARTED = 4096
 """Most departures, and most removed entries, that are remembered; the oldest targets
@@ -74,8 +77,8 @@
 
     Entries may expire during an outage of the registry although their targets live. An
     entry that is missing afterwards is kept for ``grace_s`` from the registry's
-    recovery. The same time is given to targets of a service of which most go missing
-    at once.
+    recovery. Targets of a service of which most go missing at once are kept for
+    `UNEXPLAINED_GRACE_S`, and for the whole grace if an outage becomes known meanwhile.
 
     A target may also leave by its own word, or by that of another router whose registry
     is ahead; the registry's older entries do not bring it back.
@@ -97,6 +100,8 @@
         self._grace_s = grace_s
         self._entries: dict[str, TargetEntry] = {}
         self._missing_until_s: dict[str, float] = {}
+        # Missing targets without a known outage.
+        self._unexplained: set[str] = set()
         self._trusted_from_s = 0.0
         self._departed: dict[str, _Departure] = {}
         self._removed: dict[str, TargetEntry] = {}
@@ -141,6 +146,9 @@
     def registry_recovered(self, *, now_s: float) -> None:
         """Start the grace period, as an outage of the registry has ended."""
         self._trusted_from_s = now_s + self._grace_s
+        for target_id in self._unexplained & set(self._missing_until_s):
+            self._missing_until_s[target_id] = self._trusted_from_s
+        self._unexplained.clear()
         if self._era_settles_at_s is not None:
             self._era_settles_at_s = self._trusted_from_s
 
@@ -216,6 +224,7 @@
         removed = []
         for key in due:
             del self._missing_until_s[key]
+            self._unexplained.discard(key)
             removed.append(self._remove(key))
         changed: tuple[TargetEntry, ...] = ()
         if self._era_settles_at_s is not None and self._era_settles_at_s <= now_s:
@@ -386,9 +395,10 @@
                 self._missing_until_s.pop(entry.target_id, None)
                 removed.append(self._remove(entry.target_id))
             else:
-                until_s = max(now_s, self._trusted_from_s)
+                until_s = self._trusted_from_s
                 if now_s >= self._trusted_from_s:
-                    until_s = now_s + self._grace_s
+                    until_s = now_s + min(UNEXPLAINED_GRACE_S, self._grace_s)
+                    self._unexplained.add(entry.target_id)
                 self._missing_until_s.setdefault(entry.target_id, until_s)
         return tuple(removed)
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
@@ -161,6 +161,7 @@
                 # What the answer leaves out may have changed in the new era, too.
                 return
             if snapshot.objects:
+                self._explain_deletions(snapshot)
                 self._sink.changed(snapshot)
                 pause_s = self._options.settle_s
         self._revision = snapshot.revision
@@ -243,6 +244,15 @@
             self._failure_count = 0
             self._sink.store_returned()
 
+    def _explain_deletions(self, changes: Snapshot) -> None:
+        """Tell the sink of an outage that only others noticed before deletions."""
+        deleted_count = sum(item.is_deleted for item in changes.objects)
+        if self._plan is None or not deleted_count:
+            return
+        if self._plan.is_outage_known(now_s=asyncio.get_running_loop().time()):
+            log_event("store_returned", kind=self._kind, deleted=deleted_count)
+            self._sink.store_returned()
+
     async def _back_off(self, error: WatchedStoreError) -> None:
         if self._failure_count == 0:
             log_event("store_lost", level="WARNING", kind=self._kind, detail=str(error))
