Bound what the first interface reads of a response, and headers of the gateway

What callers saw: nothing here; operators of similar systems report a machine that kept all bytes a faulty engine sent without end, and ran out of memory.

Cause: in the first interface an event without end was kept whole until the call's deadline, polls and lists were read whole, heads raised errors that nothing expected, and interim responses held a thread for ever. Ruled out for the gateway, whose limits hold; but 256 KiB of empty headers took 30 times their size, which 1,024 headers now bound.

--- a/packages/citrondock-core/src/citrondock_core/event_stream.py
+++ b/packages/citrondock-core/src/citrondock_core/event_stream.py
@@ -6,8 +6,12 @@
 
 from citrondock_core.request import Usage
 
+MAX_EVENT_BYTES = 262_144
+"""Largest event that is buffered until it is complete."""
+
 _DONE_EVENT = b"data: [DONE]"
 _DATA_PREFIX = b"data:"
+_EVENT_END_BYTES = 4
 
 
 @attrs.define(eq=False)
@@ -29,30 +33,43 @@
     b'data: [DONE]\n\n'
     >>> scanner.done
     True
+
+    Attributes
+    ----------
+    is_endless : bool
+        Whether an event is longer than `MAX_EVENT_BYTES`; nothing more is buffered.
     """
 
     request_id: str
     event_count: int = 0
     done: bool = False
     wrong_request_id: bool = False
-    _partial: bytes = b""
+    is_endless: bool = False
+    _partial: bytearray = attrs.field(factory=bytearray)
     _last_event: bytes = b""
     _checks_id: bool | None = None
 
     def feed(self, data: bytes) -> bytes:
         """Return the new bytes up to the end of the last complete event."""
-        buffered = self._partial + data
-        end = _end_of_last_event(buffered)
-        self._partial = buffered[end:]
-        if end == 0:
+        if self.is_endless:
             return b""
-        complete = buffered[:end]
-        self._inspect(complete)
+        # Only the last bytes of what was searched before may belong to an end.
+        search_from = max(len(self._partial) - _EVENT_END_BYTES + 1, 0)
+        self._partial += data
+        end = _end_of_last_event(self._partial, search_from)
+        complete = bytes(self._partial[:end])
+        del self._partial[:end]
+        if len(self._partial) > MAX_EVENT_BYTES:
+            self.is_endless = True
+            self._partial.clear()
+        if complete:
+            self._inspect(complete)
         return complete
 
     def drop_partial(self) -> None:
         """Discard an incomplete event, before the stream is resumed."""
-        self._partial = b""
+        self._partial.clear()
+        self.is_endless = False
 
     @property
     def usage(self) -> Usage | None:
@@ -90,9 +107,9 @@
         return None
 
 
-def _end_of_last_event(data: bytes) -> int:
-    lf = data.rfind(b"\n\n")
-    crlf = data.rfind(b"\r\n\r\n")
+def _end_of_last_event(data: bytearray, search_from: int) -> int:
+    lf = data.rfind(b"\n\n", search_from)
+    crlf = data.rfind(b"\r\n\r\n", search_from)
     end_lf = lf + 2 if lf >= 0 else 0
     end_crlf = crlf + 4 if crlf >= 0 else 0
     return max(end_lf, end_crlf)
--- a/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
@@ -21,6 +21,9 @@
 """Most bytes received in a row that are not passed on: heads, framing, and responses to
 other requests. A target in trouble may send such bytes without end."""
 
+MAX_HEADERS = 1024
+"""Most headers of a response, and trailers; each takes far more memory than bytes."""
+
 MAX_REFUSAL_BYTES = 65_536
 """Most bytes of a refusal's body that are read to use its connection again."""
 
@@ -178,6 +181,9 @@
             raise
         except httptools.HttpParserError:
             is_malformed = True
+        if len(self._headers) > MAX_HEADERS:
+            self._fail(ResponseFailure.TOO_LONG)
+            return
         self._pass_body_on()
         if is_malformed and not self._is_complete:
             self._fail(ResponseFailure.NOT_HTTP)
@@ -225,7 +231,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header."""
-        self._headers.append((name, value))
+        if len(self._headers) <= MAX_HEADERS:
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Pass the head on, unless it is of an interim response."""
--- a/packages/citrondock-router/src/citrondock_router/relayed_call.py
+++ b/packages/citrondock-router/src/citrondock_router/relayed_call.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from citrondock_core.event_stream import EventStreamScanner
+from citrondock_core.event_stream import MAX_EVENT_BYTES, EventStreamScanner
 from citrondock_core.request import Usage
 from citrondock_router.call import Call
 from citrondock_wire.body_decoder import BodyDecoder, BodyFramingError
@@ -166,10 +166,14 @@
         body = self.decoder.feed(data)
         if self.scanner is not None:
             body = self.scanner.feed(body)
-        if not body or (self.scanner is not None and self.scanner.wrong_request_id):
-            return
-        self._store_body(body)
-        self.queue_body(body)
+        if body and not self.has_wrong_request_id:
+            self._store_body(body)
+            self.queue_body(body)
+        if self.scanner is not None and self.scanner.is_endless:
+            raise BodyFramingError(
+                f"request {self.call.request_id}: event is longer than "
+                f"{MAX_EVENT_BYTES} bytes"
+            )
 
     def queue_body(self, body: bytes) -> None:
         """Queue body bytes, framed as the caller expects them."""
--- a/packages/citrondock-router/src/citrondock_router/target_watch.py
+++ b/packages/citrondock-router/src/citrondock_router/target_watch.py
@@ -2,6 +2,7 @@
 
 import json
 import threading
+import time
 from collections import defaultdict
 from collections.abc import Callable, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
@@ -13,10 +14,13 @@
 from citrondock_core.load_report import LoadReport
 from citrondock_core.vm_directory import Vm, VmState
 from citrondock_router.log import log_event
+from citrondock_wire.bounded_http import pool_manager, read_body
 
 _WORKER_COUNT = 4
 _UNREACHABLE_AFTER_FAILURES = 2
 _LOAD_PATH = "/v1/load"
+MAX_REPORT_BYTES = 65_536
+"""Largest load report of an engine."""
 
 
 class UnavailabilityReason(Enum):
@@ -53,7 +57,8 @@
     ) -> None:
         self._on_load = on_load
         self._on_available = on_available
-        self._http = urllib3.PoolManager(
+        self._timeout_s = timeout_s
+        self._http = pool_manager(
             num_pools=64, maxsize=1, retries=False, timeout=timeout_s
         )
         self._workers = ThreadPoolExecutor(
@@ -93,9 +98,11 @@
 
     def _poll_one(self, target: Target) -> None:
         url = f"http://{target.host}:{target.port}{_LOAD_PATH}"
+        deadline_s = time.monotonic() + self._timeout_s
         try:
-            answer = self._http.request("GET", url)
-            document = json.loads(answer.data)
+            answer = self._http.request("GET", url, preload_content=False)
+            body = read_body(answer, max_bytes=MAX_REPORT_BYTES, deadline_s=deadline_s)
+            document = json.loads(body)
             report = LoadReport(
                 running_count=int(document["running"]),
                 queued_count=int(document["waiting"]),
@@ -104,7 +111,7 @@
         except urllib3.exceptions.HTTPError:
             self._record_failure(target.name)
             return
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, TypeError, RecursionError):
             # An engine may not offer a load report: it is healthy, its load is unknown.
             self._record_success(target.name, leaving=False)
             return
--- a/packages/citrondock-wire/src/citrondock_wire/http_engine_control.py
+++ b/packages/citrondock-wire/src/citrondock_wire/http_engine_control.py
@@ -1,6 +1,7 @@
 """HTTP client of the engines' control interface."""
 
 import json
+import time
 from collections.abc import Mapping
 from typing import Any
 
@@ -16,6 +17,10 @@
     OrderFencedError,
     OrderLimitedError,
 )
+from citrondock_wire.bounded_http import pool_manager, read_body
+
+MAX_STATE_BYTES = 1_048_576
+"""Largest state of an engine."""
 
 ORDER_STEP = "order"
 STATE_STEP = "engine state"
@@ -34,13 +39,13 @@
 
     def __init__(self, *, holder: str = "") -> None:
         self._holder = holder
-        self._http = urllib3.PoolManager(num_pools=64, maxsize=1)
+        self._http = pool_manager(num_pools=64, maxsize=1)
 
     def state(self, target: Target, *, timeout_s: float) -> EngineState:
         """Return the current state of an engine."""
         answer = self._call(STATE_STEP, target, "GET", "/v1/state", None, timeout_s)
         try:
-            return _state_of(json.loads(answer.data))
+            return _state_of(json.loads(answer))
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise EngineControlError(
                 f"malformed engine state: {error!r}", step=STATE_STEP, peer=target.name
@@ -74,7 +79,8 @@
         path: str,
         document: Mapping[str, object] | None,
         timeout_s: float,
-    ) -> urllib3.BaseHTTPResponse:
+    ) -> bytes:
+        deadline_s = time.monotonic() + timeout_s
         try:
             answer = self._http.request(
                 method,
@@ -84,7 +90,9 @@
                 retries=False,
                 redirect=False,
                 timeout=urllib3.Timeout(total=timeout_s),
+                preload_content=False,
             )
+            body = read_body(answer, max_bytes=MAX_STATE_BYTES, deadline_s=deadline_s)
         except HTTPError as error:
             raise EngineControlError(str(error), step=step, peer=target.name) from error
         if answer.status != 200:
@@ -93,7 +101,7 @@
                 LIMITED_STATUS: OrderLimitedError,
             }.get(answer.status, EngineControlError)
             raise kind(f"HTTP status {answer.status}", step=step, peer=target.name)
-        return answer
+        return body
 
 
 def _state_of(document: Mapping[str, Any]) -> EngineState:
--- a/packages/citrondock-wire/src/citrondock_wire/http_object_store.py
+++ b/packages/citrondock-wire/src/citrondock_wire/http_object_store.py
@@ -32,10 +32,12 @@
     WatchResult,
 )
 from citrondock_core.store_version import era_of, number_of, version_in
+from citrondock_wire.bounded_http import connection_pool, read_body
 
 ERA_HEADER = "X-Era"
 DEFAULT_MAX_CONNECTIONS = 8
-READ_CHUNK_BYTES = 65_536
+MAX_ANSWER_BYTES = 134_217_728
+"""Largest answer; a page holds 500 values of `MAX_VALUE_BYTES` at most."""
 WATCH_ANSWER_MARGIN_S = 2.0
 
 
@@ -93,7 +95,7 @@
         self.calls = StoreCallCounts()
         self._base_path = urlsplit(url).path.rstrip("/")
         self._headers = {"X-Client": client, "Content-Type": "application/json"}
-        self._pool = urllib3.connection_from_url(url, maxsize=max_connections)
+        self._pool = connection_pool(url, maxsize=max_connections)
         self._peer = f"object-store {self._pool.host}:{self._pool.port}"
 
     def get(self, key: str, *, timeout_s: float = 2.0) -> StoredObject:
@@ -246,20 +248,8 @@
             timeout=urllib3.Timeout(total=timeout_s),
             preload_content=False,
         )
-        content = bytearray()
-        try:
-            while chunk := response.read1(READ_CHUNK_BYTES):
-                content += chunk
-                if time.monotonic() > deadline_s:
-                    raise TimeoutError(
-                        f"the answer was not complete within {timeout_s} s"
-                    )
-        except BaseException:
-            response.close()
-            raise
-        response.release_conn()
-        era = response.headers.get(ERA_HEADER, "0")
-        return response.status, era, bytes(content)
+        content = read_body(response, max_bytes=MAX_ANSWER_BYTES, deadline_s=deadline_s)
+        return response.status, response.headers.get(ERA_HEADER, "0"), content
 
     def _status_error(
         self, kind: StoreCallKind, status: int, path: str
--- a/packages/citrondock-wire/src/citrondock_wire/http_vm_directory.py
+++ b/packages/citrondock-wire/src/citrondock_wire/http_vm_directory.py
@@ -1,6 +1,7 @@
 """HTTP client of the platform's VM directory."""
 
 import json
+import time
 from collections.abc import Mapping, Sequence
 from typing import Any
 from urllib.parse import urlsplit
@@ -10,8 +11,11 @@
 
 from citrondock_core.object_store import StoreUnavailableError
 from citrondock_core.vm_directory import Vm, VmDirectory, VmState
+from citrondock_wire.bounded_http import connection_pool, read_body
 
 STEP = "list VMs"
+MAX_LIST_BYTES = 16_777_216
+"""Largest list of VMs."""
 
 
 class HttpVmDirectory(VmDirectory):
@@ -25,11 +29,12 @@
 
     def __init__(self, url: str) -> None:
         self._path = urlsplit(url).path.rstrip("/") + "/v1/vms"
-        self._pool = urllib3.connection_from_url(url, maxsize=1)
+        self._pool = connection_pool(url, maxsize=1)
         self._peer = f"vm-directory {self._pool.host}:{self._pool.port}"
 
     def list(self, *, timeout_s: float = 2.0) -> Sequence[Vm]:
         """Return the platform's current list of VMs."""
+        deadline_s = time.monotonic() + timeout_s
         try:
             response = self._pool.urlopen(
                 "GET",
@@ -37,13 +42,15 @@
                 retries=False,
                 redirect=False,
                 timeout=urllib3.Timeout(total=timeout_s),
+                preload_content=False,
             )
+            body = read_body(response, max_bytes=MAX_LIST_BYTES, deadline_s=deadline_s)
         except HTTPError as error:
             raise self._error(error) from error
         if response.status != 200:
             raise self._error(f"HTTP status {response.status}")
         try:
-            entries = json.loads(response.data)["vms"]
+            entries = json.loads(body)["vms"]
             return [_vm_of(entry) for entry in entries]
         except (KeyError, TypeError, ValueError) as error:
             raise self._error(f"malformed list of VMs: {error!r}") from error
--- a/packages/citrondock-wire/src/citrondock_wire/target_connection.py
+++ b/packages/citrondock-wire/src/citrondock_wire/target_connection.py
@@ -1,5 +1,6 @@
 """HTTP connection to a target, for one request at a time."""
 
+import http.client
 import select
 import ssl
 import time
@@ -7,11 +8,11 @@
 from typing import Any
 
 import attrs
-from urllib3.connection import HTTPConnection, HTTPSConnection
 from urllib3.exceptions import HTTPError
 
 from citrondock_core.configuration import Target
 from citrondock_core.errors import CitrondockError
+from citrondock_wire.bounded_http import BoundedHTTPConnection, BoundedHTTPSConnection
 
 _NO_BODY_STATUSES = frozenset({204, 304})
 
@@ -101,12 +102,13 @@
         self.idle_until_s = 0.0
         self.keep_alive = False
         self._response: Any = None
+        self._http: BoundedHTTPConnection | BoundedHTTPSConnection
         if tls is None:
-            self._http = HTTPConnection(
+            self._http = BoundedHTTPConnection(
                 target.host, target.port, timeout=connect_timeout_s
             )
         else:
-            self._http = HTTPSConnection(
+            self._http = BoundedHTTPSConnection(
                 target.host, target.port, timeout=connect_timeout_s, ssl_context=tls
             )
 
@@ -166,7 +168,7 @@
         try:
             self.socket.settimeout(timeout_s)
             response = self._http.getresponse()
-        except (OSError, HTTPError, ValueError) as error:
+        except (OSError, HTTPError, http.client.HTTPException, ValueError) as error:
             self.close()
             raise TargetResponseError(
                 str(error) or type(error).__name__, step="head", peer=self.target.name
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -6,17 +6,19 @@
 import pytest
 from harness import (
     HOST,
+    Client,
     Harness,
     ScriptedTarget,
     chunk,
     complete_response,
     configuration,
+    request,
     run,
     send_complete_response,
     stream_head,
 )
 
-from citrondock_router.gateway.http_client import HttpClient
+from citrondock_router.gateway.http_client import MAX_BODY_BYTES, HttpClient
 
 MAX_HELD_BYTES = 8_000_000
 """Bytes that a router may hold for one such response; a VM of 136 MB survives some."""
@@ -48,6 +50,7 @@
     "status line": (b"HTTP/1.1 200 ", BLOCK),
     "header value": (b"HTTP/1.1 200 OK\r\nX-A: ", BLOCK),
     "headers": (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * 8000),
+    "empty headers": (b"HTTP/1.1 200 OK\r\n", b"a:\r\n" * 16_000),
     "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2000),
     "responses to another request": (
         b"",
@@ -56,6 +59,7 @@
     ),
     "chunk extension": (lambda got: stream_head(got) + b"5;a=", BLOCK),
     "event": (lambda got: stream_head(got), chunk(BLOCK)),
+    "event in small chunks": (lambda got: stream_head(got), chunk(b"xx") * 8000),
     "body of an error": (
         lambda got: complete_response(got, b"", "500 Oops").replace(
             b"Content-Length: 0\r\n", b""
@@ -84,6 +88,24 @@
 
         run(check())
 
+    @pytest.mark.parametrize("path", ["/stream/x", "/unsafe/x", "/safe/x"])
+    @pytest.mark.parametrize("block", [chunk(BLOCK), chunk(b"xx\n\n") * 8000])
+    def test_few_bytes_are_held_for_a_client_that_does_not_read(self, path, block):
+        async def check():
+            target = ScriptedTarget("t0", endless(stream_head, block))
+            async with make_harness(target) as harness:
+                client = await Client.connect(harness.port)
+                client.writer.transport.pause_reading()
+                tracemalloc.start()
+                client.writer.write(request(path))
+                for _ in range(100):
+                    assert tracemalloc.get_traced_memory()[0] < MAX_HELD_BYTES
+                    await asyncio.sleep(0.01)
+                tracemalloc.stop()
+                client.writer.close()
+
+        run(check())
+
     def test_a_sound_target_answers_instead(self):
         async def check():
             targets = [
@@ -126,14 +148,24 @@
 
 
 class TestHttpClient:
-    def test_an_endless_body_ends_the_call(self):
+    @pytest.mark.parametrize(
+        ("framing", "block"),
+        [
+            (b"", BLOCK),
+            (b"Transfer-Encoding: chunked\r\n", chunk(b"xx") * 8000),
+        ],
+    )
+    def test_an_endless_body_ends_the_call(self, framing, block):
         async def check():
-            head = b"HTTP/1.1 200 OK\r\n\r\n"
-            target = ScriptedTarget("t0", endless(head, BLOCK))
+            head = b"HTTP/1.1 200 OK\r\n%b\r\n" % framing
+            target = ScriptedTarget("t0", endless(head, block))
             await target.start()
             client = HttpClient(HOST, target.port, asyncio.get_running_loop())
+            tracemalloc.start()
             with pytest.raises(ConnectionError):
                 await client.call("GET", "/x", timeout_s=20)
+            assert tracemalloc.get_traced_memory()[1] < 2 * MAX_BODY_BYTES
+            tracemalloc.stop()
             target.stop()
 
         run(check())
