Soak: targets that fall silent and go on, tiny chunks, events without end

The soak's targets hung or broke off, but were never silent for a moment, and sent no bytes that are costly to read. Draws come from a generator of their own, so that the other faults of a seed stay the same.

--- a/tests/soak/soak_targets.py
+++ b/tests/soak/soak_targets.py
@@ -12,6 +12,15 @@
 """Share of answers that end with their connection, and of refusals that a target writes
 once more on the connection, while it misbehaves."""
 
+SILENT_SHARE = 0.1
+TINY_CHUNKS_SHARE = 0.1
+ENDLESS_SHARE = 0.05
+"""Share of answers in which a target falls silent and goes on, of streams in chunks of
+one byte, and of streams with an event that never ends, while it misbehaves."""
+
+SILENCE_S = 1.2
+ENDLESS_BLOCK = b"1\r\nx\r\n" * 4000
+
 FAULTS = ("reject", "fail", "disconnect", "garble", "extra", "truncate", "hang")
 
 
@@ -43,6 +52,7 @@
         self._rng = rng
         # A generator of its own, so that the faults of a seed stay the same.
         self._framing_rng = random.Random(target_id)
+        self._pace_rng = random.Random(f"pace of {target_id}")
         # Refusals by the connection that they were written to.
         self._refusals: dict[asyncio.StreamWriter, bytes] = {}
         self.port = 0
@@ -108,6 +118,8 @@
         if "stream" in path or "resumable" in path:
             return await self._stream(request_id, start, fault, writer)
         await asyncio.sleep(ANSWER_DELAY_S)
+        if self._paces(SILENT_SHARE):
+            await asyncio.sleep(SILENCE_S)
         return self._plain(request_id, fault, writer)
 
     def _plain(self, request_id: str, fault: str, writer) -> bool:
@@ -138,14 +150,30 @@
         framing = b"Transfer-Encoding: chunked\r\n" if is_framed else b""
         writer.write(self._head(200, request_id) + framing + b"\r\n")
         stop = self._rng.randrange(1, self._record.event_count) if fault else 0
+        silent_at = endless_at = -1
+        if self._paces(SILENT_SHARE):
+            silent_at = self._pace_rng.randrange(self._record.event_count)
+        if is_framed and self._paces(ENDLESS_SHARE):
+            endless_at = self._pace_rng.randrange(self._record.event_count)
+        has_tiny_chunks = is_framed and self._paces(TINY_CHUNKS_SHARE)
         for number in range(start, self._record.event_count):
             data = stream_event(number, request_id)
+            if number == silent_at:
+                await asyncio.sleep(SILENCE_S)
+            if number == endless_at:
+                while not writer.is_closing():
+                    writer.write(ENDLESS_BLOCK)
+                    await writer.drain()
+                return False
             if fault and number >= stop:
                 size = b"%x\r\n" % len(data) if is_framed else b""
                 writer.write(size + data[: len(data) // 2])
                 await writer.drain()
                 return False
-            writer.write(b"%x\r\n%b\r\n" % (len(data), data) if is_framed else data)
+            chunk_bytes = 1 if has_tiny_chunks else len(data)
+            for at in range(0, len(data), chunk_bytes):
+                part = data[at : at + chunk_bytes]
+                writer.write(b"%x\r\n%b\r\n" % (len(part), part) if is_framed else part)
             await writer.drain()
             await asyncio.sleep(EVENT_INTERVAL_S)
         if is_framed:
@@ -155,6 +183,9 @@
     def _draws(self, share: float) -> bool:
         return self.fault_probability > 0 and self._framing_rng.random() < share
 
+    def _paces(self, share: float) -> bool:
+        return self.fault_probability > 0 and self._pace_rng.random() < share
+
     def _head(self, status: int, request_id: str) -> bytes:
         return (
             f"HTTP/1.1 {status} X\r\nRequest-Id: {request_id}\r\n"
