Hold back unfinished events of streams that cannot be resumed

What callers saw: up to 256 KiB of an event that never ends, before their stream is broken off: bytes that are no answer.

Cause: these streams were passed on as they arrived, also within an event.

Ruled out: the check; a client cannot tell such bytes from an event.

Why it works: EventBoundary passes on whole events and comments, and keeps the rest until it is whole, up to 256 KiB, as for streams that can be resumed.

Tests: TestUnfinishedEvents and TestEndlessEvents in tests/gateway/test_costly_bytes.py.

--- a/packages/citrondock-router/src/citrondock_router/gateway/event_stream_filter.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/event_stream_filter.py
@@ -12,6 +12,9 @@
 _EVENT_ID = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _EVENT_END_BYTES = 4
+_FIELD = re.compile(rb"^[^:\r\n]", re.MULTILINE)
+# Blank lines and comments, the last of which may be unfinished.
+_COMMENTS = re.compile(rb"(?:\r?\n|:[^\n]*+\n)*+(:[^\n]*+\Z)?")
 
 
 @attrs.define(eq=False)
@@ -109,56 +112,69 @@
 
 @attrs.define
 class EventBoundary:
-    r"""Tells whether a stream that is passed on as it arrives ends inside an event.
+    r"""Passes a stream on as it arrives, but for the bytes of an unfinished event.
 
     Lines that begin with a colon are comments and belong to no event.
 
     Attributes
     ----------
+    has_event : bool
+        Whether a whole event was passed on.
     fault : EventTooLongError or None
         Why the stream is none that a target would send.
 
     Examples
     --------
     >>> boundary = EventBoundary()
-    >>> boundary.feed(b"id: 0\ndata: a\n\nid: 1\nda")
+    >>> boundary.feed(b": hello\nid: 0\ndata: a\n\nid: 1\nda")
+    b': hello\nid: 0\ndata: a\n\n'
     >>> boundary.has_event, boundary.is_inside_event
     (True, True)
     """
 
     has_event: bool = False
     fault: EventTooLongError | None = None
-    _has_fields: bool = False
-    _line_start: bytes = b""
-    _event_bytes: int = 0
+    _held: bytearray = attrs.field(factory=bytearray)
+    _is_in_comment: bool = False
 
     @property
     def is_inside_event(self) -> bool:
         """Whether an event has begun and not ended."""
-        return self._has_fields or _is_field(self._line_start)
-
-    def feed(self, data: bytes) -> None:
-        """Add bytes of the stream."""
-        *lines, unfinished = (self._line_start + data).split(b"\n")
-        for line in lines:
-            if line in (b"", b"\r"):
-                self.has_event |= self._has_fields
-                self._has_fields = False
-            elif _is_field(line):
-                self._has_fields = True
-            self._event_bytes = self._event_bytes + len(line) if self._has_fields else 0
-        self._event_bytes += len(unfinished) - (0 if lines else len(self._line_start))
-        # Two bytes tell an empty line and a comment from a field.
-        self._line_start = unfinished[:2]
-        if self._event_bytes > MAX_EVENT_BYTES:
+        return bool(self._held.strip())
+
+    def feed(self, data: bytes) -> bytes:
+        """Add bytes of the stream and return those that belong to no unfinished event.
+
+        After a fault, nothing more is returned.
+        """
+        if self.fault is not None:
+            return b""
+        rest_of_comment = b""
+        if self._is_in_comment:
+            line_end = data.find(b"\n") + 1 or len(data)
+            rest_of_comment, data = data[:line_end], data[line_end:]
+            self._is_in_comment = not rest_of_comment.endswith(b"\n")
+        # Only the last bytes of what was searched before may belong to an end.
+        search_from = max(len(self._held) - _EVENT_END_BYTES + 1, 0)
+        self._held += data
+        events_end = max(
+            (end.end() for end in _EVENT_END.finditer(self._held, search_from)),
+            default=0,
+        )
+        self.has_event |= _FIELD.search(self._held, 0, events_end) is not None
+        comments = _COMMENTS.match(self._held, events_end)
+        assert comments is not None
+        self._is_in_comment |= comments.group(1) is not None
+        end = comments.end()
+        passed = rest_of_comment + bytes(self._held[:end])
+        del comments
+        del self._held[:end]
+        if len(self._held) > MAX_EVENT_BYTES:
             self.fault = _too_long("event of a stream that cannot be resumed")
+        return passed
 
 
 def _too_long(event: str) -> EventTooLongError:
     return EventTooLongError(
         f"{event} is larger than {MAX_EVENT_BYTES} bytes", step="relay"
     )
-
-
-def _is_field(line: bytes) -> bool:
-    return bool(line.strip()) and not line.startswith(b":")
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -263,7 +263,7 @@
             self._event_filter = EventStreamFilter(
                 last_event_id=facts.resume_after_event_id
             )
-        # Streams that cannot be resumed are passed on as they arrive.
+        # Streams that cannot be resumed are passed on without a check of their order.
         self._event_boundary = EventBoundary()
         self._timer = loop.call_at(self.deadline_s, self._timed_out)
 
@@ -604,7 +604,7 @@
             data = self._event_filter.feed(data)
             fault = self._event_filter.fault
         else:
-            self._event_boundary.feed(data)
+            data = self._event_boundary.feed(data)
             fault = self._event_boundary.fault
         if data and self._head is not None:
             # Bytes of an event that never ends are no progress.
--- a/tests/gateway/test_costly_bytes.py
+++ b/tests/gateway/test_costly_bytes.py
@@ -399,3 +399,50 @@
             boundary.feed(b"data: %b\n\n" % TOKEN)
         assert boundary.has_event
         assert boundary.fault is None
+
+    def test_no_byte_of_an_endless_event_is_passed_on(self):
+        boundary = EventBoundary()
+        assert (
+            boundary.feed(b"id: 0\ndata: a\n\nid: 1\ndata: ") == b"id: 0\ndata: a\n\n"
+        )
+        while boundary.fault is None:
+            assert boundary.feed(TOKEN) == b""
+        assert boundary.feed(b"\n\n") == b""
+
+    @pytest.mark.parametrize("ending", [b"\n", b"\r\n"])
+    def test_whole_events_and_comments_in_pieces_are_all_passed_on(self, ending):
+        lines = [b": c", b"id: 0", b"data: a", b"", b": d", b"", b"", b"id: 1", b""]
+        data = b"".join(line + ending for line in lines) + b": unfinished"
+        for size in range(1, len(data)):
+            boundary = EventBoundary()
+            pieces = [data[at : at + size] for at in range(0, len(data), size)]
+            passed = [boundary.feed(piece) for piece in pieces]
+            assert b"".join(passed) == data
+            assert boundary.has_event
+            assert not boundary.is_inside_event
+
+    def test_a_comment_is_passed_on_as_it_arrives(self):
+        boundary = EventBoundary()
+        assert boundary.feed(b": half") == b": half"
+        assert boundary.feed(b" of it\nid: 1") == b" of it\n"
+        assert boundary.is_inside_event
+        assert not boundary.has_event
+
+
+class TestEndlessEvents:
+    @pytest.mark.parametrize("path", ["/stream/x", "/resumable/x"])
+    def test_a_client_gets_whole_events_alone(self, path):
+        async def check():
+            async def script(got, writer):
+                writer.write(stream_head(got) + chunk(b"id: 0\ndata: a\n\n"))
+                writer.write(chunk(b"id: 1\ndata: "))
+                while not writer.is_closing():
+                    writer.write(chunk(b"x" * 4096))
+                    await writer.drain()
+
+            async with Harness([ScriptedTarget("t0", script)]) as harness:
+                reply = await harness.get(path)
+                assert reply.body == b"id: 0\ndata: a\n\n"
+                assert not reply.is_complete
+
+        run(check())
