--- a/tests/gateway/test_costly_bytes.py
+++ b/tests/gateway/test_costly_bytes.py
@@ -4,6 +4,7 @@
 import os
 import time
 
+import attrs
 import pytest
 from harness import (
     Client,
@@ -91,11 +92,6 @@
     return longest_s
 
 
-def run_in_process(script):
-    """Start a target that is not slowed by the event loop of the test."""
-    return asyncio.to_thread(lambda: asyncio.run(script))
-
-
 class ThreadedTarget(ScriptedTarget):
     """A target on an event loop of its own, so that it fills the router's sockets."""
 
@@ -113,7 +109,9 @@
             for task in asyncio.all_tasks() - {asyncio.current_task()}:
                 task.cancel()
 
-        self._thread = asyncio.ensure_future(run_in_process(serve()))
+        self._thread = asyncio.ensure_future(
+            asyncio.to_thread(lambda: asyncio.run(serve()))
+        )
         await ready.wait()
 
     def stop(self):
@@ -186,19 +184,8 @@
 class TestCostlyRequests:
     def test_others_are_served_beside_bodies_in_chunks_of_a_byte(self):
         async def check():
-            configured = configuration()
-            configured = type(configured)(
-                version=1,
-                routes=configured.routes,
-                services=configured.services,
-                limits=type(configured.limits)(
-                    max_header_bytes=4096,
-                    max_body_bytes=4_194_304,
-                    header_timeout_s=3.0,
-                    idle_timeout_s=5.0,
-                ),
-                account_by_key=None,
-            )
+            limits = attrs.evolve(configuration().limits, max_body_bytes=4_194_304)
+            configured = attrs.evolve(configuration(), limits=limits)
             target = ScriptedTarget("t0", send_complete_response)
             async with Harness([target], configured=configured) as harness:
                 head = request("/safe/x", method="POST", Transfer_Encoding="chunked")
