Search for the ends of events in one place

The filter and the boundary of event streams each appended bytes, worked out where to search from and collected the ends. Cause: the second was written after the first. One function serves both now; a reference that was dropped before the buffer was cut held no buffer and needed no dropping. Behaviour is the same: tests of streams, endings, costly and endless bytes pass.

--- a/packages/citrondock-router/src/citrondock_router/gateway/event_stream_filter.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/event_stream_filter.py
@@ -74,14 +74,10 @@
         """
         if self.fault is not None:
             return b""
-        # Only the last bytes of what was searched before may belong to an end.
-        search_from = max(len(self._partial) - _EVENT_END_BYTES + 1, 0)
-        self._partial += data
         new_events = []
         start = 0
-        ends = _EVENT_END.finditer(self._partial, search_from)
         try:
-            for end in [match.end() for match in ends]:
+            for end in _append(self._partial, data):
                 event = bytes(self._partial[start:end])
                 start = end
                 if self._is_new(event):
@@ -154,26 +150,28 @@
             line_end = data.find(b"\n") + 1 or len(data)
             rest_of_comment, data = data[:line_end], data[line_end:]
             self._is_in_comment = not rest_of_comment.endswith(b"\n")
-        # Only the last bytes of what was searched before may belong to an end.
-        search_from = max(len(self._held) - _EVENT_END_BYTES + 1, 0)
-        self._held += data
-        events_end = max(
-            (end.end() for end in _EVENT_END.finditer(self._held, search_from)),
-            default=0,
-        )
+        ends = _append(self._held, data)
+        events_end = ends[-1] if ends else 0
         self.has_event |= _FIELD.search(self._held, 0, events_end) is not None
         comments = _COMMENTS.match(self._held, events_end)
         assert comments is not None
         self._is_in_comment |= comments.group(1) is not None
         end = comments.end()
         passed = rest_of_comment + bytes(self._held[:end])
-        del comments
         del self._held[:end]
         if len(self._held) > MAX_EVENT_BYTES:
             self.fault = _too_long("event of a stream that cannot be resumed")
         return passed
 
 
+def _append(unfinished: bytearray, data: bytes) -> list[int]:
+    """Add bytes to an unfinished event; return the positions behind ended events."""
+    # Only the last bytes of what was searched before may belong to an end.
+    search_from = max(len(unfinished) - _EVENT_END_BYTES + 1, 0)
+    unfinished += data
+    return [end.end() for end in _EVENT_END.finditer(unfinished, search_from)]
+
+
 def _too_long(event: str) -> EventTooLongError:
     return EventTooLongError(
         f"{event} is larger than {MAX_EVENT_BYTES} bytes", step="relay"
