Tests: one endless script, and no stub of a method that is gone

Two test files had the same script that sends bytes without end; it is in the harness now. Stubs of exchanges kept leave_silent_target, which nothing calls since takeovers.

--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -150,6 +150,18 @@
     writer.write(complete_response(got))
 
 
+def endless(start, block):
+    """Return a script that sends ``block`` for as long as the connection is open."""
+
+    async def script(got, writer):
+        writer.write(start(got) if callable(start) else start)
+        while not writer.is_closing():
+            writer.write(block)
+            await writer.drain()
+
+    return script
+
+
 async def send_many(harness, count, path="/safe/x", prefix="r"):
     """Send requests one after the other; return the replies."""
     return [await harness.get(path, f"{prefix}{number}") for number in range(count)]
--- a/tests/gateway/simulated_gateways.py
+++ b/tests/gateway/simulated_gateways.py
@@ -100,9 +100,6 @@
         self.is_waiting = False
         self.record.refused(self)
 
-    def leave_silent_target(self):
-        return None
-
 
 class Record:
     """Tokens asked and received by account in each second, and the FAIR rule."""
--- a/tests/gateway/test_costly_bytes.py
+++ b/tests/gateway/test_costly_bytes.py
@@ -13,6 +13,7 @@
     chunk,
     complete_response,
     configuration,
+    endless,
     request,
     run,
     send_complete_response,
@@ -39,18 +40,6 @@
 TROUBLE_FOR_S = 3.0
 
 
-def endless(head, block):
-    """Return a script that sends ``block`` without end after a head."""
-
-    async def script(got, writer):
-        writer.write(head(got))
-        while not writer.is_closing():
-            writer.write(block)
-            await writer.drain()
-
-    return script
-
-
 def refusal_head(got):
     return (
         f"HTTP/1.1 503 Busy\r\nRequest-Id: {got.request_id}\r\nNot-Executed: 1\r\n"
--- a/tests/gateway/test_endless_responses.py
+++ b/tests/gateway/test_endless_responses.py
@@ -12,6 +12,7 @@
     chunk,
     complete_response,
     configuration,
+    endless,
     request,
     run,
     send_complete_response,
@@ -30,18 +31,6 @@
 BLOCK = b"x" * 65_536
 
 
-def endless(start, block):
-    """Return a script that sends ``block`` for as long as the connection is open."""
-
-    async def script(got, writer):
-        writer.write(start(got) if callable(start) else start)
-        while not writer.is_closing():
-            writer.write(block)
-            await writer.drain()
-
-    return script
-
-
 def make_harness(*targets):
     return Harness(targets, configured=configuration(timeout_s=TIMEOUT_S))
 
--- a/tests/gateway/test_grant_requester.py
+++ b/tests/gateway/test_grant_requester.py
@@ -63,9 +63,6 @@
     silent_target_id: str | None = None
     refused: str = ""
 
-    def leave_silent_target(self):
-        return None
-
     def refuse(self, reason):
         self.is_waiting = False
         self.refused = reason
