Keep one way to decode a page of the store

Cause: the product only decodes with turns since large odd entries; the way without turns was left for tests, with a loop that repeated the other. Tests now run what the product runs. No assertion or bound changes; tests of odd entries, the splitter, the store and the adapter's size pass.

--- a/packages/citrondock-router/src/citrondock_router/gateway/json_splitter.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/json_splitter.py
@@ -48,16 +48,6 @@
     reason: str
 
 
-def finish(computation: InTurns[_Result]) -> _Result:
-    """Run a computation to its end at once."""
-    while True:
-        try:
-            next(computation)
-        except StopIteration as end:
-            result: _Result = end.value
-            return result
-
-
 async def finish_in_turns(computation: InTurns[_Result]) -> _Result:
     """Run a computation to its end, with turns for other tasks in between."""
     while True:
--- a/tests/gateway/test_json_splitter.py
+++ b/tests/gateway/test_json_splitter.py
@@ -1,5 +1,6 @@
 """The parts of a split JSON text are those that a decoder finds."""
 
+import asyncio
 import contextlib
 import json
 
@@ -8,7 +9,16 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from citrondock_router.gateway.json_splitter import finish, split_array, split_object
+from citrondock_router.gateway.json_splitter import (
+    finish_in_turns,
+    split_array,
+    split_object,
+)
+
+
+def finish(computation):
+    return asyncio.run(finish_in_turns(computation))
+
 
 json_values = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text('ab"\\[]{},: ', max_size=8),
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -218,11 +218,11 @@
         asyncio.run(check())
 
     def test_they_are_not_decoded(self, odd):
-        items = decode_page(self.page(odd))["items"]
+        items = asyncio.run(decode_page(self.page(odd)))["items"]
         assert all(isinstance(item["spec"], Unreadable) for item in items[1:4])
 
     def test_their_engines_are_known_by_name(self, odd):
-        items = decode_page(self.page(odd))["items"]
+        items = asyncio.run(decode_page(self.page(odd)))["items"]
         assert [item["metadata"]["name"] for item in items[1:4]] == [
             "odd-0",
             "odd-1",
@@ -238,7 +238,7 @@
 
     def test_one_over_the_limit_says_so(self):
         items = [entry("a", spec(zone=b'"%b"' % (b"z" * MAX_VALUE_BYTES)))] * 20
-        reason = decode_page(page(items))["items"][0]["spec"].reason
+        reason = asyncio.run(decode_page(page(items)))["items"][0]["spec"].reason
         assert f"exceeds {MAX_VALUE_BYTES} bytes" in reason
 
     def test_a_configuration_may_be_as_large_as_the_store_takes_it(self):
@@ -300,7 +300,7 @@
     def test_a_response_that_is_no_object_is_an_error(self):
         for body in (b"", b"[]", b"{", NESTED, b'{"items":[{]}', b"\xff"):
             with pytest.raises(ValueError):
-                decode_page(body)
+                asyncio.run(decode_page(body))
 
     def test_a_page_without_progress_ends_the_listing(self):
         body = page([entry("a", spec())], morePages=b"true")
