Log why grant requests are refused, and what a late router does

The log could not tell whether a router does not ask for its account (hypothesis 1) or is put behind others by the home routers (2): answers named no reason and no usage of the account, and nothing told what a router short of processor time spends it on. Answers now carry both, for engine_answered; router_late counts the work of each second in which the loop was late. Both are optional on the wire, so that earlier versions read them.

--- a/packages/citrondock-core/src/citrondock_core/routing/engine_admission.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_admission.py
@@ -10,6 +10,7 @@
     GrantAnswer,
     GrantKey,
     GrantRequest,
+    RefusalReason,
     Stage,
     Verdict,
 )
@@ -166,9 +167,9 @@
         if request.is_permit:
             return self._submit_permit(request, now_s)
         if request.key in self._grants:
-            return self._answer(request.key, Verdict.GRANTED, now_s)
+            return self._answer(request, Verdict.GRANTED, now_s)
         if request.key in self._waiting:
-            return self._answer(request.key, Verdict.QUEUED, now_s)
+            return self._answer(request, Verdict.QUEUED, now_s)
         self._ratios.record_request(request.kind, now_s=now_s)
         if not self._queue and self._has_capacity(request, now_s):
             return self._grant(request, now_s)
@@ -177,8 +178,10 @@
         is_account_queue_full = (
             self._prefill_s(waiting_tokens) > self.options.max_account_queue_s
         )
-        if is_account_queue_full or now_s >= request.wait_until_s:
-            return self._answer(request.key, Verdict.REFUSED, now_s)
+        if is_account_queue_full:
+            return self._refuse(request, RefusalReason.ACCOUNT_QUEUE_FULL, now_s)
+        if now_s >= request.wait_until_s:
+            return self._refuse(request, RefusalReason.WAITED_OUT, now_s)
         waiting = _WaitingRequest(
             request=request,
             account=request.account,
@@ -187,7 +190,7 @@
             on_time_until_s=self._grant_deadline_s(request, prefill_tokens),
             cost_tokens=prefill_tokens,
         )
-        answer = self._answer(request.key, Verdict.QUEUED, now_s)
+        answer = self._answer(request, Verdict.QUEUED, now_s)
         self._waiting[request.key] = waiting
         self._queue.push(waiting)
         return answer
@@ -198,9 +201,8 @@
         for waiting in list(self._waiting.values()):
             if now_s >= waiting.request.wait_until_s:
                 self._remove_waiting(waiting)
-                answers.append(
-                    self._answer(waiting.request.key, Verdict.REFUSED, now_s)
-                )
+                reason = RefusalReason.WAITED_OUT
+                answers.append(self._refuse(waiting.request, reason, now_s))
         answers += self._refuse_beyond_limit(now_s)
         if not self._queue or self._backlog_s(now_s) > self.options.max_backlog_s:
             return answers
@@ -223,7 +225,8 @@
                 ahead_count += 1
                 continue
             self._remove_waiting(waiting)
-            answers.append(self._answer(waiting.request.key, Verdict.REFUSED, now_s))
+            reason = RefusalReason.LIMIT_REACHED
+            answers.append(self._refuse(waiting.request, reason, now_s))
         return answers
 
     def _submit_permit(self, request: GrantRequest, now_s: float) -> GrantAnswer:
@@ -233,6 +236,7 @@
                     key=request.key,
                     verdict=Verdict.REFUSED,
                     first_answer_s=self._limit_wait_s(len(self._queue), now_s),
+                    refusal_reason=RefusalReason.LIMIT_REACHED,
                 )
             self._limiter.take(now_s=now_s)
         return GrantAnswer(key=request.key, verdict=Verdict.GRANTED, first_answer_s=0.0)
@@ -261,10 +265,10 @@
     def unconfirmed_grants(self, *, now_s: float) -> list[GrantAnswer]:
         """Return an answer for each grant that its router may no longer use."""
         answers = []
-        for key, grant in self._grants.items():
+        for grant in self._grants.values():
             if now_s >= grant.confirm_at_s:
                 grant.confirm_at_s = now_s + self.options.confirm_period_s
-                answers.append(self._answer(key, Verdict.GRANTED, now_s))
+                answers.append(self._answer(grant.request, Verdict.GRANTED, now_s))
         return answers
 
     def expire(self, *, now_s: float) -> list[GrantKey]:
@@ -297,7 +301,8 @@
         answers = []
         for waiting in list(self._waiting.values()):
             self._remove_waiting(waiting)
-            answers.append(self._answer(waiting.request.key, Verdict.REFUSED, now_s))
+            reason = RefusalReason.TARGET_GONE
+            answers.append(self._refuse(waiting.request, reason, now_s))
         return answers
 
     def _backlog_s(self, now_s: float) -> float:
@@ -345,7 +350,7 @@
         self._memory_tokens += request.memory_tokens
         received = request.prompt_tokens + OUTPUT_TOKEN_WEIGHT * request.output_tokens
         self._usage.add(request.account, received, now_s=now_s)
-        return self._answer(request.key, Verdict.GRANTED, now_s)
+        return self._answer(request, Verdict.GRANTED, now_s)
 
     def _record_start(self, grant: _Grant, now_s: float) -> None:
         grant.started = True
@@ -354,13 +359,34 @@
         read_tokens = grant.prefill_tokens + grant.backlog_tokens
         self.speed.learn(read_tokens, now_s - grant.granted_at_s)
 
-    def _answer(self, key: GrantKey, verdict: Verdict, now_s: float) -> GrantAnswer:
+    def _refuse(
+        self, request: GrantRequest, reason: RefusalReason, now_s: float
+    ) -> GrantAnswer:
+        return self._answer(request, Verdict.REFUSED, now_s, reason)
+
+    def _answer(
+        self,
+        request: GrantRequest,
+        verdict: Verdict,
+        now_s: float,
+        refusal_reason: RefusalReason | None = None,
+    ) -> GrantAnswer:
         first_token_s = FIRST_TOKEN_BASE_S + self._backlog_s(now_s)
+        account_tokens = None
         if verdict is not Verdict.GRANTED:
             first_token_s += self._prefill_s(self._queue.waiting_tokens)
             limit_wait_s = self._limit_wait_s(len(self._queue), now_s)
             first_token_s = max(first_token_s, FIRST_TOKEN_BASE_S + limit_wait_s)
-        return GrantAnswer(key=key, verdict=verdict, first_answer_s=first_token_s)
+            account_tokens = int(
+                self._usage.received_tokens(request.account, now_s=now_s)
+            )
+        return GrantAnswer(
+            key=request.key,
+            verdict=verdict,
+            first_answer_s=first_token_s,
+            refusal_reason=refusal_reason,
+            account_tokens=account_tokens,
+        )
 
     def _prefill_tokens(self, request: GrantRequest) -> int:
         cached = self.cache.cached_tokens(request.shared_parts)
--- a/packages/citrondock-core/src/citrondock_core/routing/grant.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/grant.py
@@ -19,6 +19,16 @@
     REFUSED = 3
 
 
+class RefusalReason(enum.Enum):
+    """Why a grant request was refused."""
+
+    ACCOUNT_QUEUE_FULL = 1
+    WAITED_OUT = 2
+    LIMIT_REACHED = 3
+    TARGET_GONE = 4
+    NO_ANSWER = 5
+
+
 class Stage(enum.Enum):
     """Progress of a granted or queued request."""
 
@@ -93,11 +103,17 @@
         Whether the prompt may be sent, waits in the queue, or must go elsewhere.
     first_answer_s : float
         Predicted time from now to the first token.
+    refusal_reason : RefusalReason or None
+        Why the prompt must go elsewhere; None if it need not, or if unknown.
+    account_tokens : int or None
+        Recent usage of the account as the home router counts it; None for a grant.
     """
 
     key: GrantKey
     verdict: Verdict
     first_answer_s: float
+    refusal_reason: RefusalReason | None = None
+    account_tokens: int | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -88,6 +88,7 @@
         self.scheduler = scheduler
         self.overload = overload
         self.is_refusing = False
+        self.read_count = self.shed_count = 0
         self._header_codec = header_codec
         self._connections = connections
         self._metrics = metrics
@@ -121,6 +122,11 @@
         """Number of requests that have not ended."""
         return self.scheduler.live_count
 
+    @property
+    def client_count(self) -> int:
+        """Number of client connections."""
+        return len(self._clients)
+
     def start_draining(self, *, stops_at_s: float = math.inf) -> None:
         """Close client connections after their responses, but still serve requests.
 
@@ -176,6 +182,7 @@
     def handle(
         self, request: ClientRequest, client: ClientConnection
     ) -> RequestInProgress | None:
+        self.read_count += 1
         try:
             exchange = self._begin_exchange(request, client)
         except Exception as error:
@@ -218,6 +225,7 @@
             )
             return None
         if self.overload.must_shed():
+            self.shed_count += 1
             if self.overload.is_sustained:
                 client.close_after_response()
             self._refuse_unavailable(
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -4,6 +4,7 @@
 import gc
 import random
 import signal
+import time
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from functools import partial
 from http import HTTPStatus
@@ -22,6 +23,7 @@
 from citrondock_router.gateway.grant_broker import GrantBroker
 from citrondock_router.gateway.header_codec import HeaderCodec
 from citrondock_router.gateway.listener import Listener
+from citrondock_router.gateway.load_report import LoadReport, WorkCounts
 from citrondock_router.gateway.log_writer import LogWriter
 from citrondock_router.gateway.object_follower import ObjectFollower
 from citrondock_router.gateway.operations_handler import OperationsHandler, Page
@@ -47,6 +49,9 @@
 """Longest pause before a background task is started again, after the first failure and
 after any failure."""
 
+LOAD_REPORT_S = 1.0
+"""Period in which a router that is late logs its work."""
+
 LOG_DRAIN_S = 0.1
 """Period in which buffered log lines are written."""
 
@@ -144,6 +149,7 @@
             ),
             loop=self.loop,
         )
+        self._load_report = LoadReport(self.loop.time, self._work_counts)
         self.client_port = self.readiness_port = self.metrics_port = 0
         self.is_listening = asyncio.Event()
         self._stop = asyncio.Event()
@@ -180,6 +186,7 @@
             partial(self._run_every, TICK_S, self._tick),
             partial(self._check_every, STALL_CHECK_S, check_stalls),
             partial(self._check_every, HOUSEKEEPING_S, self._housekeep),
+            partial(self._run_every, LOAD_REPORT_S, self._report_load),
             partial(self._run_every, LOG_DRAIN_S, self._log_writer.drain),
             partial(self._check_every, WATCH_CHECK_S, self._store_views.tick),
             self._report_usage,
@@ -258,11 +265,28 @@
             await asyncio.sleep(self.broker.home.report_usage())
 
     def _tick(self) -> None:
-        self.metrics.observe_loop_lag(self.gateway.overload.timer_fired())
+        lag_s = self.gateway.overload.timer_fired()
+        self.metrics.observe_loop_lag(lag_s)
+        self._load_report.observe_lag(lag_s)
         self.broker.tick()
         self.gateway.scheduler.crashes.tick()
         self.gateway.scheduler.tick()
 
+    def _work_counts(self) -> WorkCounts:
+        return WorkCounts(
+            read_count=self.gateway.read_count,
+            shed_count=self.gateway.shed_count,
+            grant_request_count=self.broker.request_count,
+            sent_count=self.gateway.scheduler.sent_count,
+            late_answer_count=self.broker.late_answer_count,
+            processor_s=time.process_time(),
+        )
+
+    def _report_load(self) -> None:
+        self._load_report.end_period(
+            client_count=self.gateway.client_count, live_count=self.gateway.live_count
+        )
+
     def _housekeep(self) -> None:
         self.gateway.close_idle_clients()
         self._connections.close_expired()
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
@@ -19,6 +19,7 @@
     GrantKey,
     GrantProgress,
     GrantRequest,
+    RefusalReason,
     Stage,
     Verdict,
 )
@@ -117,6 +118,7 @@
         # Home router and engine of each grant that this router holds.
         self._granted: dict[GrantKey, tuple[str, str]] = {}
         self._ticked_at_s: float | None = None
+        self.request_count = 0
         self.silent_home_count = 0
         self.late_answer_count = 0
 
@@ -138,6 +140,7 @@
 
         ``on_answer`` is called with each answer, and only after this has returned.
         """
+        self.request_count += 1
         now_s = self._loop.time()
         zone = entry.availability_zone
         home = self.peers.home_router_of(entry.target_id, zone, now_s=now_s)
@@ -288,7 +291,12 @@
         else:
             del self._pending[key]
         pending.on_answer(
-            GrantAnswer(key=key, verdict=Verdict.REFUSED, first_answer_s=0.0)
+            GrantAnswer(
+                key=key,
+                verdict=Verdict.REFUSED,
+                first_answer_s=0.0,
+                refusal_reason=RefusalReason.NO_ANSWER,
+            )
         )
 
     def _handle_answer(
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_home.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_home.py
@@ -14,6 +14,7 @@
     GrantKey,
     GrantProgress,
     GrantRequest,
+    RefusalReason,
     Stage,
     Verdict,
 )
@@ -134,7 +135,10 @@
         engine = self._engines.get(request.target_id)
         if engine is None:
             answer = GrantAnswer(
-                key=request.key, verdict=Verdict.REFUSED, first_answer_s=0.0
+                key=request.key,
+                verdict=Verdict.REFUSED,
+                first_answer_s=0.0,
+                refusal_reason=RefusalReason.TARGET_GONE,
             )
             self._send_answers(requester, [answer], None)
             return
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
@@ -315,6 +315,8 @@
             request_id=exchange.facts.request_id,
             target=target_id,
             verdict=answer.verdict.name.lower(),
+            refused=answer.refusal_reason and answer.refusal_reason.name.lower(),
+            account_tokens=answer.account_tokens,
             predicted_s=answer.first_answer_s,
             waited_s=self._loop.time() - exchange.arrived_at_s,
         )
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -136,6 +136,7 @@
         self._sending_services: set[str] = set()
         self._refused_requests = RefusedRequests()
         self.live_count = 0
+        self.sent_count = 0
 
     def set_budget_options(self, options: RetryRatioBudgetOptions) -> None:
         """Replace the limits of all retry budgets."""
@@ -398,6 +399,7 @@
 
     @override
     def start(self, exchange: Exchange, choice: PlacementChoice) -> None:
+        self.sent_count += 1
         choice.load.record_sent(exchange.key)
         if exchange.route.kind is not RouteKind.AT_MOST_ONCE:
             self._sent[id(exchange)] = exchange
--- a/packages/citrondock-wire/grants.thrift
+++ b/packages/citrondock-wire/grants.thrift
@@ -23,12 +23,21 @@
   REFUSED = 3
 }
 
+enum RefusalReason {
+  ACCOUNT_QUEUE_FULL = 1
+  WAITED_OUT = 2
+  LIMIT_REACHED = 3
+  TARGET_GONE = 4
+}
+
 // Answers are sent along with the backlog of the engine that they are about. A grant is
 // sent again to confirm it; a router that does not use it reports it as withdrawn.
 struct Answer {
   1: i64 number
   2: Verdict verdict
   3: i32 first_answer_ms
+  4: optional RefusalReason refusal_reason // unset by earlier versions
+  5: optional i32 account_tokens // recent usage of the account; unset for a grant
 }
 
 enum Stage {
--- a/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
+++ b/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
@@ -34,6 +34,27 @@
     }
 
 
+class RefusalReason(object):
+    ACCOUNT_QUEUE_FULL = 1
+    WAITED_OUT = 2
+    LIMIT_REACHED = 3
+    TARGET_GONE = 4
+
+    _VALUES_TO_NAMES = {
+        1: "ACCOUNT_QUEUE_FULL",
+        2: "WAITED_OUT",
+        3: "LIMIT_REACHED",
+        4: "TARGET_GONE",
+    }
+
+    _NAMES_TO_VALUES = {
+        "ACCOUNT_QUEUE_FULL": 1,
+        "WAITED_OUT": 2,
+        "LIMIT_REACHED": 3,
+        "TARGET_GONE": 4,
+    }
+
+
 class Stage(object):
     STARTED = 1
     ENDED = 2
@@ -233,14 +254,18 @@
      - number
      - verdict
      - first_answer_ms
+     - refusal_reason
+     - account_tokens
 
     """
 
 
-    def __init__(self, number=None, verdict=None, first_answer_ms=None,):
+    def __init__(self, number=None, verdict=None, first_answer_ms=None, refusal_reason=None, account_tokens=None,):
         self.number = number
         self.verdict = verdict
         self.first_answer_ms = first_answer_ms
+        self.refusal_reason = refusal_reason
+        self.account_tokens = account_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -266,6 +291,16 @@
                     self.first_answer_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.refusal_reason = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.account_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -288,6 +323,14 @@
             oprot.writeFieldBegin('first_answer_ms', TType.I32, 3)
             oprot.writeI32(self.first_answer_ms)
             oprot.writeFieldEnd()
+        if self.refusal_reason is not None:
+            oprot.writeFieldBegin('refusal_reason', TType.I32, 4)
+            oprot.writeI32(self.refusal_reason)
+            oprot.writeFieldEnd()
+        if self.account_tokens is not None:
+            oprot.writeFieldBegin('account_tokens', TType.I32, 5)
+            oprot.writeI32(self.account_tokens)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1345,6 +1388,8 @@
     (1, TType.I64, 'number', None, None, ),  # 1
     (2, TType.I32, 'verdict', None, None, ),  # 2
     (3, TType.I32, 'first_answer_ms', None, None, ),  # 3
+    (4, TType.I32, 'refusal_reason', None, None, ),  # 4
+    (5, TType.I32, 'account_tokens', None, None, ),  # 5
 )
 all_structs.append(Progress)
 Progress.thrift_spec = (
--- a/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
+++ b/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
@@ -14,6 +14,7 @@
     GrantKey,
     GrantProgress,
     GrantRequest,
+    RefusalReason,
     Stage,
     Verdict,
 )
@@ -262,6 +263,8 @@
         number=answer.key.number,
         verdict=answer.verdict.value,
         first_answer_ms=_to_ms(answer.first_answer_s),
+        refusal_reason=answer.refusal_reason and answer.refusal_reason.value,
+        account_tokens=answer.account_tokens,
     )
 
 
@@ -270,6 +273,8 @@
         key=GrantKey(incarnation=own_incarnation, number=answer.number),
         verdict=Verdict(answer.verdict),
         first_answer_s=answer.first_answer_ms / MS_PER_S,
+        refusal_reason=answer.refusal_reason and RefusalReason(answer.refusal_reason),
+        account_tokens=answer.account_tokens,
     )
 
 
--- a/tests/gateway/test_grant_broker.py
+++ b/tests/gateway/test_grant_broker.py
@@ -12,7 +12,9 @@
 from citrondock_core.routing.grant import (
     EngineBacklog,
     GrantAnswer,
+    GrantKey,
     GrantRequest,
+    RefusalReason,
     Stage,
     Verdict,
 )
@@ -573,6 +575,21 @@
         data = codec.encode(sent, now_s=1.0)
         assert codec.decode(data, now_s=9.0, own_incarnation=2) == sent
 
+    def test_reasons_of_refusals_are_read_as_sent(self):
+        key = GrantKey(incarnation=2, number=7)
+        refusal = GrantAnswer(
+            key=key,
+            verdict=Verdict.REFUSED,
+            first_answer_s=0.5,
+            refusal_reason=RefusalReason.ACCOUNT_QUEUE_FULL,
+            account_tokens=12_345,
+        )
+        grant = GrantAnswer(key=key, verdict=Verdict.GRANTED, first_answer_s=0.1)
+        sent = PeerDatagram(vm_name="v1", incarnation=1, answers=[refusal, grant])
+        codec = GrantCodec()
+        data = codec.encode(sent, now_s=1.0)
+        assert codec.decode(data, now_s=9.0, own_incarnation=2) == sent
+
     def test_departures_and_views_of_the_store_are_read_as_sent(self):
         sent = PeerDatagram(
             vm_name="v1",
--- a/tests/routing/test_engine_admission.py
+++ b/tests/routing/test_engine_admission.py
@@ -2,6 +2,7 @@
 
 from citrondock_core.routing.account_usage import DecayingUsage
 from citrondock_core.routing.engine_admission import (
+    OUTPUT_TOKEN_WEIGHT,
     EngineAdmission,
     EngineAdmissionOptions,
 )
@@ -10,7 +11,13 @@
     NOMINAL_PREFILL_TOKENS_PER_S,
     EngineSpeed,
 )
-from citrondock_core.routing.grant import GrantKey, GrantRequest, Stage, Verdict
+from citrondock_core.routing.grant import (
+    GrantKey,
+    GrantRequest,
+    RefusalReason,
+    Stage,
+    Verdict,
+)
 from citrondock_core.routing.request_facts import PromptPart
 from citrondock_core.routing.route import ModelEngineOptions
 
@@ -49,6 +56,32 @@
     ]
 
 
+class TestRefusalReasons:
+    def test_an_answer_names_the_reason_and_the_usage_of_the_account(self):
+        admission = new_admission(max_account_queue_s=0.2)
+        admission.submit(grant_request(1, account="a"), now_s=0)
+        fill_backlog(admission)
+        trial = admission.submit(grant_request(2, account="a", wait_s=0.0), now_s=0)
+        assert trial.refusal_reason is RefusalReason.WAITED_OUT
+        assert trial.account_tokens == 6000 + OUTPUT_TOKEN_WEIGHT * 50
+        flood = [
+            admission.submit(grant_request(10 + n, account="b"), now_s=0)
+            for n in range(5)
+        ]
+        assert flood[-1].refusal_reason is RefusalReason.ACCOUNT_QUEUE_FULL
+        assert flood[-1].account_tokens == 0
+
+    def test_what_waits_for_an_engine_that_is_dropped_is_told_so(self):
+        admission = new_admission()
+        fill_backlog(admission)
+        [answer, *_] = admission.refuse_waiting(now_s=0)
+        assert answer.refusal_reason is RefusalReason.TARGET_GONE
+
+    def test_a_grant_has_neither(self):
+        answer = new_admission().submit(grant_request(1), now_s=0)
+        assert (answer.refusal_reason, answer.account_tokens) == (None, None)
+
+
 class TestGranting:
     def test_a_request_to_an_idle_engine_is_granted_at_once(self):
         assert (
