Test, failing: accounts whose only router is overloaded get their shares

Callers of an account whose clients meet at one small router got a tenth of its share. The simulated fleet now has the overload guard, the cost of a refusal and that of a grant request. An account asks far more of one small router than that can carry; what refusals leave of its time would serve 26 requests a second, and 5 of 400 begin. A small account at the same router gets nothing.

--- a/tests/gateway/simulated_gateways.py
+++ b/tests/gateway/simulated_gateways.py
@@ -22,6 +22,7 @@
 from citrondock_router.gateway.grant_broker import GrantBroker
 from citrondock_router.gateway.grant_home import KnownEngine
 from citrondock_router.gateway.grant_requester import EnginePool, GrantRequester
+from citrondock_router.gateway.overload_guard import OverloadGuard
 
 NETWORK_DELAY_S = 0.0005
 TICK_S = 0.01
@@ -58,12 +59,16 @@
     """Processor time in seconds of what a router handles."""
 
     request_s: float = 0.002
+    refusal_s: float = 0.0003
+    ask_s: float = 0.0
     datagram_s: float = 0.0001
     response_s: float = 0.0005
 
     def slowed(self, factor):
         return Costs(
             self.request_s * factor,
+            self.refusal_s * factor,
+            self.ask_s * factor,
             self.datagram_s * factor,
             self.response_s * factor,
         )
@@ -220,11 +225,14 @@
         self._ready = deque()
         self._input = deque()
         self._tick_at_s = self._expire_at_s = 0.0
+        self.overload = OverloadGuard(self.time, period_s=TICK_S)
         self._loads = [TargetLoad(engine.entry) for engine in fleet.engines]
         self.engine_loads = EngineLoadView()
         self.peers = PeerTable(self.name, zone)
         self.broker = GrantBroker(self.peers, self.engine_loads, self)
         self.socket = self.broker.link.socket = SimulatedSocket(self)
+        self._request_grant = self.broker.request_grant
+        self.broker.request_grant = self.request_grant
         self.requester = GrantRequester(
             self,
             placement=Placement(zone, self.engine_loads),
@@ -265,6 +273,7 @@
         if self.time() >= self._tick_at_s:
             self._tick_at_s = self.time() + TICK_S
             self.fleet.simulation.call_at(self._tick_at_s, self.wake)
+            self.overload.timer_fired()
             self.broker.tick()
         if self.time() >= self._expire_at_s:
             self._expire_at_s = self.time() + HOUSEKEEPING_S
@@ -291,10 +300,18 @@
 
     # As a gateway.
 
+    def request_grant(self, request, entry, on_answer):
+        self.spend(self.costs.ask_s)
+        self._request_grant(request, entry, on_answer)
+
     def accept(self, request):
-        self._receive(self.costs.request_s, self._submit, request)
+        self._receive(self.costs.refusal_s, self._submit, request)
 
     def _submit(self, request):
+        if self.overload.must_shed():
+            request.refuse("overloaded")
+            return
+        self.spend(self.costs.request_s - self.costs.refusal_s)
         self.requester.submit(
             request, request.prompt, wait_until_s=request.on_time_until_s
         )
@@ -332,7 +349,9 @@
         How much more processor time the first router needs than the others.
     """
 
-    def __init__(self, router_count, engine_count, *, seed, slow_factor=1.0):
+    def __init__(
+        self, router_count, engine_count, *, seed, slow_factor=1.0, costs=None
+    ):
         self.simulation = Simulation()
         self.record = Record(self.simulation)
         self.random = random.Random(seed)
@@ -342,7 +361,7 @@
         ]
         self.tokens_per_s = engine_count * ENGINE_TOKENS_PER_S
         self.engines_by_id = {engine.entry.target_id: engine for engine in self.engines}
-        costs = Costs()
+        costs = costs or Costs()
         self.routers = [
             SimulatedRouter(
                 self,
--- a/tests/gateway/test_fair_fleet.py
+++ b/tests/gateway/test_fair_fleet.py
@@ -1,9 +1,14 @@
 """Fair shares of whole fleets on a simulated clock, by the users' rule on fairness."""
 
 import pytest
-from simulated_gateways import SimulatedFleet
+from simulated_gateways import Costs, SimulatedFleet
 
-from citrondock_router.gateway import grant_broker, grant_home, grant_requester
+from citrondock_router.gateway import (
+    grant_broker,
+    grant_home,
+    grant_requester,
+    overload_guard,
+)
 
 LENGTH_S = 14
 DRAIN_S = 3
@@ -12,13 +17,12 @@
 TOKENS_PER_REQUEST = 3000
 
 SLOW_FACTOR = 7.0
-"""The late router is busy for 0.93 of the time. One that is busy all the time has to
-turn clients away, which is not simulated."""
+"""The late router is busy for 0.93 of the time."""
 
 
 @pytest.fixture(autouse=True)
 def _quiet_log(monkeypatch):
-    for module in (grant_broker, grant_home, grant_requester):
+    for module in (grant_broker, grant_home, grant_requester, overload_guard):
         monkeypatch.setattr(module, "log_event", lambda *_, **__: None)
 
 
@@ -35,7 +39,37 @@
     return fleet
 
 
+def play_account_beyond_its_router(seed):
+    """Return a fleet with an account that asks far more than its one router can carry.
+
+    Refusals leave the router time to serve what the other accounts get each. A small
+    account depends on the same router.
+    """
+    costs = Costs(
+        request_s=0.0012,
+        refusal_s=0.0005,
+        ask_s=0.0006,
+        datagram_s=0.00015,
+        response_s=0.0008,
+    )
+    fleet = SimulatedFleet(24, 12, seed=seed, slow_factor=3.0, costs=costs)
+    small, others = fleet.routers[0], fleet.routers[1:]
+    capacity_per_s = fleet.tokens_per_s / TOKENS_PER_REQUEST
+    load = {"from_s": 0.5, "until_s": LENGTH_S}
+    for number in range(8):
+        fleet.add_load(f"other{number}", 0.375 * capacity_per_s, others, **load)
+    fleet.add_load("hot", 400, [small], **load)
+    fleet.add_load("beside_hot", 6, [small], **load)
+    fleet.run(LENGTH_S)
+    return fleet
+
+
 class TestFairShares:
+    @pytest.mark.parametrize("seed", [3, 4])
+    def test_accounts_whose_only_router_is_overloaded_get_their_shares(self, seed):
+        fleet = play_account_beyond_its_router(seed)
+        assert fleet.record.violations(1, LENGTH_S) == []
+
     @pytest.mark.parametrize("seed", [3, 4])
     def test_an_account_that_depends_on_one_late_router_gets_its_share(self, seed):
         fleet = play_one_router_account(seed)
