Serve what a router can while it is late, fairly between accounts

Callers of an account whose clients meet at one overloaded router got a tenth of its share, and small accounts at the same router nothing.

Cause, first part: a late router refused all that it read, and took all that it read in the next iteration of its loop. Its time went into refusals and into bursts that it could not finish; whose requests were taken was chance. It now takes requests at little more than the rate at which it sends them to targets; accounts that were admitted less often than the others may overdraw that rate.

Ruled out: one-sided order at the home routers.

--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -224,7 +224,11 @@
                 client, request_id, "no_configuration", retry_after_s
             )
             return None
-        if self.overload.must_shed():
+        accounts = active.configuration.account_by_key
+        account = None
+        if accounts is not None and facts.key is not None:
+            account = accounts.get(facts.key)
+        if not self.overload.may_admit(account or ""):
             self.shed_count += 1
             if self.overload.is_sustained:
                 client.close_after_response()
@@ -236,10 +240,6 @@
         if route is None:
             self._send_refusal(client, HTTPStatus.NOT_FOUND, request_id, "no_route")
             return None
-        accounts = active.configuration.account_by_key
-        account = None
-        if accounts is not None and facts.key is not None:
-            account = accounts.get(facts.key)
         if accounts is not None and account is None and not route.is_public:
             self._send_refusal(
                 client, HTTPStatus.UNAUTHORIZED, request_id, "unknown_key"
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -128,6 +128,9 @@
         self._store_views = StoreViewExchange(
             self.broker.link, self.watch_plan, self.loop
         )
+        overload = OverloadGuard(
+            self.loop.time, period_s=TICK_S, shed_lag_s=settings.shed_lag_s
+        )
         scheduler = RequestScheduler(
             directory=self.directory,
             connections=self._connections,
@@ -136,6 +139,7 @@
             broker=self.broker,
             budget_options=settings.budget_options(known_router_count=1),
             metrics=self.metrics,
+            overload=overload,
             loop=self.loop,
         )
         self.gateway = Gateway(
@@ -144,9 +148,7 @@
             scheduler=scheduler,
             connections=self._connections,
             metrics=self.metrics,
-            overload=OverloadGuard(
-                self.loop.time, period_s=TICK_S, shed_lag_s=settings.shed_lag_s
-            ),
+            overload=overload,
             loop=self.loop,
         )
         self._load_report = LoadReport(self.loop.time, self._work_counts)
--- a/packages/citrondock-router/src/citrondock_router/gateway/overload_guard.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/overload_guard.py
@@ -1,12 +1,14 @@
-"""Detects that the router is short of processor time."""
+"""Detects that the router is short of processor time, and limits what it takes."""
 
 from collections.abc import Callable
 
+from citrondock_core.routing.overload_admission import OverloadAdmission
 from citrondock_router.log import log_event
 
 SHED_LAG_S = 0.15
-"""Requests that waited longer than this for the event loop are refused at once; clients
-give up on a router that has not read their request within 0.5 to 1 s."""
+"""If requests waited longer than this for the event loop, those beyond what the router
+can serve are refused at once; clients give up on a router that has not read their
+request within 0.5 to 1 s."""
 
 RECOVERY_S = 1.0
 """An overload has ended when the event loop was never late for this long."""
@@ -47,13 +49,29 @@
         self._shed_until_s = 0.0
         self._recovered_at_s: float | None = None
         self._sustained_at_s = 0.0
+        self._admission = OverloadAdmission()
         self.is_sustained = False
 
     def must_shed(self) -> bool:
-        """Return whether a request that is read now waited too long for the loop."""
+        """Return whether what is read now waited too long for the loop."""
         now_s = self._clock()
         return self._lag_s(now_s) > self._shed_lag_s or now_s < self._shed_until_s
 
+    def may_admit(self, account: str) -> bool:
+        """Return whether to take a request of an account that is read now.
+
+        A late router takes no more than it can serve, see `OverloadAdmission`.
+        """
+        now_s = self._clock()
+        if self.must_shed():
+            return self._admission.admit(account, now_s=now_s)
+        self._admission.record_admitted(account, now_s=now_s)
+        return True
+
+    def record_sent(self) -> None:
+        """Record that a request was sent to a target."""
+        self._admission.record_sent(now_s=self._clock())
+
     def timer_fired(self) -> float:
         """Record a run of the timer and return its lag in seconds."""
         now_s = self._clock()
@@ -63,11 +81,13 @@
             # Requests that came during the long loop iteration are read in this one.
             self._shed_until_s = now_s + self._shed_lag_s / 2
             if self._recovered_at_s is None:
+                self._admission.begin(now_s=now_s)
                 log_event("overloaded", level="WARNING", lag_s=lag_s)
                 self._sustained_at_s = now_s + SUSTAINED_S
             elif now_s >= self._sustained_at_s and not self.is_sustained:
                 self.is_sustained = True
                 log_event("overload_sustained", level="WARNING", lag_s=lag_s)
+            self._admission.observe_lag(lag_s)
             self._recovered_at_s = now_s + RECOVERY_S
         elif self._recovered_at_s is not None and now_s >= self._recovered_at_s:
             self._recovered_at_s = None
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -36,6 +36,7 @@
 from citrondock_router.gateway.grant_home import USAGE_HALF_LIFE_S, KnownEngine
 from citrondock_router.gateway.grant_requester import EnginePool, GrantRequester
 from citrondock_router.gateway.outcome import Outcome
+from citrondock_router.gateway.overload_guard import OverloadGuard
 from citrondock_router.gateway.permit_requester import PermitRequester
 from citrondock_router.gateway.stall_detection import (
     StallOptions,
@@ -81,6 +82,8 @@
         Limits of the retry budgets.
     metrics : GatewayMetrics
         Counts requests, denied retries and stalls.
+    overload : OverloadGuard
+        Is told of each request that is sent.
     loop : asyncio.AbstractEventLoop
         Event loop whose clock all times are on.
     stall_options : StallOptions, optional
@@ -97,6 +100,7 @@
         broker: GrantBroker,
         budget_options: RetryRatioBudgetOptions,
         metrics: GatewayMetrics,
+        overload: OverloadGuard,
         loop: asyncio.AbstractEventLoop,
         stall_options: StallOptions | None = None,
     ) -> None:
@@ -122,6 +126,7 @@
             loop=loop,
         )
         self._metrics = metrics
+        self._overload = overload
         self._loop = loop
         self._stall_options = stall_options or StallOptions()
         self._services: dict[str, ServiceOptions] = {}
@@ -400,6 +405,7 @@
     @override
     def start(self, exchange: Exchange, choice: PlacementChoice) -> None:
         self.sent_count += 1
+        self._overload.record_sent()
         choice.load.record_sent(exchange.key)
         if exchange.route.kind is not RouteKind.AT_MOST_ONCE:
             self._sent[id(exchange)] = exchange
