Do not try other engines for queued prompts while the router is overloaded

An overloaded router got fewer of its requests to engines the more it was asked. Cause, second part: it did more work for each request, not less. A queued prompt now stays where it is; a refused one still goes to the next engine. The new test failed before: two engines were asked.

--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
@@ -27,6 +27,7 @@
 from citrondock_router.gateway.crash_exchange import CrashExchange
 from citrondock_router.gateway.exchange import Exchange
 from citrondock_router.gateway.grant_broker import GrantBroker
+from citrondock_router.gateway.overload_guard import OverloadGuard
 from citrondock_router.log import log_event
 
 MAX_ASKED_ENGINES = 3
@@ -100,7 +101,8 @@
 
     A prompt that has to wait at the best engine stays in its queue while other engines
     are tried. It leaves that queue only for an engine that takes it at once, or whose
-    queue is shorter by more than `MIN_MOVE_GAIN_S`.
+    queue is shorter by more than `MIN_MOVE_GAIN_S`. An overloaded router tries no
+    others for a queued prompt, as its time serves more prompts without.
 
     Parameters
     ----------
@@ -114,6 +116,8 @@
         Sends grant requests to home routers and passes on their answers.
     crashes : CrashExchange
         Tells which prompts are withheld, as they crash engines.
+    overload : OverloadGuard
+        Tells whether this router is short of processor time.
     loop : asyncio.AbstractEventLoop
         Event loop whose clock all times are on.
     """
@@ -126,6 +130,7 @@
         engine_loads: EngineLoadView,
         broker: GrantBroker,
         crashes: CrashExchange,
+        overload: OverloadGuard,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         self._pool = pool
@@ -133,6 +138,7 @@
         self._engine_loads = engine_loads
         self._broker = broker
         self._crashes = crashes
+        self._overload = overload
         self._loop = loop
         # The search of a request that waits, and that which led to its present engine;
         # a request at a silent engine has both, or one that led to another engine.
@@ -238,6 +244,8 @@
 
     def _try_another_engine(self, search: _EngineSearch) -> None:
         """Ask one more engine, without leaving the queue."""
+        if self._overload.is_overloaded:
+            return
         choice = self._choose(search)
         if choice is None or choice.load.entry.target_id in search.asked:
             return
--- a/packages/citrondock-router/src/citrondock_router/gateway/overload_guard.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/overload_guard.py
@@ -52,6 +52,11 @@
         self._admission = OverloadAdmission()
         self.is_sustained = False
 
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether the event loop was late within the last `RECOVERY_S`."""
+        return self._recovered_at_s is not None
+
     def must_shed(self) -> bool:
         """Return whether what is read now waited too long for the loop."""
         now_s = self._clock()
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -123,6 +123,7 @@
             engine_loads=engine_loads,
             broker=broker,
             crashes=self.crashes,
+            overload=overload,
             loop=loop,
         )
         self._metrics = metrics
--- a/tests/gateway/simulated_gateways.py
+++ b/tests/gateway/simulated_gateways.py
@@ -233,8 +233,8 @@
         self._ready = deque()
         self._input = deque()
         self._tick_at_s = self._expire_at_s = 0.0
-        self.overload = OverloadGuard(self.time, period_s=TICK_S)
         self._loads = [TargetLoad(engine.entry) for engine in fleet.engines]
+        self.overload = OverloadGuard(self.time, period_s=TICK_S)
         self.engine_loads = EngineLoadView()
         self.peers = PeerTable(self.name, zone)
         self.broker = GrantBroker(self.peers, self.engine_loads, self)
@@ -247,6 +247,7 @@
             engine_loads=self.engine_loads,
             broker=self.broker,
             crashes=CrashExchange(self.broker.link, None, None, self),
+            overload=self.overload,
             loop=self,
         )
         self.broker.set_engines(
--- a/tests/gateway/test_grant_requester.py
+++ b/tests/gateway/test_grant_requester.py
@@ -20,6 +20,7 @@
     EnginePool,
     GrantRequester,
 )
+from citrondock_router.gateway.overload_guard import SHED_LAG_S, OverloadGuard
 
 PROMPT = PromptFacts(
     model="m",
@@ -102,17 +103,25 @@
         self.started = []
         self.broker = StubBroker()
         self.engine_loads = EngineLoadView()
+        self.loop_now_s = self.now_s
+        self.overload = OverloadGuard(lambda: self.loop_now_s, period_s=0.0)
         self.requester = GrantRequester(
             self,
             placement=Placement("z1", self.engine_loads),
             engine_loads=self.engine_loads,
             broker=self.broker,
             crashes=StubCrashes(),
+            overload=self.overload,
             loop=asyncio.get_running_loop(),
         )
         self.exchange = StubExchange(self.now_s, self.now_s + 1.0)
         self.requester.submit(self.exchange, PROMPT, wait_until_s=self.now_s + 1.0)
 
+    def overload_router(self):
+        self.overload.timer_fired()
+        self.loop_now_s += 2 * SHED_LAG_S
+        self.overload.timer_fired()
+
     def loads(self, service):
         return self.engines
 
@@ -145,6 +154,26 @@
     run(main())
 
 
+class TestOverloadedRouter:
+    def test_it_tries_no_other_engine_for_a_queued_prompt(self):
+        def check(scenario):
+            scenario.overload_router()
+            scenario.answer(0, Verdict.QUEUED, first_answer_s=0.9)
+            assert len(scenario.broker.requests) == 1
+            scenario.answer(0, Verdict.GRANTED)
+            assert scenario.started == scenario.asked_targets()
+
+        run_scenario(check)
+
+    def test_it_asks_another_engine_for_a_prompt_that_is_refused(self):
+        def check(scenario):
+            scenario.overload_router()
+            scenario.answer(0, Verdict.REFUSED)
+            assert len(scenario.broker.requests) == 2
+
+        run_scenario(check)
+
+
 class TestGrantRequests:
     def test_a_queued_prompt_stays_queued_while_another_engine_is_tried(self):
         def check(scenario):
