Read datagrams of other routers between the requests of a long iteration

Prompts of an overloaded router were refused as no_room_in_time though their home routers had granted them at once, and some thirty routers took it for silent as the home of an engine. It now reads them every 10 ms while it reads requests, too.

--- a/packages/citrondock-router/src/citrondock_router/gateway/datagram_socket.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/datagram_socket.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Callable
 
 from citrondock_router.gateway.gateway_settings import Address
@@ -13,6 +14,9 @@
 
 MAX_DATAGRAM_BYTES = 65_535
 
+READ_PERIOD_S = 0.01
+"""Period in which datagrams are read in the middle of a long iteration of the loop."""
+
 Receiver = Callable[[bytes, tuple[str, int]], None]
 
 
@@ -31,12 +35,21 @@
         Called with each datagram and the address of its sender.
     loop : asyncio.AbstractEventLoop
         Event loop that reads the socket.
+    clock : callable
+        Monotonic time in seconds that goes on within an iteration of the loop.
     """
 
     def __init__(
-        self, address: Address, receiver: Receiver, loop: asyncio.AbstractEventLoop
+        self,
+        address: Address,
+        receiver: Receiver,
+        loop: asyncio.AbstractEventLoop,
+        *,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._receiver = receiver
+        self._clock = clock
+        self._read_at_s = clock()
         self._loop = loop
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
@@ -57,6 +70,7 @@
         bool
             Whether all of them were read.
         """
+        self._read_at_s = self._clock()
         for _ in range(MAX_DATAGRAMS_PER_READ):
             if self._socket.fileno() < 0:
                 return True
@@ -71,6 +85,11 @@
             self._receiver(data, sender)
         return False
 
+    def read_if_due(self) -> None:
+        """Read what has arrived, unless it was read within `READ_PERIOD_S`."""
+        if self._clock() >= self._read_at_s + READ_PERIOD_S:
+            self.read_waiting()
+
     def send(self, data: bytes, host: str, port: int) -> None:
         """Send a datagram; it is dropped if the socket cannot take it now."""
         try:
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -183,6 +183,7 @@
         self, request: ClientRequest, client: ClientConnection
     ) -> RequestInProgress | None:
         self.read_count += 1
+        self.scheduler.read_peers()
         try:
             exchange = self._begin_exchange(request, client)
         except Exception as error:
--- a/packages/citrondock-router/src/citrondock_router/gateway/peer_link.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/peer_link.py
@@ -78,6 +78,15 @@
         """Read the datagrams that have arrived; return whether all were read."""
         return self.socket is None or self.socket.read_waiting()
 
+    def read_if_due(self) -> None:
+        """Read the datagrams that have arrived if that was not done for a while.
+
+        A late event loop reads many client requests in one iteration; meanwhile home
+        routers answer, and other routers wait for this one as the home of engines.
+        """
+        if self.socket is not None:
+            self.socket.read_if_due()
+
     def announce(self, addresses: Iterable[Address]) -> None:
         """Send this router's presence to other routers, and request theirs."""
         for address in addresses:
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -172,6 +172,10 @@
         )
         self.submit(exchange)
 
+    def read_peers(self) -> None:
+        """Read what other routers have sent, if that was not done for a while."""
+        self._broker.link.read_if_due()
+
     # Called by exchanges.
 
     @override
