Hand engines over to other routers during a sustained overload

Prompts of all accounts waited for a router that was late: it kept the queues of its engines for the whole fleet. Cause, fourth part: home duties do not look at who has time. It now says that it is overloaded, in its presence, and is no home until it says otherwise, or is not heard of for five seconds. Routers that are all overloaded stay homes. Its queued prompts and running grants stay with it, as with a router that leaves. The new tests fail without the change: there is no such statement.

--- a/packages/citrondock-core/src/citrondock_core/routing/peer_table.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/peer_table.py
@@ -9,6 +9,10 @@
 """Time for which a peer that did not answer is not chosen as home router. It doubles
 with each suspicion in a row, up to the maximum."""
 
+OVERLOAD_MEMORY_S = 5.0
+"""Time for which a peer is taken for overloaded after it last said so; it says so again
+more often than that."""
+
 MAX_LEAVING_PEERS = 512
 """Most routers that are remembered after they announced that they are leaving; the
 oldest ones have ended long ago."""
@@ -32,6 +36,8 @@
         Suspicions in a row.
     answered_at_s : float or None
         When its last answer to a grant request was read.
+    overloaded_until_s : float
+        Until then it is not chosen as home router while another router is.
     """
 
     vm_name: str
@@ -41,6 +47,7 @@
     suspected_until_s: float = 0.0
     suspicion_count: int = 0
     answered_at_s: float | None = None
+    overloaded_until_s: float = 0.0
 
 
 class PeerTable:
@@ -55,12 +62,16 @@
     ----------
     is_leaving : bool
         Whether this router is shutting down, and the home of no target any more.
+    is_overloaded : bool
+        Whether this router is short of processor time, and the home of no target while
+        other routers can be.
     """
 
     def __init__(self, vm_name: str, availability_zone: str) -> None:
         self.vm_name = vm_name
         self.availability_zone = availability_zone
         self.is_leaving = False
+        self.is_overloaded = False
         self._peers: dict[str, Peer] = {}
         # Routers that are shutting down; they still carry requests.
         self._leaving: dict[str, Peer] = {}
@@ -103,6 +114,17 @@
             peer.suspected_until_s = 0.0
             peer.suspicion_count = 0
 
+    def mark_overloaded(
+        self, vm_name: str, *, is_overloaded: bool, now_s: float
+    ) -> bool:
+        """Record whether a peer says that it is overloaded; return if that is new."""
+        peer = self._peers.get(vm_name)
+        if peer is None:
+            return False
+        was_overloaded = now_s < peer.overloaded_until_s
+        peer.overloaded_until_s = now_s + OVERLOAD_MEMORY_S if is_overloaded else 0.0
+        return was_overloaded != is_overloaded
+
     def record_answer(self, vm_name: str, *, now_s: float) -> None:
         """Record that an answer of a peer to a grant request was read."""
         peer = self._peers.get(vm_name)
@@ -135,9 +157,20 @@
     def home_router_of(
         self, target_id: str, availability_zone: str, *, now_s: float
     ) -> str:
-        """Return the home router of an engine: in its zone if a live one is there."""
-        live: list[MemberLocation] = [
-            peer for peer in self._peers.values() if now_s >= peer.suspected_until_s
-        ]
-        members = live if self.is_leaving else [self, *live]
-        return home_router_of(target_id, availability_zone, members) or self.vm_name
+        """Return the home router of an engine.
+
+        It is a live one that is not overloaded, in the engine's zone if there is one.
+        """
+        live: list[MemberLocation] = []
+        able: list[MemberLocation] = []
+        for peer in self._peers.values():
+            if now_s >= peer.suspected_until_s:
+                live.append(peer)
+                if now_s >= peer.overloaded_until_s:
+                    able.append(peer)
+        if not self.is_leaving:
+            live.append(self)
+            if not self.is_overloaded:
+                able.append(self)
+        home = home_router_of(target_id, availability_zone, able or live)
+        return home or self.vm_name
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
@@ -199,6 +199,14 @@
         """Announce to all peers that this router is leaving and no longer a home."""
         self.link.leave()
 
+    def update_overload(self, *, is_overloaded: bool) -> None:
+        """Hand the engines homed here over to other routers while overloaded.
+
+        Called periodically, so that peers that missed an announcement get another one.
+        """
+        if is_overloaded or self.peers.is_overloaded:
+            self.link.announce_overload(is_overloaded=is_overloaded)
+
     @override
     def handle_datagram(self, datagram: PeerDatagram) -> None:
         now_s = self._loop.time()
--- a/packages/citrondock-router/src/citrondock_router/gateway/peer_link.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/peer_link.py
@@ -98,6 +98,13 @@
         for peer in self.peers.peers():
             self._send_presence((peer.host, peer.port), wants_reply=False)
 
+    def announce_overload(self, *, is_overloaded: bool) -> None:
+        """Tell all peers whether this router should be the home of engines."""
+        self.peers.is_overloaded = is_overloaded
+        datagram = self.datagram()
+        datagram.presence = self._presence(wants_reply=False)
+        self.broadcast(datagram)
+
     def datagram(self) -> PeerDatagram:
         """Return an empty datagram of this router."""
         return PeerDatagram(vm_name=self.vm_name, incarnation=self.incarnation)
@@ -157,18 +164,27 @@
         )
         if self.peers.put(peer):
             log_event("peer_known", peer=peer.vm_name, address=f"{addr[0]}:{addr[1]}")
+        is_overloaded = presence.is_overloaded
+        if self.peers.mark_overloaded(
+            peer.vm_name, is_overloaded=is_overloaded, now_s=self._loop.time()
+        ):
+            log_event("peer_overload", peer=peer.vm_name, overloaded=is_overloaded)
         known = self.peers.get(datagram.vm_name)
         if presence.wants_reply and known is not None and not self.peers.is_leaving:
             self._send_presence(addr, wants_reply=False)
 
     def _send_presence(self, addr: tuple[str, int], *, wants_reply: bool) -> None:
         datagram = self.datagram()
-        datagram.presence = Presence(
+        datagram.presence = self._presence(wants_reply=wants_reply)
+        self._send_to(addr, datagram)
+
+    def _presence(self, *, wants_reply: bool) -> Presence:
+        return Presence(
             availability_zone=self.peers.availability_zone,
             is_leaving=self.peers.is_leaving,
             wants_reply=wants_reply,
+            is_overloaded=self.peers.is_overloaded,
         )
-        self._send_to(addr, datagram)
 
     def _send_to(self, addr: tuple[str, int], datagram: PeerDatagram) -> None:
         data = self._codec.encode(datagram, now_s=self._loop.time())
--- a/packages/citrondock-wire/grants.thrift
+++ b/packages/citrondock-wire/grants.thrift
@@ -70,6 +70,7 @@
   1: string availability_zone
   2: bool leaving
   3: bool wants_reply
+  4: optional bool overloaded  // short of processor time; unset by earlier versions
 }
 
 // An engine that crashed, and the hashes of the prompt parts that may have caused it.
--- a/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
+++ b/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
@@ -581,14 +581,16 @@
      - availability_zone
      - leaving
      - wants_reply
+     - overloaded
 
     """
 
 
-    def __init__(self, availability_zone=None, leaving=None, wants_reply=None,):
+    def __init__(self, availability_zone=None, leaving=None, wants_reply=None, overloaded=None,):
         self.availability_zone = availability_zone
         self.leaving = leaving
         self.wants_reply = wants_reply
+        self.overloaded = overloaded
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -614,6 +616,11 @@
                     self.wants_reply = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.overloaded = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -636,6 +643,10 @@
             oprot.writeFieldBegin('wants_reply', TType.BOOL, 3)
             oprot.writeBool(self.wants_reply)
             oprot.writeFieldEnd()
+        if self.overloaded is not None:
+            oprot.writeFieldBegin('overloaded', TType.BOOL, 4)
+            oprot.writeBool(self.overloaded)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1417,6 +1428,7 @@
     (1, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 1
     (2, TType.BOOL, 'leaving', None, None, ),  # 2
     (3, TType.BOOL, 'wants_reply', None, None, ),  # 3
+    (4, TType.BOOL, 'overloaded', None, None, ),  # 4
 )
 all_structs.append(Crash)
 Crash.thrift_spec = (
--- a/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
+++ b/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
@@ -48,11 +48,14 @@
         Whether it is shutting down and is no longer the home of any engine.
     wants_reply : bool
         Whether the receiver is to answer with its own announcement.
+    is_overloaded : bool
+        Whether it is short of processor time and should not be the home of engines.
     """
 
     availability_zone: str
     is_leaving: bool
     wants_reply: bool
+    is_overloaded: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -136,6 +139,7 @@
                     availability_zone=presence.availability_zone,
                     leaving=presence.is_leaving,
                     wants_reply=presence.wants_reply,
+                    overloaded=presence.is_overloaded or None,
                 )
                 if presence
                 else None,
@@ -202,6 +206,7 @@
                 availability_zone=presence.availability_zone,
                 is_leaving=bool(presence.leaving),
                 wants_reply=bool(presence.wants_reply),
+                is_overloaded=bool(presence.overloaded),
             )
             if presence
             else None,
--- a/tests/gateway/test_grant_broker.py
+++ b/tests/gateway/test_grant_broker.py
@@ -19,7 +19,7 @@
     Verdict,
 )
 from citrondock_core.routing.part_quarantine import PartState
-from citrondock_core.routing.peer_table import Peer, PeerTable
+from citrondock_core.routing.peer_table import OVERLOAD_MEMORY_S, Peer, PeerTable
 from citrondock_core.routing.request_facts import PromptPart
 from citrondock_core.routing.route import ModelEngineOptions
 from citrondock_core.routing.store_watch_plan import StoreView
@@ -361,6 +361,59 @@
         run(check())
 
 
+class TestOverloadedRouter:
+    def test_it_is_no_home_of_engines_until_it_says_otherwise(self):
+        async def check():
+            first, second = await router_pair()
+            second.broker.update_overload(is_overloaded=True)
+            await asyncio.sleep(0.02)
+            first.request_grant("z2")
+            await asyncio.sleep(0.02)
+            assert first.verdicts() == [Verdict.GRANTED]
+            assert first.broker.home.granted_count == 1
+            assert second.broker.home.granted_count == 0
+            second.broker.update_overload(is_overloaded=False)
+            await asyncio.sleep(0.02)
+            first.request_grant("z2")
+            await asyncio.sleep(0.02)
+            assert second.broker.home.granted_count == 1
+
+        run(check())
+
+    def test_it_asks_others_for_the_engines_that_it_was_the_home_of(self):
+        async def check():
+            first, second = await router_pair()
+            second.broker.update_overload(is_overloaded=True)
+            second.request_grant("z2")
+            await asyncio.sleep(0.02)
+            assert second.verdicts() == [Verdict.GRANTED]
+            assert first.broker.home.granted_count == 1
+
+        run(check())
+
+    def test_routers_that_are_all_overloaded_stay_homes(self):
+        async def check():
+            first, second = await router_pair()
+            for router in (first, second):
+                router.broker.update_overload(is_overloaded=True)
+            await asyncio.sleep(0.02)
+            for router in (first, second):
+                router.request_grant("z2")
+            await asyncio.sleep(0.05)
+            assert [first.verdicts(), second.verdicts()] == [[Verdict.GRANTED]] * 2
+
+        run(check())
+
+    def test_one_that_is_lost_before_it_says_otherwise_is_forgotten(self):
+        table = PeerTable("v1", "z1")
+        table.put(Peer(vm_name="v2", host=HOST, port=1, availability_zone="z2"))
+        assert table.mark_overloaded("v2", is_overloaded=True, now_s=10.0)
+        assert not table.mark_overloaded("v2", is_overloaded=True, now_s=11.0)
+        until_s = 11.0 + OVERLOAD_MEMORY_S
+        assert table.home_router_of("e1", "z2", now_s=until_s - 0.1) == "v1"
+        assert table.home_router_of("e1", "z2", now_s=until_s) == "v2"
+
+
 class TestLateRouter:
     """A router that is short of processor time reads answers late."""
 
