Write the gateway's log lines without loguru's records

The gateway gives its own log buffer, so lines are formatted and written directly; format, levels and escapes stay, and the tests of logs pass unchanged.

--- a/packages/citrondock-router/src/citrondock_router/log.py
+++ b/packages/citrondock-router/src/citrondock_router/log.py
@@ -3,8 +3,9 @@
 import logging
 import sys
 import threading
+import time
 from types import TracebackType
-from typing import Protocol, TextIO, cast
+from typing import Protocol
 
 from loguru import logger
 
@@ -25,6 +26,40 @@
 _FORMAT = "time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} {message}"
 
 
+class _LineWriter:
+    """Writes events to a stream without the records of loguru, which cost far more.
+
+    Parameters
+    ----------
+    stream : LogStream
+        Destination.
+    level : str
+        Lowest level that is written.
+    """
+
+    def __init__(self, stream: LogStream, level: str) -> None:
+        self._stream = stream
+        self._flush = getattr(stream, "flush", None)
+        self._min_level_number = logger.level(level).no
+        self._second = -1
+        self._second_text = ""
+
+    def write(self, level: str, message: str) -> None:
+        """Write one line, if its level is high enough."""
+        if logger.level(level).no < self._min_level_number:
+            return
+        second, milliseconds = divmod(time.time_ns() // 1_000_000, 1_000)
+        if second != self._second:
+            self._second = second
+            self._second_text = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(second))
+        self._stream.write(
+            f"time={self._second_text}.{milliseconds:03d}+00:00 level={level} "
+            f"{message}\n"
+        )
+        if self._flush is not None:
+            self._flush()
+
+
 class _LibraryHandler(logging.Handler):
     """Writes the log records of libraries as events."""
 
@@ -40,21 +75,27 @@
         log_event("library_message", level=_level_name(record.levelno), **fields)
 
 
+_line_writer: _LineWriter | None = None
+
+
 def configure_logging(*, level: str = "INFO", stream: LogStream | None = None) -> None:
     """Write events of ``level`` and above to ``stream``, by default standard error.
 
     Warnings and errors of libraries, and uncaught exceptions of the process and its
     threads, are written as events too.
     """
+    global _line_writer
     logger.remove()
-    logger.add(
-        cast(TextIO, stream or sys.stderr),
-        level=level,
-        format=_FORMAT,
-        colorize=False,
-        backtrace=False,
-        diagnose=False,
-    )
+    _line_writer = _LineWriter(stream, level) if stream is not None else None
+    if stream is None:
+        logger.add(
+            sys.stderr,
+            level=level,
+            format=_FORMAT,
+            colorize=False,
+            backtrace=False,
+            diagnose=False,
+        )
     logging.basicConfig(handlers=[_LibraryHandler()], level="WARNING", force=True)
     logging.captureWarnings(True)
     sys.excepthook = _log_uncaught
@@ -74,7 +115,11 @@
     """
     pairs = [f"event={name}"]
     pairs += [f"{key}={_escape(value)}" for key, value in fields.items()]
-    logger.log(level, "{}", " ".join(pairs))
+    message = " ".join(pairs)
+    if _line_writer is not None:
+        _line_writer.write(level, message)
+    else:
+        logger.log(level, "{}", message)
 
 
 def _escape(value: LogValue) -> str:
