Spare grant requests and home duties as soon as a router has no time left

It now tries no other engines from a lag of 50 ms on (is_busy), and hands its engines over when it has to shed load, not a second later.

--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -293,7 +293,7 @@
         self.gateway.close_idle_clients()
         self._connections.close_expired()
         self.broker.home.expire()
-        self.broker.update_overload(is_overloaded=self.gateway.overload.is_sustained)
+        self.broker.update_overload(is_overloaded=self.gateway.overload.is_overloaded)
         self.gateway.scheduler.gossip.tick()
         self._update_retry_budgets()
         change = self.directory.expire(now_s=self.loop.time())
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
@@ -101,8 +101,8 @@
 
     A prompt that has to wait at the best engine stays in its queue while other engines
     are tried. It leaves that queue only for an engine that takes it at once, or whose
-    queue is shorter by more than `MIN_MOVE_GAIN_S`. An overloaded router tries no
-    others for a queued prompt, as its time serves more prompts without.
+    queue is shorter by more than `MIN_MOVE_GAIN_S`. A router without processor
+    time to spare tries no others for a queued prompt, as it serves more without.
 
     Parameters
     ----------
@@ -244,7 +244,7 @@
 
     def _try_another_engine(self, search: _EngineSearch) -> None:
         """Ask one more engine, without leaving the queue."""
-        if self._overload.is_overloaded:
+        if self._overload.is_busy:
             return
         choice = self._choose(search)
         if choice is None or choice.load.entry.target_id in search.asked:
--- a/packages/citrondock-router/src/citrondock_router/gateway/overload_guard.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/overload_guard.py
@@ -10,6 +10,9 @@
 can serve are refused at once; clients give up on a router that has not read their
 request within 0.5 to 1 s."""
 
+BUSY_LAG_S = 0.05
+"""Lag from which on a router has no processor time to spare."""
+
 RECOVERY_S = 1.0
 """An overload has ended when the event loop was never late for this long."""
 
@@ -49,14 +52,20 @@
         self._shed_until_s = 0.0
         self._recovered_at_s: float | None = None
         self._sustained_at_s = 0.0
+        self._busy_until_s = 0.0
         self._admission = OverloadAdmission()
         self.is_sustained = False
 
     @property
     def is_overloaded(self) -> bool:
-        """Whether the event loop was late within the last `RECOVERY_S`."""
+        """Whether requests had to be shed within the last `RECOVERY_S`."""
         return self._recovered_at_s is not None
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether the lag was above `BUSY_LAG_S` within the last `RECOVERY_S`."""
+        return self._clock() < self._busy_until_s
+
     def must_shed(self) -> bool:
         """Return whether what is read now waited too long for the loop."""
         now_s = self._clock()
@@ -82,6 +91,8 @@
         now_s = self._clock()
         lag_s = self._lag_s(now_s)
         self._fired_at_s = now_s
+        if lag_s > BUSY_LAG_S:
+            self._busy_until_s = now_s + RECOVERY_S
         if lag_s > self._shed_lag_s:
             # Requests that came during the long loop iteration are read in this one.
             self._shed_until_s = now_s + self._shed_lag_s / 2
--- a/tests/gateway/test_grant_requester.py
+++ b/tests/gateway/test_grant_requester.py
@@ -20,7 +20,7 @@
     EnginePool,
     GrantRequester,
 )
-from citrondock_router.gateway.overload_guard import SHED_LAG_S, OverloadGuard
+from citrondock_router.gateway.overload_guard import BUSY_LAG_S, OverloadGuard
 
 PROMPT = PromptFacts(
     model="m",
@@ -117,9 +117,9 @@
         self.exchange = StubExchange(self.now_s, self.now_s + 1.0)
         self.requester.submit(self.exchange, PROMPT, wait_until_s=self.now_s + 1.0)
 
-    def overload_router(self):
+    def delay_router(self):
         self.overload.timer_fired()
-        self.loop_now_s += 2 * SHED_LAG_S
+        self.loop_now_s += 2 * BUSY_LAG_S
         self.overload.timer_fired()
 
     def loads(self, service):
@@ -154,10 +154,10 @@
     run(main())
 
 
-class TestOverloadedRouter:
+class TestBusyRouter:
     def test_it_tries_no_other_engine_for_a_queued_prompt(self):
         def check(scenario):
-            scenario.overload_router()
+            scenario.delay_router()
             scenario.answer(0, Verdict.QUEUED, first_answer_s=0.9)
             assert len(scenario.broker.requests) == 1
             scenario.answer(0, Verdict.GRANTED)
@@ -167,7 +167,7 @@
 
     def test_it_asks_another_engine_for_a_prompt_that_is_refused(self):
         def check(scenario):
-            scenario.overload_router()
+            scenario.delay_router()
             scenario.answer(0, Verdict.REFUSED)
             assert len(scenario.broker.requests) == 2
 
--- a/tests/gateway/test_overload_guard.py
+++ b/tests/gateway/test_overload_guard.py
@@ -14,6 +14,7 @@
 
 from citrondock_core.routing.overload_admission import MAX_BURST_S, MIN_RATE_PER_S
 from citrondock_router.gateway.overload_guard import (
+    BUSY_LAG_S,
     RECOVERY_S,
     SHED_LAG_S,
     SUSTAINED_S,
@@ -62,6 +63,18 @@
         assert not loop.guard.must_shed()
 
 
+class TestBusyRouter:
+    def test_it_is_busy_from_a_small_lag_on_until_the_loop_was_in_time(self):
+        loop = FakeLoop()
+        loop.run_iteration(BUSY_LAG_S)
+        assert not loop.guard.is_busy
+        loop.run_iteration(BUSY_LAG_S + 2 * PERIOD_S)
+        assert loop.guard.is_busy
+        assert not loop.guard.is_overloaded
+        loop.now_s += RECOVERY_S
+        assert not loop.guard.is_busy
+
+
 class TestSustainedOverload:
     def test_a_short_overload_is_not_sustained(self):
         loop = FakeLoop()
