Let late prompts of an underserved account go before others' prompts in time

Late prompts still go last, unless their account got less than half of what the account with the most among those that wait got: the users' measure of an unfair share. Within an account those in time go first now.

The first new test failed before: order 1, 2 where 2, 1 is due.

--- a/packages/citrondock-core/src/citrondock_core/routing/admission_queue.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/admission_queue.py
@@ -22,13 +22,19 @@
 
 _W = TypeVar("_W", bound=WaitingRequest)
 
+UNDERSERVED_SHARE = 0.5
+"""An account is underserved below this share of the recent usage of the account with
+the highest usage that waits beside it."""
+
 
 class AdmissionQueue(Generic[_W]):
     """Waiting requests, ordered by deadline and by fairness between accounts.
 
-    Requests that can still be on time go before late ones. Among these the account
-    with the lowest recent usage goes first. Within an account, the kind of request with
-    the lowest served ratio goes first, and within a kind the earliest deadline.
+    Requests that can still be on time go before late ones, except for late ones of an
+    underserved account: its requests may be late because it is. Among these the account
+    with the lowest recent usage goes first. Within an account, requests that can be on
+    time go first, then the kind of request with the lowest served ratio, and within a
+    kind the earliest deadline.
 
     Parameters
     ----------
@@ -84,16 +90,26 @@
         Each request counts as usage for the requests behind it of the same account.
         """
         ordered: list[tuple[bool, float, float, int, _W]] = []
+        usage = {
+            account: self._usage.received_tokens(account, now_s=now_s)
+            for account in self._by_account
+        }
+        underserved_tokens = UNDERSERVED_SHARE * max(usage.values(), default=0.0)
         for account, waiting in self._by_account.items():
-            received_tokens = self._usage.received_tokens(account, now_s=now_s)
-            for request in sorted(waiting.values(), key=self._order_in_account):
-                is_late = request.on_time_until_s < now_s
+            received_tokens = usage[account]
+            in_turn = sorted(
+                waiting.values(),
+                key=lambda request: self._order_in_account(request, now_s),
+            )
+            for request in in_turn:
                 until_s = request.on_time_until_s
-                rank = (is_late, received_tokens, until_s, id(request), request)
+                goes_last = until_s < now_s and received_tokens >= underserved_tokens
+                rank = (goes_last, received_tokens, until_s, id(request), request)
                 ordered.append(rank)
                 received_tokens += request.cost_tokens
         ordered.sort(key=lambda rank: rank[:4])
         return [rank[4] for rank in ordered]
 
-    def _order_in_account(self, request: _W) -> tuple[float, float]:
-        return self._ratios.ratio(request.kind), request.on_time_until_s
+    def _order_in_account(self, request: _W, now_s: float) -> tuple[bool, float, float]:
+        until_s = request.on_time_until_s
+        return until_s < now_s, self._ratios.ratio(request.kind), until_s
--- a/tests/routing/test_engine_admission.py
+++ b/tests/routing/test_engine_admission.py
@@ -56,6 +56,41 @@
     ]
 
 
+def fill_and_queue(*, served_tokens):
+    """Return an admission control with a full engine, on which both accounts wait.
+
+    The request of "refused" is late, as it was refused before; that of "served" is not.
+    """
+    admission = new_admission()
+    fill_backlog(admission, count=2)
+    for account, tokens in served_tokens.items():
+        admission._usage.add(account, tokens, now_s=0)
+    for number, account, target_s in ((1, "served", 3.0), (2, "refused", -0.5)):
+        request = grant_request(number, account=account, target_s=target_s, wait_s=3.0)
+        assert admission.submit(request, now_s=0).verdict is Verdict.QUEUED
+    return admission
+
+
+def granted_numbers(admission):
+    granted = []
+    for step in range(1, 200):
+        for answer in admission.process_queue(now_s=step * 0.01):
+            assert answer.verdict is Verdict.GRANTED
+            granted.append(answer.key.number)
+            admission.record_progress(answer.key, Stage.STARTED, now_s=step * 0.01)
+    return [number for number in granted if number < 1000]
+
+
+class TestPromptsThatComeBackLate:
+    def test_those_of_an_account_far_below_the_others_go_before(self):
+        admission = fill_and_queue(served_tokens={"served": 90_000, "refused": 30_000})
+        assert granted_numbers(admission) == [2, 1]
+
+    def test_those_of_an_account_that_got_its_share_go_last(self):
+        admission = fill_and_queue(served_tokens={"served": 90_000, "refused": 60_000})
+        assert granted_numbers(admission) == [1, 2]
+
+
 class TestRefusalReasons:
     def test_an_answer_names_the_reason_and_the_usage_of_the_account(self):
         admission = new_admission(max_account_queue_s=0.2)
