Remember home routers and preferred engines between requests

Both rest on what seldom changes, and are remembered until it does: peers, suspicions, overloads; speeds and engines. Choices are the same; tests cover what makes them anew.

--- a/packages/citrondock-core/src/citrondock_core/routing/engine_load_view.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_load_view.py
@@ -16,13 +16,21 @@
     """Backlog and speed of each engine, as its home router last reported them.
 
     A reported backlog shrinks as time passes, until the next report replaces it.
+
+    Attributes
+    ----------
+    speed_version : int
+        Changes whenever the speed of an engine does.
     """
 
     def __init__(self) -> None:
+        self.speed_version = 0
         self._by_target: dict[str, _LoadEstimate] = {}
 
     def update(self, backlog: EngineBacklog, *, now_s: float) -> None:
         """Apply a report from an engine's home router."""
+        if self.speed(backlog.target_id) != backlog.speed_percent / 100:
+            self.speed_version += 1
         idle_at_s = now_s + backlog.backlog_s
         self._by_target[backlog.target_id] = _LoadEstimate(
             idle_at_s, backlog.speed_percent
@@ -52,3 +60,4 @@
         """Forget all engines but those named."""
         for target_id in set(self._by_target) - target_ids:
             del self._by_target[target_id]
+            self.speed_version += 1
--- a/packages/citrondock-core/src/citrondock_core/routing/peer_table.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/peer_table.py
@@ -1,5 +1,7 @@
 """The other routers that this one knows, and the choice of an engine's home router."""
 
+import math
+
 import attrs
 
 from citrondock_core.rendezvous import MemberLocation, home_router_of
@@ -73,6 +75,10 @@
         self.is_leaving = False
         self.is_overloaded = False
         self._peers: dict[str, Peer] = {}
+        # Home routers by target and by what this router says of itself, until a peer
+        # changes or the next suspicion or overload ends.
+        self._homes: dict[tuple[str, str, bool, bool], str] = {}
+        self._homes_until_s = math.inf
         # Routers that are shutting down; they still carry requests.
         self._leaving: dict[str, Peer] = {}
 
@@ -96,6 +102,7 @@
             return False
         self._leaving.pop(peer.vm_name, None)
         self._peers[peer.vm_name] = peer
+        self._homes.clear()
         return True
 
     def mark_leaving(self, vm_name: str) -> None:
@@ -103,6 +110,7 @@
         peer = self._peers.pop(vm_name, None)
         if peer is None:
             return
+        self._homes.clear()
         self._leaving[vm_name] = peer
         if len(self._leaving) > MAX_LEAVING_PEERS:
             del self._leaving[next(iter(self._leaving))]
@@ -110,9 +118,10 @@
     def mark_alive(self, vm_name: str) -> None:
         """Clear the suspicion of a peer from which a datagram arrived."""
         peer = self._peers.get(vm_name)
-        if peer is not None:
+        if peer is not None and peer.suspicion_count:
             peer.suspected_until_s = 0.0
             peer.suspicion_count = 0
+            self._homes.clear()
 
     def mark_overloaded(
         self, vm_name: str, *, is_overloaded: bool, now_s: float
@@ -123,7 +132,10 @@
             return False
         was_overloaded = now_s < peer.overloaded_until_s
         peer.overloaded_until_s = now_s + OVERLOAD_MEMORY_S if is_overloaded else 0.0
-        return was_overloaded != is_overloaded
+        if was_overloaded == is_overloaded:
+            return False
+        self._homes.clear()
+        return True
 
     def record_answer(self, vm_name: str, *, now_s: float) -> None:
         """Record that an answer of a peer to a grant request was read."""
@@ -146,6 +158,7 @@
         pause_s = FIRST_SUSPICION_S * 2.0**peer.suspicion_count
         peer.suspected_until_s = now_s + min(pause_s, MAX_SUSPICION_S)
         peer.suspicion_count = min(peer.suspicion_count + 1, 8)
+        self._homes.clear()
 
     def is_usual_home_of(self, target_id: str, availability_zone: str) -> bool:
         """Return whether this router is a target's home while no peer is suspected."""
@@ -161,6 +174,24 @@
 
         It is a live one that is not overloaded, in the engine's zone if there is one.
         """
+        if now_s >= self._homes_until_s:
+            self._homes.clear()
+        key = (target_id, availability_zone, self.is_leaving, self.is_overloaded)
+        home = self._homes.get(key)
+        if home is None:
+            home = self._choose_home(target_id, availability_zone, now_s)
+            self._homes[key] = home
+        return home
+
+    def _choose_home(self, target_id: str, availability_zone: str, now_s: float) -> str:
+        if not self._homes:
+            ends_s = [
+                until_s
+                for peer in self._peers.values()
+                for until_s in (peer.suspected_until_s, peer.overloaded_until_s)
+                if until_s > now_s
+            ]
+            self._homes_until_s = min(ends_s, default=math.inf)
         live: list[MemberLocation] = []
         able: list[MemberLocation] = []
         for peer in self._peers.values():
--- a/packages/citrondock-core/src/citrondock_core/routing/placement.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/placement.py
@@ -1,6 +1,8 @@
 """Chooses the target of a request."""
 
+import heapq
 import math
+from collections import OrderedDict
 from collections.abc import Collection, Sequence
 
 import attrs
@@ -39,6 +41,13 @@
     first_answer_s: float
 
 
+MAX_REMEMBERED_KEYS = 1024
+"""Affinity keys whose preferred engines are remembered."""
+
+RANKED_ENGINES = 8
+"""Engines that are remembered for each key, the most preferred ones."""
+
+
 class Placement:
     """Places prompts by prefix cache affinity and delay, other requests by load.
 
@@ -65,6 +74,8 @@
         self._load_view = load_view
         self.options = options or PlacementOptions()
         self._caches: dict[str, PrefixCacheView] = {}
+        self._rankings: OrderedDict[str, list[str]] = OrderedDict()
+        self._ranked_by: tuple[int, tuple[str, ...]] = (0, ())
 
     def choose_plain(
         self,
@@ -112,7 +123,7 @@
         pool = _eligible_targets(loads, excluded, now_s)
         if not pool:
             return None
-        preferred = self._preferred_engine(prompt.affinity_key, pool)
+        preferred = self._preferred_engine(prompt.affinity_key, loads, pool)
         shared_tokens = sum(part.token_count for part in prompt.parts[:-1])
         own_tokens = max(prompt.prompt_token_count - shared_tokens, 0)
         best = self._choice(prompt, preferred, own_tokens, now_s)
@@ -148,18 +159,43 @@
     def _plain_cost(self, load: TargetLoad) -> tuple[float, bool]:
         return load.busy_share, load.entry.availability_zone != self._zone
 
-    def _preferred_engine(self, key: str, pool: Sequence[TargetLoad]) -> TargetLoad:
+    def _preferred_engine(
+        self, key: str, loads: Sequence[TargetLoad], pool: Sequence[TargetLoad]
+    ) -> TargetLoad:
         """Return the winner of weighted rendezvous hashing, the same on all routers."""
+        ranking = self._ranking(key, loads)
+        for target_id in ranking:
+            for load in pool:
+                if load.entry.target_id == target_id:
+                    return load
         scores = RendezvousScores(key)
-        best, best_weight = pool[0], -1.0
-        for load in pool:
-            target_id = load.entry.target_id
-            weight = -self._load_view.speed(target_id) / math.log(
-                scores.unit_score(target_id)
+        return max(pool, key=lambda load: self._weight(scores, load.entry.target_id))
+
+    def _ranking(self, key: str, loads: Sequence[TargetLoad]) -> list[str]:
+        """Return the engines that a key prefers most, best first."""
+        target_ids = tuple([load.entry.target_id for load in loads])
+        ranked_by = (self._load_view.speed_version, target_ids)
+        if ranked_by != self._ranked_by:
+            self._ranked_by = ranked_by
+            self._rankings.clear()
+        ranking = self._rankings.get(key)
+        if ranking is None:
+            scores = RendezvousScores(key)
+            ranking = heapq.nlargest(
+                RANKED_ENGINES,
+                target_ids,
+                key=lambda target_id: self._weight(scores, target_id),
             )
-            if weight > best_weight:
-                best, best_weight = load, weight
-        return best
+            self._rankings[key] = ranking
+            if len(self._rankings) > MAX_REMEMBERED_KEYS:
+                self._rankings.popitem(last=False)
+        else:
+            self._rankings.move_to_end(key)
+        return ranking
+
+    def _weight(self, scores: RendezvousScores, target_id: str) -> float:
+        speed = self._load_view.speed(target_id)
+        return -speed / math.log(scores.unit_score(target_id))
 
     def _cost_s(self, choice: PlacementChoice) -> float:
         is_local = choice.load.entry.availability_zone == self._zone
--- a/tests/gateway/test_grant_broker.py
+++ b/tests/gateway/test_grant_broker.py
@@ -19,7 +19,12 @@
     Verdict,
 )
 from citrondock_core.routing.part_quarantine import PartState
-from citrondock_core.routing.peer_table import OVERLOAD_MEMORY_S, Peer, PeerTable
+from citrondock_core.routing.peer_table import (
+    FIRST_SUSPICION_S,
+    OVERLOAD_MEMORY_S,
+    Peer,
+    PeerTable,
+)
 from citrondock_core.routing.request_facts import PromptPart
 from citrondock_core.routing.route import ModelEngineOptions
 from citrondock_core.routing.store_watch_plan import StoreView
@@ -737,3 +742,43 @@
         with self.without_era():
             decoded = codec.decode(data, now_s=0.0, own_incarnation=2)
         assert decoded == self.sent(era=None)
+
+
+class TestHomeRouters:
+    """The choice is remembered, and made anew when what it rests on changes."""
+
+    def table(self):
+        table = PeerTable("v1", "z1")
+        for name in ("v2", "v3"):
+            table.put(Peer(vm_name=name, host=HOST, port=1, availability_zone="z2"))
+        return table
+
+    def test_it_changes_with_suspicions_and_back_when_they_end(self):
+        table = self.table()
+        usual = table.home_router_of("e1", "z2", now_s=10.0)
+        table.mark_silent(usual, now_s=10.0)
+        assert table.home_router_of("e1", "z2", now_s=10.1) != usual
+        end_s = 10.0 + FIRST_SUSPICION_S
+        assert table.home_router_of("e1", "z2", now_s=end_s) == usual
+        table.mark_silent(usual, now_s=end_s)
+        assert table.home_router_of("e1", "z2", now_s=end_s) != usual
+        table.mark_alive(usual)
+        assert table.home_router_of("e1", "z2", now_s=end_s) == usual
+
+    def test_it_changes_with_routers_that_come_and_leave(self):
+        table = self.table()
+        usual = table.home_router_of("e1", "z2", now_s=10.0)
+        table.mark_leaving(usual)
+        assert table.home_router_of("e1", "z2", now_s=10.0) != usual
+        table.put(Peer(vm_name=usual, host=HOST, port=2, availability_zone="z2"))
+        assert table.home_router_of("e1", "z2", now_s=10.0) == usual
+
+    def test_it_changes_with_what_this_router_says_of_itself(self):
+        table = self.table()
+        assert table.home_router_of("e1", "z1", now_s=10.0) == "v1"
+        table.is_overloaded = True
+        assert table.home_router_of("e1", "z1", now_s=10.0) != "v1"
+        table.is_overloaded = False
+        assert table.home_router_of("e1", "z1", now_s=10.0) == "v1"
+        table.is_leaving = True
+        assert table.home_router_of("e1", "z1", now_s=10.0) != "v1"
--- a/tests/routing/test_placement.py
+++ b/tests/routing/test_placement.py
@@ -55,6 +55,29 @@
         )
         assert chosen["fast"] > 2 * chosen["slow"]
 
+    def test_a_placement_that_has_chosen_follows_speeds_and_engines(self):
+        load_view = EngineLoadView()
+        placement = Placement("z1", load_view)
+        loads = [load(f"e{n}") for n in range(9)]
+
+        def chosen(loads):
+            return [
+                placement.choose_engine(prompt(str(n)), loads, now_s=0).load
+                for n in range(200)
+            ]
+
+        chosen(loads)
+        reported = EngineBacklog(target_id="e0", backlog_s=0.0, speed_percent=200)
+        load_view.update(reported, now_s=0)
+        fresh = Placement("z1", load_view)
+        expected = [
+            fresh.choose_engine(prompt(str(n)), loads, now_s=0).load for n in range(200)
+        ]
+        assert chosen(loads) == expected
+        assert loads[0] not in chosen(loads[1:])
+        added = load("e9")
+        assert added in chosen([*loads, added])
+
     def test_a_prompt_avoids_a_preferred_engine_with_a_long_backlog(self):
         load_view = EngineLoadView()
         loads = [load(f"e{n}") for n in range(3)]
