Do not charge accounts for grants that were not used

An account whose router is late returns grants that it reads too late, and was charged for them all the same, so that home routers put its next prompts behind those of others. The charge is taken back with the grant now, less its decay. The new test failed before: the account was charged twice for one request.

--- a/packages/citrondock-core/src/citrondock_core/routing/account_usage.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/account_usage.py
@@ -17,6 +17,12 @@
     def add(self, account: str, tokens: float, *, now_s: float) -> None:
         """Charge tokens to an account whose request starts now."""
 
+    @abstractmethod
+    def give_back(
+        self, account: str, tokens: float, *, charged_at_s: float, now_s: float
+    ) -> None:
+        """Take back a charge, as the request was not run."""
+
 
 class DecayingUsage(UsageTracker):
     """Exponentially decaying sum of charged tokens for each account.
@@ -44,6 +50,15 @@
         self._tokens[account] = self.received_tokens(account, now_s=now_s) + tokens
         self._at_s[account] = now_s
 
+    @override
+    def give_back(
+        self, account: str, tokens: float, *, charged_at_s: float, now_s: float
+    ) -> None:
+        left = tokens * math.exp((charged_at_s - now_s) * self._decay_per_s)
+        received = self.received_tokens(account, now_s=now_s)
+        self._tokens[account] = max(received - left, 0.0)
+        self._at_s[account] = now_s
+
     def accounts(self) -> list[str]:
         """Return all accounts that were ever charged."""
         return list(self._tokens)
--- a/packages/citrondock-core/src/citrondock_core/routing/engine_admission.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_admission.py
@@ -254,9 +254,16 @@
             if not grant.started:
                 self._record_start(grant, now_s)
             return
-        if stage is Stage.WITHDRAWN and self._limiter is not None:
+        if stage is Stage.WITHDRAWN:
             # It was not sent.
-            self._limiter.give_back()
+            if self._limiter is not None:
+                self._limiter.give_back()
+            self._usage.give_back(
+                grant.request.account,
+                _charged_tokens(grant.request),
+                charged_at_s=grant.granted_at_s,
+                now_s=now_s,
+            )
         del self._grants[key]
         self._memory_tokens -= grant.request.memory_tokens
         if not grant.started:
@@ -348,8 +355,7 @@
         self._unstarted_tokens += tokens
         self._ratios.record_served(request.kind, now_s=now_s)
         self._memory_tokens += request.memory_tokens
-        received = request.prompt_tokens + OUTPUT_TOKEN_WEIGHT * request.output_tokens
-        self._usage.add(request.account, received, now_s=now_s)
+        self._usage.add(request.account, _charged_tokens(request), now_s=now_s)
         return self._answer(request, Verdict.GRANTED, now_s)
 
     def _record_start(self, grant: _Grant, now_s: float) -> None:
@@ -417,3 +423,7 @@
     def _remove_waiting(self, waiting: _WaitingRequest) -> None:
         del self._waiting[waiting.request.key]
         self._queue.remove(waiting)
+
+
+def _charged_tokens(request: GrantRequest) -> int:
+    return request.prompt_tokens + OUTPUT_TOKEN_WEIGHT * request.output_tokens
--- a/packages/citrondock-core/src/citrondock_core/routing/fleet_usage.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/fleet_usage.py
@@ -51,6 +51,12 @@
     def add(self, account: str, tokens: float, *, now_s: float) -> None:
         self._local.add(account, tokens, now_s=now_s)
 
+    @override
+    def give_back(
+        self, account: str, tokens: float, *, charged_at_s: float, now_s: float
+    ) -> None:
+        self._local.give_back(account, tokens, charged_at_s=charged_at_s, now_s=now_s)
+
     def top_accounts(self, *, now_s: float) -> list[ReportedUsage]:
         """Return the accounts with the highest local usage, highest first."""
         usage = [
--- a/tests/routing/test_engine_admission.py
+++ b/tests/routing/test_engine_admission.py
@@ -91,6 +91,20 @@
         assert granted_numbers(admission) == [1, 2]
 
 
+class TestUnusedGrants:
+    def test_an_account_is_not_charged_for_a_grant_that_was_not_used(self):
+        admission = new_admission()
+        used, unused = grant_request(1, prompt=2000), grant_request(2, prompt=2000)
+        for request in (used, unused):
+            assert admission.submit(request, now_s=0).verdict is Verdict.GRANTED
+        admission.record_progress(unused.key, Stage.WITHDRAWN, now_s=1.0)
+        admission.record_progress(used.key, Stage.ENDED, now_s=1.0)
+        expected = DecayingUsage(half_life_s=2)
+        expected.add("a", 2000 + OUTPUT_TOKEN_WEIGHT * 50, now_s=0)
+        left = admission._usage.received_tokens("a", now_s=1.0)
+        assert abs(left - expected.received_tokens("a", now_s=1.0)) < 1
+
+
 class TestRefusalReasons:
     def test_an_answer_names_the_reason_and_the_usage_of_the_account(self):
         admission = new_admission(max_account_queue_s=0.2)
