--- a/tests/gateway/test_datagram_socket.py
+++ b/tests/gateway/test_datagram_socket.py
@@ -56,5 +56,6 @@
                 client.writer.write(request("/safe/a", "r1") + request("/safe/b", "r2"))
                 assert [(await client.read()).status for _ in range(2)] == [200, 200]
                 assert len(reads) == 2
+                client.writer.close()
 
         run(check())
--- a/tests/gateway/test_overload_guard.py
+++ b/tests/gateway/test_overload_guard.py
@@ -138,6 +138,7 @@
                     if reply.status == 503:
                         assert reply.headers["connection"] == "close"
                         assert await asyncio.wait_for(client.reader.read(), 2) == b""
+                    client.writer.close()
                 while not harness.gateway.is_ready:
                     await asyncio.sleep(0.05)
                 assert (await harness.get("/safe/x")).status == 200
