--- a/packages/citrondock-core/src/citrondock_core/routing/peer_table.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/peer_table.py
@@ -15,6 +15,9 @@
 """Time for which a peer is taken for overloaded after it last said so; it says so again
 more often than that."""
 
+MAX_REMEMBERED_HOMES = 4096
+"""Targets whose home router is remembered; targets come and go."""
+
 MAX_LEAVING_PEERS = 512
 """Most routers that are remembered after they announced that they are leaving; the
 oldest ones have ended long ago."""
@@ -174,7 +177,7 @@
 
         It is a live one that is not overloaded, in the engine's zone if there is one.
         """
-        if now_s >= self._homes_until_s:
+        if now_s >= self._homes_until_s or len(self._homes) >= MAX_REMEMBERED_HOMES:
             self._homes.clear()
         key = (target_id, availability_zone, self.is_leaving, self.is_overloaded)
         home = self._homes.get(key)
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -270,6 +270,8 @@
         lag_s = self.gateway.overload.timer_fired()
         self.metrics.observe_loop_lag(lag_s)
         self._load_report.observe_lag(lag_s)
+        if self.gateway.overload.is_overloaded != self.broker.peers.is_overloaded:
+            self._announce_overload()
         self.broker.tick()
         self.gateway.scheduler.crashes.tick()
         self.gateway.scheduler.tick()
@@ -289,11 +291,14 @@
             client_count=self.gateway.client_count, live_count=self.gateway.live_count
         )
 
+    def _announce_overload(self) -> None:
+        self.broker.update_overload(is_overloaded=self.gateway.overload.is_overloaded)
+
     def _housekeep(self) -> None:
         self.gateway.close_idle_clients()
         self._connections.close_expired()
         self.broker.home.expire()
-        self.broker.update_overload(is_overloaded=self.gateway.overload.is_overloaded)
+        self._announce_overload()
         self.gateway.scheduler.gossip.tick()
         self._update_retry_budgets()
         change = self.directory.expire(now_s=self.loop.time())
--- a/tests/gateway/test_overload_guard.py
+++ b/tests/gateway/test_overload_guard.py
@@ -20,6 +20,7 @@
     SUSTAINED_S,
     OverloadGuard,
 )
+from citrondock_router.gateway.scheduler import TICK_S
 
 PERIOD_S = 0.01
 LAG_S = 0.5
@@ -145,6 +146,24 @@
 
         run(check())
 
+    def test_an_overloaded_router_says_so_to_others_at_once(self, monkeypatch):
+        async def check():
+            target = ScriptedTarget("t0", send_complete_response)
+            async with Harness([target], shed_lag_s=LAG_S) as harness:
+                announced = []
+                link = harness.process.broker.link
+                monkeypatch.setattr(
+                    link,
+                    "announce_overload",
+                    lambda *, is_overloaded: announced.append(is_overloaded),
+                )
+                await asyncio.sleep(0.05)
+                delay_timer(harness)
+                await asyncio.sleep(2 * TICK_S)
+                assert announced[:1] == [True]
+
+        run(check())
+
     def test_it_serves_again_after_the_overload(self):
         async def check():
             target = ScriptedTarget("t0", send_complete_response)
