--- a/packages/citrondock-core/src/citrondock_core/routing/admission_queue.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/admission_queue.py
@@ -22,10 +22,9 @@
 
 _W = TypeVar("_W", bound=WaitingRequest)
 
-UNDERSERVED_SHARE = 0.75
+UNDERSERVED_SHARE = 0.5
 """An account is underserved below this share of the recent usage of the account with
-the highest usage that waits beside it. Users take less than half for unfair; usage at
-other routers' engines is known some seconds late."""
+the highest usage that waits beside it."""
 
 
 class AdmissionQueue(Generic[_W]):
