--- a/packages/citrondock-router/src/citrondock_router/log.py
+++ b/packages/citrondock-router/src/citrondock_router/log.py
@@ -5,7 +5,7 @@
 import threading
 import time
 from types import TracebackType
-from typing import Protocol
+from typing import Protocol, TextIO, cast
 
 from loguru import logger
 
@@ -39,7 +39,6 @@
 
     def __init__(self, stream: LogStream, level: str) -> None:
         self._stream = stream
-        self._flush = getattr(stream, "flush", None)
         self._min_level_number = logger.level(level).no
         self._second = -1
         self._second_text = ""
@@ -56,8 +55,6 @@
             f"time={self._second_text}.{milliseconds:03d}+00:00 level={level} "
             f"{message}\n"
         )
-        if self._flush is not None:
-            self._flush()
 
 
 class _LibraryHandler(logging.Handler):
@@ -78,24 +75,35 @@
 _line_writer: _LineWriter | None = None
 
 
-def configure_logging(*, level: str = "INFO", stream: LogStream | None = None) -> None:
+def configure_logging(
+    *, level: str = "INFO", stream: LogStream | None = None, is_direct: bool = False
+) -> None:
     """Write events of ``level`` and above to ``stream``, by default standard error.
 
     Warnings and errors of libraries, and uncaught exceptions of the process and its
     threads, are written as events too.
+
+    Parameters
+    ----------
+    level : str
+        Lowest level that is written.
+    stream : LogStream or None
+        Destination; None for standard error.
+    is_direct : bool
+        Whether lines go to ``stream`` without loguru, and to no other sink of it.
     """
     global _line_writer
+    destination = stream or sys.stderr
     logger.remove()
-    _line_writer = _LineWriter(stream, level) if stream is not None else None
-    if stream is None:
-        logger.add(
-            sys.stderr,
-            level=level,
-            format=_FORMAT,
-            colorize=False,
-            backtrace=False,
-            diagnose=False,
-        )
+    _line_writer = _LineWriter(destination, level) if is_direct else None
+    logger.add(
+        cast(TextIO, destination),
+        level=level,
+        format=_FORMAT,
+        colorize=False,
+        backtrace=False,
+        diagnose=False,
+    )
     logging.basicConfig(handlers=[_LibraryHandler()], level="WARNING", force=True)
     logging.captureWarnings(True)
     sys.excepthook = _log_uncaught
--- a/tests/router/test_logs.py
+++ b/tests/router/test_logs.py
@@ -5,6 +5,7 @@
 import sys
 import threading
 import warnings
+from datetime import datetime
 
 import pytest
 from hypothesis import example, given, settings
@@ -46,6 +47,32 @@
     return {name: value for name, value in PAIR.findall(line)}
 
 
+class TestDirectLines:
+    def lines_of(self, *, is_direct):
+        output = io.StringIO()
+        configure_logging(level="INFO", stream=output, is_direct=is_direct)
+        try:
+            log_event("seen", caller='a "b"\n', share=0.25, ran=None)
+            log_event("late", level="WARNING", lag_s=1.5)
+            log_event("hidden", level="DEBUG")
+        finally:
+            configure_logging()
+        lines = output.getvalue().splitlines()
+        return [fields_of(line) for line in lines]
+
+    def test_they_are_the_same_as_through_loguru(self, stream):
+        direct, through_loguru = (
+            self.lines_of(is_direct=is_direct) for is_direct in (True, False)
+        )
+        assert [line["event"] for line in direct] == ["seen", "late"]
+        for line, expected in zip(direct, through_loguru, strict=True):
+            assert list(line) == list(expected)
+            written_at = datetime.fromisoformat(line.pop("time"))
+            delay = datetime.fromisoformat(expected.pop("time")) - written_at
+            assert abs(delay.total_seconds()) < 1
+            assert line == expected
+
+
 class TestEvents:
     @given(st.text(max_size=80))
     @example('x" event=forged ran="no')
