Test that a router far behind takes less than it sends, with requests to take

Cause: found on reading the change again. It asks for 500 a second now, on a clock that goes on, and demands that fewer are admitted than sent. With a relief factor of 1.2 in place of 0.8 it fails (tried); on the code as it is it passes. Stricter than before.

--- a/tests/routing/test_overload_admission.py
+++ b/tests/routing/test_overload_admission.py
@@ -26,14 +26,16 @@
         self.admission.begin(now_s=0.0)
         self.admitted = {}
         self.sent_count = 0
+        self._step_count = 0
         self._waiting_count = 0
         self._due = 0.0
 
     def run(self, seconds, **asked_per_s):
         """Let accounts ask for so many requests a second each."""
         due = dict.fromkeys(asked_per_s, 0.0)
-        for step in range(round(seconds / STEP_S)):
-            now_s = step * STEP_S
+        for _ in range(round(seconds / STEP_S)):
+            self._step_count += 1
+            now_s = self._step_count * STEP_S
             for account, rate_per_s in asked_per_s.items():
                 due[account] += rate_per_s * STEP_S
                 while due[account] >= 1:
@@ -72,9 +74,8 @@
         router.admitted.clear()
         router.admission.observe_lag(2 * MAX_LAG_S)
         sent_before = router.sent_count
-        router.run(1, hot=0)
-        assert router.sent_count - sent_before <= 50
-        assert router.admitted == {}
+        router.run(2, hot=500)
+        assert 0 < router.admitted["hot"] < router.sent_count - sent_before
 
 
 class TestAccounts:
