Keep the count of admitted requests instead of summing accounts each time

Found on reading the change again: OverloadAdmission summed the counts of all accounts for each request read during an overload, when time is shortest. The sum is kept with the counts now.

--- a/packages/citrondock-core/src/citrondock_core/routing/overload_admission.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/overload_admission.py
@@ -47,6 +47,7 @@
     def __init__(self) -> None:
         self._sent_count = 0.0
         self._admitted_by_account: dict[str, float] = {}
+        self._admitted_count = 0.0
         self._mean_admitted = 0.0
         self._refreshed_at_s = -math.inf
         self._is_far_behind = False
@@ -72,6 +73,7 @@
         self._refresh(now_s)
         admitted = self._admitted_by_account
         admitted[account] = admitted.get(account, 0.0) + 1
+        self._admitted_count += 1
 
     def admit(self, account: str, *, now_s: float) -> bool:
         """Return whether to take a request of an account during an overload."""
@@ -93,8 +95,7 @@
     def _factor(self) -> float:
         if self._is_far_behind:
             return RELIEF_FACTOR
-        admitted_count = sum(self._admitted_by_account.values())
-        is_sent = self._sent_count >= SENT_SHARE * admitted_count
+        is_sent = self._sent_count >= SENT_SHARE * self._admitted_count
         return GROWTH_FACTOR if is_sent else PROBE_FACTOR
 
     def _refresh(self, now_s: float) -> None:
@@ -111,4 +112,5 @@
             if count * weight > FORGOTTEN_COUNT
         }
         admitted = self._admitted_by_account
-        self._mean_admitted = sum(admitted.values()) / max(len(admitted), 1)
+        self._admitted_count = sum(admitted.values())
+        self._mean_admitted = self._admitted_count / max(len(admitted), 1)
