Keep the bytes held for clients within the machine's memory

Callers saw: many bodies of legal size at once, whole, in pieces or in chunks, most of them never finished, ended a router's process for lack of memory, and the requests of all other clients with it.

Cause: each connection may hold a body of max_body_bytes, and nothing bounded the sum. The machine's memory was not read from the settings.

Change: MemoryBudget counts the bytes of unfinished, queued and running requests, of input not yet parsed and of responses that are read slowly. Beyond it, unfinished requests are refused (503, Retry-After, not run) or slow readers closed: of the owner with the most held bytes, what has made no progress for longest. Unfinished bodies without a byte for 30 s, or two idle timeouts, are refused with 408.

Ruled out: a lower max_body_bytes (part of the operator's configuration).

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -8,6 +8,7 @@
 
 from typing_extensions import override
 
+from citrondock_core.routing.memory_budget import MemoryBudget, MemoryHolder
 from citrondock_router.gateway.header_codec import Header
 from citrondock_router.gateway.paced_input import PacedInput
 from citrondock_router.gateway.request_handler import RequestHandler, RequestInProgress
@@ -35,8 +36,11 @@
 """Response bytes that may wait for a slow client before the gateway stops reading from
 the target."""
 
+RETRY_WITHOUT_MEMORY_S = 0.5
+"""Retry-After of a request for which there is no memory; another router may have it."""
 
-class ClientConnection(asyncio.Protocol):
+
+class ClientConnection(asyncio.Protocol, MemoryHolder):
     """Passes requests on one at a time and writes their responses.
 
     Parameters
@@ -45,13 +49,19 @@
         Handles the requests.
     loop : asyncio.AbstractEventLoop
         Event loop of the gateway.
+    memory : MemoryBudget
+        Is told what the connection holds, and may release it.
     """
 
     def __init__(
-        self, handler: RequestHandler, loop: asyncio.AbstractEventLoop
+        self,
+        handler: RequestHandler,
+        loop: asyncio.AbstractEventLoop,
+        memory: MemoryBudget,
     ) -> None:
         self._handler = handler
         self._loop = loop
+        self._memory = memory
         self._transport: asyncio.Transport | None = None
         self._reader = RequestReader(
             handler,
@@ -61,6 +71,12 @@
         )
         self._input = PacedInput(self._consume, loop)
         self._waiting: deque[ReceivedRequest] = deque()
+        self._waiting_bytes = self._current_bytes = 0
+        # What the memory budget was last told.
+        self._told_bytes = (0, 0)
+        self._owner: str | None = None
+        self._peer_host = ""
+        self._progressed_at_s = 0.0
         self._current: RequestInProgress | None = None
         self._is_busy = False
         self._is_slow = False
@@ -85,6 +101,22 @@
         may_read = len(self._waiting) <= MAX_PIPELINED_REQUESTS
         return self._reader.is_reading_head and may_read
 
+    @property
+    def is_reading_body(self) -> bool:
+        """Whether a request's body has arrived in part and the rest is awaited."""
+        return self._reader.is_reading_body and not self._is_discarding
+
+    @property
+    def is_unfinished(self) -> bool:
+        """Whether there is nothing but a request that has arrived in part."""
+        is_reading = self._reader.is_reading_message and not self._is_discarding
+        return is_reading and not (self._is_busy or self._waiting)
+
+    @property
+    def inactive_since_s(self) -> float:
+        """When the last byte arrived or the last response ended."""
+        return max(self.idle_since_s, self._progressed_at_s)
+
     @property
     def head_began_at_s(self) -> float:
         """When the latest head began to arrive."""
@@ -96,6 +128,7 @@
         self._transport = cast(asyncio.Transport, transport)
         self._input.attach(self._transport)
         self._transport.set_write_buffer_limits(high=MAX_WRITE_BUFFER_BYTES)
+        self._peer_host = (transport.get_extra_info("peername") or ("",))[0]
         enable_dead_peer_detection(transport.get_extra_info("socket"))
         self._handler.connected(self)
 
@@ -107,6 +140,9 @@
         current, self._current = self._current, None
         if current is not None:
             current.client_disconnected()
+        self._reader.stop()
+        self._current_bytes = 0
+        self._tell_memory()
         self._handler.disconnected(self)
 
     @override
@@ -124,16 +160,21 @@
             tolerate_slow_peer(sock, is_slow=is_slow)
         if self._current is not None:
             self._current.set_client_slow(is_slow)
+        self._progressed_at_s = self._loop.time()
+        self._tell_memory()
 
     @override
     def data_received(self, data: bytes) -> None:
+        self._progressed_at_s = self._loop.time()
         self._input.feed(data)
+        self._tell_memory()
 
     def _consume(self, data: bytes) -> None:
         self._reader.feed(data)
         if self._reader.rejection is not None:
             self._reject(self._reader.rejection)
         self._start_next_request()
+        self._tell_memory()
 
     def _queue_request(self, received: ReceivedRequest) -> None:
         if self._is_discarding or self._reader.rejection is not None:
@@ -141,6 +182,56 @@
             self._handler.unanswered(received.request, reason, stage="discarded")
         else:
             self._waiting.append(received)
+            self._waiting_bytes += received.byte_count
+            self._owner = None
+
+    # Memory.
+
+    @override
+    @property
+    def owner(self) -> str:
+        if self._owner is None:
+            if not self._reader.is_reading_body:
+                # The account is not known yet.
+                return self._peer_host
+            self._owner = (
+                self._handler.account_of(self._reader.headers) or self._peer_host
+            )
+        return self._owner
+
+    @override
+    @property
+    def is_releasable(self) -> bool:
+        return self._told_bytes[0] > self._told_bytes[1]
+
+    @override
+    @property
+    def progressed_at_s(self) -> float:
+        return self._progressed_at_s
+
+    @override
+    def release(self) -> None:
+        if self._is_slow or self._is_discarding:
+            self._handler.rejected(0, "memory_short")
+            self.close_at_once("memory_short")
+            return
+        self._drop_queued("memory_short")
+        self._refuse_unfinished(
+            Rejection(
+                HTTPStatus.SERVICE_UNAVAILABLE, "memory_short", RETRY_WITHOUT_MEMORY_S
+            )
+        )
+
+    def _tell_memory(self) -> None:
+        """Tell the memory budget what this connection holds now, if that changed."""
+        held_bytes = self._current_bytes + self._waiting_bytes
+        held_bytes += self._reader.held_bytes + self._input.backlog_bytes
+        if self._is_slow and self._transport is not None:
+            held_bytes += self._transport.get_write_buffer_size()
+        told_bytes = (held_bytes, self._current_bytes)
+        if told_bytes != self._told_bytes:
+            self._told_bytes = told_bytes
+            self._memory.hold(self, held_bytes, kept_bytes=self._current_bytes)
 
     def _send_continue(self) -> None:
         if not (self._is_busy or self._is_discarding):
@@ -275,14 +366,35 @@
 
     def reject_slow_head(self) -> None:
         """Reject a request whose head took too long to arrive."""
+        self._refuse_unfinished(Rejection(HTTPStatus.REQUEST_TIMEOUT, "head_timed_out"))
+
+    def reject_stalled_body(self) -> None:
+        """Reject a request of whose body no byte has arrived for too long."""
+        self._refuse_unfinished(Rejection(HTTPStatus.REQUEST_TIMEOUT, "body_stalled"))
+
+    def close_inactive(self) -> bool:
+        """Close the connection if it is idle or has only an unfinished request."""
+        if self.is_unfinished:
+            self._handler.rejected(0, "descriptors_short")
+            self.close_at_once("descriptors_short")
+            return True
+        return self.close_if_idle()
+
+    def _refuse_unfinished(self, rejection: Rejection) -> None:
+        """Drop what has arrived of a request, and refuse it and all later ones."""
         self._reader.stop()
-        self._reject(Rejection(HTTPStatus.REQUEST_TIMEOUT, "head_timed_out"))
+        self._input.discard()
+        self._reject(rejection)
         self._start_next_request()
+        self._tell_memory()
 
     def _start_next_request(self) -> None:
         while self._waiting and not self._is_busy and self._transport is not None:
             received = self._waiting.popleft()
+            self._waiting_bytes -= received.byte_count
+            self._current_bytes = received.byte_count
             self._is_busy = True
+            self._tell_memory()
             self._current_keeps_alive = received.keeps_alive
             self._current_is_http_1_1 = received.is_http_1_1
             self._current = self._handler.handle(received.request, self)
@@ -308,6 +420,8 @@
 
     def _finish_response(self) -> None:
         self._current = None
+        self._current_bytes = 0
+        self._tell_memory()
         self._is_busy = False
         self._begin_idle()
         if not self._current_keeps_alive:
@@ -336,6 +450,8 @@
         status, reason = rejection.status, rejection.reason
         self._handler.rejected(status, reason)
         headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+        if rejection.retry_after_s is not None:
+            headers.append((b"Retry-After", b"%.3f" % rejection.retry_after_s))
         phrase = HTTPStatus(status).phrase.encode()
         self._write(_encode_head(status, phrase, headers))
         self.close_when_written(reason)
@@ -350,6 +466,7 @@
         while self._waiting:
             received = self._waiting.popleft()
             self._handler.unanswered(received.request, reason, stage="queued")
+        self._waiting_bytes = 0
 
     def _connection_headers(self) -> list[Header]:
         """Return `Connection: close` if the connection closes after this response."""
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -3,18 +3,28 @@
 import asyncio
 import heapq
 import math
+from collections.abc import Sequence
 from http import HTTPStatus
 
 from typing_extensions import override
 
+from citrondock_core.routing.memory_budget import MemoryBudget
 from citrondock_core.routing.route import ClientLimits, RoutingConfiguration
 from citrondock_core.routing.route_table import ConfigurationHolder
 from citrondock_core.routing.shutdown_admission import ShutdownAdmission
 from citrondock_core.routing.target_directory import DirectoryChange, TargetDirectory
-from citrondock_router.gateway.client_connection import ClientConnection
+from citrondock_router.gateway.client_connection import (
+    RETRY_WITHOUT_MEMORY_S,
+    ClientConnection,
+)
 from citrondock_router.gateway.exchange import Exchange, ExchangeState
 from citrondock_router.gateway.gateway_metrics import GatewayMetrics
-from citrondock_router.gateway.header_codec import HeaderCodec, MalformedRequestError
+from citrondock_router.gateway.header_codec import (
+    Header,
+    HeaderCodec,
+    MalformedRequestError,
+    RequestHead,
+)
 from citrondock_router.gateway.overload_guard import OverloadGuard
 from citrondock_router.gateway.request_handler import (
     ClientRequest,
@@ -51,6 +61,12 @@
 and some for connections to targets."""
 
 
+MIN_BODY_STALL_S = 30.0
+IDLE_TIMEOUTS_TO_STALL = 2
+"""An unfinished body is refused if no byte of it has arrived for this time, or for so
+many idle timeouts if they are longer. Sound clients have given up long before."""
+
+
 class Gateway(RequestHandler):
     """Routes each request by the configuration that is active at its arrival.
 
@@ -68,6 +84,8 @@
         Counts rejected requests.
     overload : OverloadGuard
         Decides whether to refuse requests for lack of processor time.
+    memory : MemoryBudget
+        Decides which requests there is memory for.
     loop : asyncio.AbstractEventLoop
         Event loop of the gateway.
     """
@@ -81,6 +99,7 @@
         connections: TargetConnectionPool,
         metrics: GatewayMetrics,
         overload: OverloadGuard,
+        memory: MemoryBudget,
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         self.configuration = ConfigurationHolder()
@@ -92,6 +111,7 @@
         self._header_codec = header_codec
         self._connections = connections
         self._metrics = metrics
+        self._memory = memory
         self._loop = loop
         self._clients: set[ClientConnection] = set()
         self._has_targets = False
@@ -139,16 +159,18 @@
 
     def create_client_connection(self) -> ClientConnection:
         """Return the protocol of a new client connection."""
-        return ClientConnection(self, self._loop)
+        return ClientConnection(self, self._loop, self._memory)
 
     def configure(self, configuration: RoutingConfiguration) -> None:
         """Apply a configuration if it is newer than the active one."""
         before = self.configuration.version
         if not self.configuration.activate_if_newer(configuration):
             return
+        limits = configuration.limits
+        self._memory.allow_requests_of(limits.max_header_bytes + limits.max_body_bytes)
         self.scheduler.configure(dict(configuration.services))
         for client in self._clients:
-            client.extend_idle(configuration.limits.idle_timeout_s)
+            client.extend_idle(limits.idle_timeout_s)
         self._shutdown.keep_only({route.name for route in configuration.routes})
         log_event(
             "configuration_in_force",
@@ -237,6 +259,11 @@
                 client, request_id, "overloaded", RETRY_ELSEWHERE_S
             )
             return None
+        if not self._memory.may_keep(len(request.body)):
+            self._refuse_unavailable(
+                client, request_id, "memory_short", RETRY_WITHOUT_MEMORY_S
+            )
+            return None
         route = active.table.match(facts.host, facts.path)
         if route is None:
             self._send_refusal(client, HTTPStatus.NOT_FOUND, request_id, "no_route")
@@ -281,6 +308,19 @@
         self._metrics.count_rejected(reason)
         log_event("request_rejected", status=status, reason=reason)
 
+    @override
+    def account_of(self, headers: Sequence[Header]) -> str:
+        active = self.configuration.active
+        accounts = active.configuration.account_by_key if active else None
+        if accounts is None:
+            return ""
+        head = RequestHead(method=b"", target=b"/", headers=headers)
+        try:
+            key = self._header_codec.request_facts(head).key
+        except MalformedRequestError:
+            return ""
+        return accounts.get(key, "") if key is not None else ""
+
     @override
     def unanswered(self, request: ClientRequest, reason: str, *, stage: str) -> None:
         self._metrics.count_unanswered(reason, stage)
@@ -295,14 +335,20 @@
         )
 
     def close_idle_clients(self) -> None:
-        """Close connections that are idle or wait too long for a request head."""
+        """Close connections that are idle or wait too long for a head or body."""
         now_s = self._loop.time()
         limits = self.limits
+        stalled_since_s = now_s - max(
+            MIN_BODY_STALL_S, IDLE_TIMEOUTS_TO_STALL * limits.idle_timeout_s
+        )
         closed_idle_s = []
         for client in list(self._clients):
             if client.is_reading_head:
                 if now_s > client.head_began_at_s + limits.header_timeout_s:
                     client.reject_slow_head()
+            elif client.is_reading_body:
+                if client.progressed_at_s < stalled_since_s:
+                    client.reject_stalled_body()
             elif client.may_close and now_s > client.kept_until_s + IDLE_GRACE_S:
                 if client.close_if_idle():
                     closed_idle_s.append(now_s - client.idle_since_s)
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_metrics.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_metrics.py
@@ -46,6 +46,11 @@
         Prompt parts that are withheld from engines.
     dropped_log_line_count : int
         Log lines that were dropped since the log last reported drops.
+    held_bytes : int
+        Bytes that are held for clients.
+    memory_released_count, memory_refused_count : int
+        Clients whose bytes were dropped, and complete requests that were refused, for
+        lack of memory since the start.
     waiting_by_service : mapping of str to int
         Requests that wait on this router for a target, by service.
     retries_left_by_service : mapping of str to float
@@ -66,6 +71,9 @@
     engine_crash_count: int
     withheld_part_count: int
     dropped_log_line_count: int
+    held_bytes: int
+    memory_released_count: int
+    memory_refused_count: int
     waiting_by_service: Mapping[str, int]
     retries_left_by_service: Mapping[str, float]
     store_age_s_by_kind: Mapping[str, float]
@@ -126,6 +134,10 @@
         self._log_lines_dropped = self._registry.gauge(
             "log_lines_dropped", "Lines dropped and not yet told of in the log."
         )
+        self._held_bytes = self._registry.gauge("held_bytes", "Bytes held for clients.")
+        self._memory_shortages = self._registry.gauge(
+            "memory_shortages", "Clients released and requests refused so far."
+        )
         self._first_answer = self._registry.histogram(
             "first_answer_seconds", "Arrival to first bytes.", _DELAY_BUCKETS_S
         )
@@ -193,6 +205,9 @@
         self._engine_crashes.set({}, state.engine_crash_count)
         self._withheld_parts.set({}, state.withheld_part_count)
         self._log_lines_dropped.set({}, state.dropped_log_line_count)
+        self._held_bytes.set({}, state.held_bytes)
+        self._memory_shortages.set({"kind": "released"}, state.memory_released_count)
+        self._memory_shortages.set({"kind": "refused"}, state.memory_refused_count)
         for service, count in state.waiting_by_service.items():
             self._waiting.set({"service": service}, count)
         for service, left in state.retries_left_by_service.items():
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -11,6 +11,7 @@
 
 from citrondock_core.backoff import backoff_s
 from citrondock_core.routing.engine_load_view import EngineLoadView
+from citrondock_core.routing.memory_budget import MemoryBudget
 from citrondock_core.routing.peer_table import PeerTable
 from citrondock_core.routing.placement import Placement
 from citrondock_core.routing.store_watch_plan import StoreWatchPlan
@@ -131,6 +132,9 @@
         overload = OverloadGuard(
             self.loop.time, period_s=TICK_S, shed_lag_s=settings.shed_lag_s
         )
+        self.memory = MemoryBudget()
+        if settings.memory_limit_bytes is not None:
+            self.memory = MemoryBudget.for_machine(settings.memory_limit_bytes)
         scheduler = RequestScheduler(
             directory=self.directory,
             connections=self._connections,
@@ -149,6 +153,7 @@
             connections=self._connections,
             metrics=self.metrics,
             overload=overload,
+            memory=self.memory,
             loop=self.loop,
         )
         self._load_report = LoadReport(self.loop.time, self._work_counts)
@@ -204,7 +209,9 @@
             settings.client_address, self.gateway.create_client_connection
         )
         self.readiness_port, self.metrics_port = [
-            self._listen(address, lambda: ClientConnection(operations, self.loop))
+            self._listen(
+                address, lambda: ClientConnection(operations, self.loop, self.memory)
+            )
             for address in (settings.readiness_address, settings.metrics_address)
         ]
         self.is_listening.set()
@@ -333,6 +340,9 @@
             engine_crash_count=scheduler.crashes.crash_count,
             withheld_part_count=scheduler.crashes.quarantine.withheld_count,
             dropped_log_line_count=self._log_writer.dropped_count,
+            held_bytes=self.memory.held_bytes,
+            memory_released_count=self.memory.released_count,
+            memory_refused_count=self.memory.refused_count,
             waiting_by_service=scheduler.waiting_by_service(),
             retries_left_by_service=scheduler.retries_left_by_service(),
             store_age_s_by_kind={
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_settings.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_settings.py
@@ -51,6 +51,8 @@
         Time over which requests and retries are counted.
     fleet_spare_retries : float
         Retries beyond the ratio that all routers together may use in each window.
+    memory_limit_bytes : int or None
+        Memory of the machine that the process may use, if that is known.
     shed_lag_s : float
         Requests that waited for the event loop longer than this are refused at once.
     """
@@ -67,6 +69,9 @@
     retry_ratio: float = attrs.field(validator=ge(0))
     retry_window_s: float = attrs.field(validator=gt(0))
     fleet_spare_retries: float = attrs.field(validator=ge(0))
+    memory_limit_bytes: int | None = attrs.field(
+        default=None, validator=attrs.validators.optional(gt(0))
+    )
     shed_lag_s: float = attrs.field(default=SHED_LAG_S, validator=gt(0))
 
     def budget_options(self, known_router_count: int) -> RetryRatioBudgetOptions:
--- a/packages/citrondock-router/src/citrondock_router/gateway/operations_handler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/operations_handler.py
@@ -1,12 +1,13 @@
 """Serves the load balancer's readiness check and the metrics page over HTTP."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from http import HTTPStatus
 
 from typing_extensions import override
 
 from citrondock_core.routing.route import ClientLimits
 from citrondock_router.gateway.client_connection import ClientConnection
+from citrondock_router.gateway.header_codec import Header
 from citrondock_router.gateway.request_handler import (
     ClientRequest,
     RequestHandler,
@@ -75,6 +76,10 @@
     def rejected(self, status: int, reason: str) -> None:
         return None
 
+    @override
+    def account_of(self, headers: Sequence[Header]) -> str:
+        return ""
+
     @override
     def unanswered(self, request: ClientRequest, reason: str, *, stage: str) -> None:
         return None
--- a/packages/citrondock-router/src/citrondock_router/gateway/paced_input.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/paced_input.py
@@ -52,6 +52,11 @@
         self.is_paused = False
         self._is_turn_due = False
 
+    @property
+    def backlog_bytes(self) -> int:
+        """Received bytes that wait to be consumed."""
+        return len(self._backlog) - self._position
+
     @property
     def has_backlog(self) -> bool:
         """Whether received bytes wait to be consumed."""
--- a/packages/citrondock-router/src/citrondock_router/gateway/request_handler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/request_handler.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 import attrs
 
 from citrondock_core.routing.route import ClientLimits
-from citrondock_router.gateway.header_codec import RequestHead
+from citrondock_router.gateway.header_codec import Header, RequestHead
 
 if TYPE_CHECKING:
     from citrondock_router.gateway.client_connection import ClientConnection
@@ -69,6 +70,10 @@
     def rejected(self, status: int, reason: str) -> None:
         """Record received bytes that are not a valid request within the limits."""
 
+    @abstractmethod
+    def account_of(self, headers: Sequence[Header]) -> str:
+        """Return the client account that a request's headers name; empty if none."""
+
     @abstractmethod
     def unanswered(self, request: ClientRequest, reason: str, *, stage: str) -> None:
         """Record a whole request that gets no answer as its connection ends.
--- a/packages/citrondock-router/src/citrondock_router/gateway/request_reader.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/request_reader.py
@@ -1,6 +1,6 @@
 """Reads the requests of one HTTP/1.1 connection within the limits."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from http import HTTPStatus
 
 import attrs
@@ -23,11 +23,14 @@
         Whether the connection stays open after the response.
     is_http_1_1 : bool
         Whether the client understands responses in chunks.
+    byte_count : int
+        Bytes of its head and body.
     """
 
     request: ClientRequest
     keeps_alive: bool
     is_http_1_1: bool
+    byte_count: int
 
 
 @attrs.frozen
@@ -40,10 +43,13 @@
         Status of the response.
     reason : str
         Reason for the log.
+    retry_after_s : float or None
+        Time after which the client may try again, if another try may succeed.
     """
 
     status: int
     reason: str
+    retry_after_s: float | None = None
 
 
 class RequestReader:
@@ -103,7 +109,7 @@
         if not self._can_parse:
             return
         unfinished_head = self._headers if self.is_reading_head else None
-        is_in_body = self.is_reading_message and not self.is_reading_head
+        is_in_body = self.is_reading_body
         body_bytes_before = self._body_bytes
         try:
             self._parser.feed_data(data)
@@ -130,9 +136,29 @@
         if self.is_reading_message and self._is_too_large():
             self.stop()
 
+    @property
+    def is_reading_body(self) -> bool:
+        """Whether a request's head has arrived, and its body in part."""
+        return self.is_reading_message and not self.is_reading_head
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the request that has arrived in part."""
+        if not self.is_reading_message:
+            return 0
+        return self._header_bytes + self._framing_bytes + len(self._body)
+
+    @property
+    def headers(self) -> Sequence[Header]:
+        """Headers of the latest request, as far as they have arrived."""
+        return self._headers
+
     def stop(self) -> None:
-        """Ignore all further bytes."""
+        """Ignore all further bytes, and drop those of an unfinished request."""
         self._can_parse = False
+        self._headers = []
+        self._body = bytearray()
+        self._header_bytes = self._framing_bytes = 0
 
     # Callbacks of `httptools.HttpRequestParser`.
 
@@ -181,12 +207,14 @@
             method=self._parser.get_method(), target=self._url, headers=self._headers
         )
         request = ClientRequest(head=head, body=bytes(self._body))
+        byte_count = self._header_bytes + len(self._body)
         self._body = bytearray()
         self._on_request(
             ReceivedRequest(
                 request=request,
                 keeps_alive=self._keeps_alive,
                 is_http_1_1=self._is_http_1_1,
+                byte_count=byte_count,
             )
         )
 
