Leave descriptors and time for others beside unfinished requests

Callers saw: connections with an unfinished request stay open for as long as their clients like. Once they had taken all descriptors, nobody else could connect, as only idle connections were closed for new ones. Chunks of a few bytes cost about 1 us each, and every such client got 2 ms in each iteration of the event loop, so that 80 of them delayed all other work by 160 ms at a time.

Near the limit, and when no descriptor is free, the connections without progress for longest are closed, idle or unfinished.

TestTurnQueue plays 50 clients without a network.

Ruled out: closing idle connections only, which the crowd never is.

--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -10,7 +10,7 @@
 
 from citrondock_core.routing.memory_budget import MemoryBudget, MemoryHolder
 from citrondock_router.gateway.header_codec import Header
-from citrondock_router.gateway.paced_input import PacedInput
+from citrondock_router.gateway.paced_input import PacedInput, TurnQueue
 from citrondock_router.gateway.request_handler import RequestHandler, RequestInProgress
 from citrondock_router.gateway.request_reader import (
     ReceivedRequest,
@@ -51,6 +51,8 @@
         Event loop of the gateway.
     memory : MemoryBudget
         Is told what the connection holds, and may release it.
+    turns : TurnQueue, optional
+        Shares out the turns in which connections are read.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         handler: RequestHandler,
         loop: asyncio.AbstractEventLoop,
         memory: MemoryBudget,
+        turns: TurnQueue | None = None,
     ) -> None:
         self._handler = handler
         self._loop = loop
@@ -69,7 +72,7 @@
             on_request=self._queue_request,
             on_expect=self._send_continue,
         )
-        self._input = PacedInput(self._consume, loop)
+        self._input = PacedInput(self._consume, loop, turns=turns)
         self._waiting: deque[ReceivedRequest] = deque()
         self._waiting_bytes = self._current_bytes = 0
         # What the memory budget was last told.
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -26,6 +26,7 @@
     RequestHead,
 )
 from citrondock_router.gateway.overload_guard import OverloadGuard
+from citrondock_router.gateway.paced_input import TurnQueue
 from citrondock_router.gateway.request_handler import (
     ClientRequest,
     RequestHandler,
@@ -61,6 +62,12 @@
 and some for connections to targets."""
 
 
+RELEASED_RATIO = 1 / 16
+"""Share of the connections that is closed at once when descriptors run short."""
+
+RESERVED_SOCKETS = 16
+"""Sockets beside those of clients and targets: listeners, peers and the store."""
+
 MIN_BODY_STALL_S = 30.0
 IDLE_TIMEOUTS_TO_STALL = 2
 """An unfinished body is refused if no byte of it has arrived for this time, or for so
@@ -88,6 +95,8 @@
         Decides which requests there is memory for.
     loop : asyncio.AbstractEventLoop
         Event loop of the gateway.
+    socket_limit : int or None
+        Sockets that the process may have; None if that is not known.
     """
 
     def __init__(
@@ -101,6 +110,7 @@
         overload: OverloadGuard,
         memory: MemoryBudget,
         loop: asyncio.AbstractEventLoop,
+        socket_limit: int | None = None,
     ) -> None:
         self.configuration = ConfigurationHolder()
         self.directory = directory
@@ -113,6 +123,8 @@
         self._metrics = metrics
         self._memory = memory
         self._loop = loop
+        self._socket_limit = math.inf if socket_limit is None else socket_limit
+        self._turns = TurnQueue(loop)
         self._clients: set[ClientConnection] = set()
         self._has_targets = False
         self._shutdown = ShutdownAdmission()
@@ -159,7 +171,7 @@
 
     def create_client_connection(self) -> ClientConnection:
         """Return the protocol of a new client connection."""
-        return ClientConnection(self, self._loop, self._memory)
+        return ClientConnection(self, self._loop, self._memory, self._turns)
 
     def configure(self, configuration: RoutingConfiguration) -> None:
         """Apply a configuration if it is newer than the active one."""
@@ -298,6 +310,9 @@
     @override
     def connected(self, client: ClientConnection) -> None:
         self._clients.add(client)
+        open_count = len(self._clients) + self._connections.open_count
+        if open_count + RESERVED_SOCKETS > self._socket_limit:
+            self.close_least_active()
 
     @override
     def disconnected(self, client: ClientConnection) -> None:
@@ -376,6 +391,40 @@
         )
         return sum(client.close_if_idle() for client in chosen)
 
+    def close_least_active(self) -> int:
+        """Close the connections without progress for longest that may be closed.
+
+        Idle ones may, and those with nothing but an unfinished request.
+
+        Returns
+        -------
+        int
+            Number of connections closed.
+        """
+        inactive = [
+            client
+            for client in self._clients
+            if client.may_close or client.is_unfinished
+        ]
+        chosen = heapq.nsmallest(
+            max(1, int(len(self._clients) * RELEASED_RATIO)),
+            inactive,
+            key=lambda client: client.inactive_since_s,
+        )
+        closed_count = sum(client.close_inactive() for client in chosen)
+        log_event(
+            "descriptors_short",
+            level="WARNING",
+            clients=len(self._clients),
+            targets=self._connections.open_count,
+            closed=closed_count,
+        )
+        return closed_count
+
+    def release_descriptors(self) -> int:
+        """Close connections, as no file descriptor is free; return how many."""
+        return self.close_longest_idle() or self.close_least_active()
+
     def end_requests(self) -> None:
         """End all requests that are not answered yet, as the process is about to end.
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -155,13 +155,14 @@
             overload=overload,
             memory=self.memory,
             loop=self.loop,
+            socket_limit=settings.socket_limit,
         )
         self._load_report = LoadReport(self.loop.time, self._work_counts)
         self.client_port = self.readiness_port = self.metrics_port = 0
         self.is_listening = asyncio.Event()
         self._stop = asyncio.Event()
         self._listeners: list[Listener] = []
-        self._connections.release_descriptors = self.gateway.close_longest_idle
+        self._connections.release_descriptors = self.gateway.release_descriptors
         self._reload: Callable[[], None] | None = None
         self._followers: Sequence[ObjectFollower] = ()
         self._pages: Mapping[bytes, Page] = {
@@ -239,7 +240,7 @@
     def _listen(
         self, address: Address, protocol: Callable[[], asyncio.Protocol]
     ) -> int:
-        release = self.gateway.close_longest_idle
+        release = self.gateway.release_descriptors
         listener = Listener(address, protocol, self.loop, release)
         self._listeners.append(listener)
         return listener.port
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_settings.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_settings.py
@@ -53,6 +53,8 @@
         Retries beyond the ratio that all routers together may use in each window.
     memory_limit_bytes : int or None
         Memory of the machine that the process may use, if that is known.
+    socket_limit : int or None
+        Sockets that the process may have, if that is known.
     shed_lag_s : float
         Requests that waited for the event loop longer than this are refused at once.
     """
@@ -72,6 +74,9 @@
     memory_limit_bytes: int | None = attrs.field(
         default=None, validator=attrs.validators.optional(gt(0))
     )
+    socket_limit: int | None = attrs.field(
+        default=None, validator=attrs.validators.optional(gt(0))
+    )
     shed_lag_s: float = attrs.field(default=SHED_LAG_S, validator=gt(0))
 
     def budget_options(self, known_router_count: int) -> RetryRatioBudgetOptions:
--- a/packages/citrondock-router/src/citrondock_router/gateway/paced_input.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/paced_input.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import deque
 from collections.abc import Callable
 
 SLICE_BYTES = 8192
@@ -15,6 +16,66 @@
 cost far more time per byte than large ones."""
 
 
+MAX_ROUND_S = 0.01
+"""Time that the turns of all connections together get in one iteration of the event
+loop. Many clients that send costly bytes would delay all other work by a turn each."""
+
+
+class TurnQueue:
+    """Shares out the turns of many connections over iterations of the event loop.
+
+    Parameters
+    ----------
+    loop : asyncio.AbstractEventLoop
+        Event loop of the connections.
+    clock : callable
+        Monotonic time in seconds that goes on within an iteration of the loop.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        *,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._loop = loop
+        self._clock = clock
+        self._waiting: deque[Callable[[], None]] = deque()
+        self._is_round_open = False
+        self._spent_s = 0.0
+
+    @property
+    def has_time(self) -> bool:
+        """Whether another turn fits into this iteration of the event loop."""
+        return self._spent_s < MAX_ROUND_S
+
+    def add(self, turn: Callable[[], None]) -> None:
+        """Take a turn in a later iteration, after those that wait already."""
+        self._waiting.append(turn)
+        self._open_round()
+
+    def record(self, began_at_s: float) -> None:
+        """Count the time of a turn that began then and has just ended."""
+        self._spent_s += self._clock() - began_at_s
+        self._open_round()
+
+    def _open_round(self) -> None:
+        if not self._is_round_open:
+            self._is_round_open = True
+            self._loop.call_soon(self._start_round)
+
+    def _start_round(self) -> None:
+        self._is_round_open = False
+        self._spent_s = 0.0
+        for _ in range(len(self._waiting)):
+            if not self.has_time:
+                break
+            # A turn records its own time, and may add the next one.
+            self._waiting.popleft()()
+        if self._waiting:
+            self._open_round()
+
+
 class PacedInput:
     """Passes the received bytes of one connection on in turns of limited length.
 
@@ -27,6 +88,9 @@
         Called with the next bytes, at most `SLICE_BYTES` of them.
     loop : asyncio.AbstractEventLoop
         Event loop of the connection.
+    turns : TurnQueue, optional
+        Shares out the turns of several connections; without it, each connection gets
+        a turn in every iteration of the event loop.
     clock : callable
         Monotonic time in seconds that goes on within an iteration of the loop.
 
@@ -41,9 +105,11 @@
         consume: Callable[[bytes], None],
         loop: asyncio.AbstractEventLoop,
         *,
+        turns: TurnQueue | None = None,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._consume = consume
+        self._turns = turns
         self._loop = loop
         self._clock = clock
         self._transport: asyncio.Transport | None = None
@@ -74,8 +140,13 @@
             return
         self._backlog = self._backlog[self._position :] + data
         self._position = 0
-        if not self._is_turn_due:
+        if self._is_turn_due:
+            return
+        if self._turns is None or self._turns.has_time:
             self._take_turn()
+        else:
+            self._schedule_turn()
+            self._update_reading()
 
     def pause(self) -> None:
         """Read no more bytes until resumed; what was read is consumed."""
@@ -97,7 +168,8 @@
         self._position = 0
 
     def _take_turn(self) -> None:
-        ends_at_s = self._clock() + MAX_TURN_S
+        began_at_s = self._clock()
+        ends_at_s = began_at_s + MAX_TURN_S
         left_bytes = MAX_TURN_BYTES
         while self.has_backlog and not self._is_closing:
             data = self._next_slice()
@@ -106,6 +178,8 @@
             if left_bytes <= 0 or self._clock() >= ends_at_s:
                 self._schedule_turn()
                 break
+        if self._turns is not None:
+            self._turns.record(began_at_s)
         self._update_reading()
 
     def _next_slice(self) -> bytes:
@@ -118,7 +192,10 @@
     def _schedule_turn(self) -> None:
         if not self._is_turn_due:
             self._is_turn_due = True
-            self._loop.call_soon(self._take_later_turn)
+            if self._turns is not None:
+                self._turns.add(self._take_later_turn)
+            else:
+                self._loop.call_soon(self._take_later_turn)
 
     def _take_later_turn(self) -> None:
         self._is_turn_due = False
--- a/packages/citrondock-router/src/citrondock_router/gateway/target_connection_pool.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/target_connection_pool.py
@@ -38,8 +38,14 @@
         # Closes idle connections of clients and returns how many.
         self.release_descriptors: Callable[[], int] | None = None
         self._idle: dict[str, list[TargetConnection]] = {}
+        self._open: set[TargetConnection] = set()
         self.opened_count = 0
 
+    @property
+    def open_count(self) -> int:
+        """Number of open connections to targets."""
+        return len(self._open)
+
     def take_idle(
         self, entry: TargetEntry, *, may_run_again: bool, request_id: str
     ) -> TargetConnection | None:
@@ -99,6 +105,7 @@
             self._idle.setdefault(entry.target_id, []).append(connection)
 
         def forget(connection: TargetConnection) -> None:
+            self._open.discard(connection)
             idle = self._idle.get(entry.target_id)
             if idle and connection in idle:
                 idle.remove(connection)
@@ -109,6 +116,8 @@
                 entry.host,
                 entry.port,
             )
+        if connection.is_open:
+            self._open.add(connection)
         return connection
 
     def drop(self, target_id: str) -> None:
--- a/tests/gateway/test_costly_bytes.py
+++ b/tests/gateway/test_costly_bytes.py
@@ -27,10 +27,12 @@
     EventTooLongError,
 )
 from citrondock_router.gateway.paced_input import (
+    MAX_ROUND_S,
     MAX_TURN_BYTES,
     MAX_TURN_S,
     SLICE_BYTES,
     PacedInput,
+    TurnQueue,
 )
 
 TOKEN = b"tokentokentokent"
@@ -248,17 +250,19 @@
 
 
 class Setup:
-    def __init__(self, cost_s=0.0):
+    def __init__(self, cost_s=0.0, loop=None, turns=None):
         self.now_s = 0.0
         self.seen = []
-        self.loop = FakeLoop()
+        self.loop = loop or FakeLoop()
         self.transport = FakeTransport()
 
         def consume(data):
             self.seen.append(data)
             self.now_s += cost_s
 
-        self.paced = PacedInput(consume, self.loop, clock=lambda: self.now_s)
+        self.paced = PacedInput(
+            consume, self.loop, turns=turns, clock=lambda: self.now_s
+        )
         self.paced.attach(self.transport)
 
     @property
@@ -422,3 +426,47 @@
                 assert not reply.is_complete
 
         run(check())
+
+
+class TestTurnQueue:
+    def test_many_connections_share_the_time_of_an_iteration(self):
+        loop, clock = FakeLoop(), Clock()
+        turns = TurnQueue(loop, clock=clock)
+        inputs = []
+        for _ in range(50):
+            paced = PacedInput(clock.spend, loop, turns=turns, clock=clock)
+            paced.attach(FakeTransport())
+            inputs.append(paced)
+        for paced in inputs:
+            paced.feed(bytes(100_000))
+        assert clock.now_s <= MAX_ROUND_S + MAX_TURN_S
+        while loop.due:
+            began_s = clock.now_s
+            loop.run_once()
+            assert clock.now_s - began_s <= MAX_ROUND_S + MAX_TURN_S
+        assert clock.seen_bytes == 50 * 100_000
+
+    def test_few_bytes_are_consumed_at_once_beside_costly_ones(self):
+        loop, clock = FakeLoop(), Clock()
+        turns = TurnQueue(loop, clock=clock)
+        for size in [100_000] * 50 + [100]:
+            seen_before = clock.seen_bytes
+            paced = PacedInput(clock.spend, loop, turns=turns, clock=clock)
+            paced.attach(FakeTransport())
+            paced.feed(bytes(size))
+        assert clock.seen_bytes == seen_before + 100
+
+
+class Clock:
+    """Time that only goes on as bytes are consumed."""
+
+    def __init__(self):
+        self.now_s = 0.0
+        self.seen_bytes = 0
+
+    def __call__(self):
+        return self.now_s
+
+    def spend(self, data):
+        self.seen_bytes += len(data)
+        self.now_s += MAX_TURN_S
