Serve evacuated zones and cold engines

Change: objects of the kind evacuations are followed where the settings name a bound for them. Targets of evacuated zones are left out of all choices; prompts that wait for them are placed anew, and streams there go on. Entries tell how long targets are cold; their home routers grant no more than the service's rate then, with the mechanism of limits that targets name.

--- a/packages/citrondock-core/src/citrondock_core/routing/route.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/route.py
@@ -10,6 +10,8 @@
 import xxhash
 from attrs.validators import ge, min_len
 
+from citrondock_core.routing.warm_up import WarmUpOptions
+
 _HASH_RANGE = 1 << 64
 
 
@@ -151,10 +153,13 @@
         Unique name.
     engine : ModelEngineOptions or None
         Capacity of its engines; None if its targets are no model engines.
+    warm_up : WarmUpOptions or None
+        What its targets bear while they are cold; None if they start warm.
     """
 
     name: str = attrs.field(validator=_is_text)
     engine: ModelEngineOptions | None = None
+    warm_up: WarmUpOptions | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/citrondock-core/src/citrondock_core/routing/target_limits.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/target_limits.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from citrondock_core.routing.warm_up import WarmUps
+
 MAX_AGE_S = 30.0
 """Age at which a limit that no response names any more is forgotten."""
 
@@ -42,15 +44,26 @@
 class TargetLimits:
     """Limits of targets, from this router's responses and from other routers.
 
+    Cold targets have a limit, too, which is known from `warm_ups` and not exchanged.
+
     A limit ends with a successful response that names none, to a request that was sent
     after the limit was last named: responses of other connections may be older.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, warm_ups: WarmUps | None = None) -> None:
+        self.warm_ups = warm_ups or WarmUps()
         self._known: dict[str, _KnownLimit] = {}
 
+    def allowed_per_s(self, target_id: str, *, now_s: float) -> float | None:
+        """Return the requests that a target takes; None if nothing limits them."""
+        limits = (
+            self.requests_per_s(target_id, now_s=now_s),
+            self.warm_ups.requests_per_s(target_id, now_s=now_s),
+        )
+        return min((limit for limit in limits if limit is not None), default=None)
+
     def requests_per_s(self, target_id: str, *, now_s: float) -> float | None:
-        """Return the limit of a target, or None if it has none."""
+        """Return the limit that a target names, or None if it names none."""
         known = self._known.get(target_id)
         if known is None or now_s - known.shown_at_s > MAX_AGE_S:
             return None
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_metrics.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_metrics.py
@@ -46,6 +46,8 @@
         Prompt parts that are withheld from engines.
     dropped_log_line_count : int
         Log lines that were dropped since the log last reported drops.
+    evacuated_zone_count, cold_target_count : int
+        Zones whose targets get no requests, and targets that are warming up.
     held_bytes : int
         Bytes that are held for clients.
     memory_released_count, memory_refused_count : int
@@ -71,6 +73,8 @@
     engine_crash_count: int
     withheld_part_count: int
     dropped_log_line_count: int
+    evacuated_zone_count: int
+    cold_target_count: int
     held_bytes: int
     memory_released_count: int
     memory_refused_count: int
@@ -134,6 +138,12 @@
         self._log_lines_dropped = self._registry.gauge(
             "log_lines_dropped", "Lines dropped and not yet told of in the log."
         )
+        self._evacuated_zones = self._registry.gauge(
+            "evacuated_zones", "Zones whose targets get no requests."
+        )
+        self._cold_targets = self._registry.gauge(
+            "cold_targets", "Targets that are warming up."
+        )
         self._held_bytes = self._registry.gauge("held_bytes", "Bytes held for clients.")
         self._memory_shortages = self._registry.gauge(
             "memory_shortages", "Clients released and requests refused so far."
@@ -205,6 +215,8 @@
         self._engine_crashes.set({}, state.engine_crash_count)
         self._withheld_parts.set({}, state.withheld_part_count)
         self._log_lines_dropped.set({}, state.dropped_log_line_count)
+        self._evacuated_zones.set({}, state.evacuated_zone_count)
+        self._cold_targets.set({}, state.cold_target_count)
         self._held_bytes.set({}, state.held_bytes)
         self._memory_shortages.set({"kind": "released"}, state.memory_released_count)
         self._memory_shortages.set({"kind": "refused"}, state.memory_refused_count)
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -16,6 +16,7 @@
 from citrondock_core.routing.placement import Placement
 from citrondock_core.routing.store_watch_plan import StoreWatchPlan
 from citrondock_core.routing.target_directory import TargetDirectory
+from citrondock_core.routing.zone_evacuations import ZoneEvacuations
 from citrondock_router.gateway.client_connection import ClientConnection
 from citrondock_router.gateway.event_loop import wait_for_poll
 from citrondock_router.gateway.gateway import Gateway
@@ -119,6 +120,7 @@
         self.settings = settings
         self.loop = asyncio.get_running_loop()
         self.directory = TargetDirectory(grace_s=settings.registry_grace_s)
+        self.evacuations = ZoneEvacuations(grace_s=settings.registry_grace_s)
         self.metrics = GatewayMetrics()
         self._log_writer = log_writer
         self._connections = TargetConnectionPool(self.loop)
@@ -174,6 +176,10 @@
         """Call ``reload`` on SIGHUP, the request to read the settings again."""
         self._reload = reload
 
+    def evacuations_changed(self) -> None:
+        """Apply what is known of evacuated zones."""
+        self.gateway.scheduler.set_evacuated_zones(self.evacuations.zones)
+
     def follow(self, followers: Sequence[ObjectFollower]) -> None:
         """Run the followers of the store's objects while the process runs."""
         self._followers = followers
@@ -312,6 +318,10 @@
         change = self.directory.expire(now_s=self.loop.time())
         if change.changed or change.removed:
             self.gateway.targets_changed(change)
+        known = [entry.target_id for entry in self.directory.usable()]
+        self.gateway.scheduler.warm_ups.keep_only(set(known))
+        self.evacuations.expire(now_s=self.loop.time())
+        self.evacuations_changed()
 
     def _update_retry_budgets(self) -> None:
         router_count = len(self.broker.peers) + 1
@@ -341,6 +351,8 @@
             engine_crash_count=scheduler.crashes.crash_count,
             withheld_part_count=scheduler.crashes.quarantine.withheld_count,
             dropped_log_line_count=self._log_writer.dropped_count,
+            evacuated_zone_count=len(scheduler.evacuated_zones),
+            cold_target_count=scheduler.warm_ups.cold_count(now_s=now_s),
             held_bytes=self.memory.held_bytes,
             memory_released_count=self.memory.released_count,
             memory_refused_count=self.memory.refused_count,
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_home.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_home.py
@@ -222,7 +222,7 @@
 
     def _apply_limit(self, admission: EngineAdmission, now_s: float) -> None:
         target_id = admission.target_id
-        requests_per_s = self._limits.requests_per_s(target_id, now_s=now_s)
+        requests_per_s = self._limits.allowed_per_s(target_id, now_s=now_s)
         if requests_per_s is not None:
             zone = self._engines[target_id].availability_zone
             if not self._link.peers.is_usual_home_of(target_id, zone):
--- a/platform/citrondock_platform/json_pages.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/json_page_decoder.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+import attrs
 import orjson
 
 from citrondock_router.gateway.json_splitter import (
@@ -22,12 +23,25 @@
 MAX_VALUE_BYTES = 16_384
 """Largest value of an entry that is decoded, unless its kind has another limit."""
 
-_ENTRY_LISTS = frozenset({"items", "events"})
-_NESTED_OBJECTS = frozenset({"object"})
+
+@attrs.frozen(kw_only=True)
+class PageFormat:
+    """Where a page holds its entries.
+
+    Parameters
+    ----------
+    entry_lists : frozenset of str
+        Fields of a page that list entries.
+    nested_objects : frozenset of str
+        Fields of an entry that hold an object with values of its own.
+    """
+
+    entry_lists: frozenset[str]
+    nested_objects: frozenset[str]
 
 
 async def decode_page(
-    body: bytes, *, max_value_bytes: int = MAX_VALUE_BYTES
+    body: bytes, page_format: PageFormat, *, max_value_bytes: int = MAX_VALUE_BYTES
 ) -> Mapping[str, Any]:
     """Decode a response of the store, with turns for other tasks in between.
 
@@ -39,6 +53,8 @@
     ----------
     body : bytes
         Body of the response.
+    page_format : PageFormat
+        Where it holds its entries.
     max_value_bytes : int
         Largest value of an entry of a large page.
 
@@ -47,10 +63,12 @@
     ValueError
         If the response as a whole is not a JSON object.
     """
-    return await finish_in_turns(_decode_page(body, max_value_bytes))
+    return await finish_in_turns(_decode_page(body, page_format, max_value_bytes))
 
 
-def _decode_page(body: bytes, max_value_bytes: int) -> InTurns[Mapping[str, Any]]:
+def _decode_page(
+    body: bytes, page_format: PageFormat, max_value_bytes: int
+) -> InTurns[Mapping[str, Any]]:
     if len(body) <= max(MAX_QUICK_PAGE_BYTES, max_value_bytes):
         try:
             page = orjson.loads(body)
@@ -63,10 +81,11 @@
     fields = {}
     members = yield from split_object(body)
     for name, value in members.items():
-        if name in _ENTRY_LISTS:
+        if name in page_format.entry_lists:
             entries = []
             for raw in (yield from split_array(value)):
-                entries.append((yield from _decode_entry(raw, max_value_bytes)))
+                entry = yield from _decode_entry(raw, page_format, max_value_bytes)
+                entries.append(entry)
                 yield
             fields[name] = entries
         else:
@@ -74,7 +93,9 @@
     return fields
 
 
-def _decode_entry(raw: bytes, max_value_bytes: int) -> InTurns[Any]:
+def _decode_entry(
+    raw: bytes, page_format: PageFormat, max_value_bytes: int
+) -> InTurns[Any]:
     if len(raw) <= max_value_bytes:
         try:
             return orjson.loads(raw)
@@ -86,8 +107,8 @@
         return Unreadable(str(error))
     fields = {}
     for name, value in members.items():
-        if name in _NESTED_OBJECTS:
-            fields[name] = yield from _decode_entry(value, max_value_bytes)
+        if name in page_format.nested_objects:
+            fields[name] = yield from _decode_entry(value, page_format, max_value_bytes)
         else:
             fields[name] = decode_or_reason(value, max_bytes=max_value_bytes)
     return fields
--- a/packages/citrondock-router/src/citrondock_router/gateway/limit_exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/limit_exchange.py
@@ -36,9 +36,13 @@
         link.add_handler(self)
 
     def requests_per_s(self, target_id: str) -> float | None:
-        """Return the limit of a target, or None if it has none."""
+        """Return the limit that a target names, or None if it names none."""
         return self.table.requests_per_s(target_id, now_s=self._loop.time())
 
+    def allowed_per_s(self, target_id: str) -> float | None:
+        """Return the requests that a target takes; None if nothing limits them."""
+        return self.table.allowed_per_s(target_id, now_s=self._loop.time())
+
     def response_received(
         self, entry: TargetEntry, requests_per_s: float | None, *, sent_at_s: float
     ) -> None:
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -26,7 +26,8 @@
 )
 from citrondock_core.routing.served_ratios import ServedRatios
 from citrondock_core.routing.target_directory import DirectoryChange, TargetDirectory
-from citrondock_core.routing.target_load import TargetLoad
+from citrondock_core.routing.target_load import MAX_SUSPENSION_S, TargetLoad
+from citrondock_core.routing.warm_up import RETURN_WARM_UP_S, WarmUpOptions, WarmUps
 from citrondock_router.gateway.crash_exchange import CrashExchange, CrashListener
 from citrondock_router.gateway.departure_exchange import DepartureExchange
 from citrondock_router.gateway.exchange import Exchange, ExchangeState, Scheduler
@@ -140,6 +141,7 @@
         # Sent requests that may run again; they are checked for stalls.
         self._sent: dict[int, Exchange] = {}
         self._sending_services: set[str] = set()
+        self._evacuated_zones: frozenset[str] = frozenset()
         self._refused_requests = RefusedRequests()
         self.live_count = 0
         self.sent_count = 0
@@ -162,6 +164,28 @@
         if change.added or change.changed or change.removed:
             self._rebuild()
 
+    def set_evacuated_zones(self, zones: frozenset[str]) -> None:
+        """Send nothing more to the targets of these zones; others are taken back.
+
+        Requests that run there go on; those that wait for one are placed anew.
+        """
+        begun, ended = zones - self._evacuated_zones, self._evacuated_zones - zones
+        if not (begun or ended):
+            return
+        log_event(
+            "zones_evacuated",
+            level="WARNING",
+            zones=",".join(sorted(zones)),
+            begun=",".join(sorted(begun)),
+            ended=",".join(sorted(ended)),
+        )
+        until_s = self._loop.time() + RETURN_WARM_UP_S
+        for entry in self._directory.usable():
+            if entry.availability_zone in ended:
+                self.warm_ups.expect(entry.target_id, until_s=until_s)
+        self._evacuated_zones = zones
+        self._rebuild()
+
     def admit(self, exchange: Exchange) -> None:
         """Accept a request from a client, and send, queue or refuse it."""
         now_s = self._loop.time()
@@ -369,9 +393,11 @@
 
     @override
     def engine_crashed(self, target_id: str) -> None:
+        now_s = self._loop.time()
         load = self._loads.get(target_id)
         if load is not None:
-            load.record_crash(now_s=self._loop.time())
+            load.record_crash(now_s=now_s)
+        self.warm_ups.expect_restart(target_id, back_at_s=now_s + MAX_SUSPENSION_S)
         self._broker.home.drop(target_id)
 
     @override
@@ -380,6 +406,16 @@
 
     # Called by the metrics page.
 
+    @property
+    def warm_ups(self) -> WarmUps:
+        """Which targets are cold."""
+        return self._broker.limits.table.warm_ups
+
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """Zones whose targets get no requests."""
+        return self._evacuated_zones
+
     def waiting_by_service(self) -> dict[str, int]:
         """Return how many plain requests wait for a target, by service."""
         return {service: len(queue) for service, queue in self._queues.items()}
@@ -532,13 +568,13 @@
             self._ratios.record_served(exchange.kind, now_s=now_s)
         self.start(exchange, choice)
 
-    # Targets that name a limit take plain requests only with a permit.
+    # Targets that name a limit, and cold ones, take plain requests only with a permit.
 
     def _limited(self, loads: Sequence[TargetLoad]) -> list[TargetLoad]:
         return [
             load
             for load in loads
-            if self._broker.limits.requests_per_s(load.entry.target_id) is not None
+            if self._broker.limits.allowed_per_s(load.entry.target_id) is not None
         ]
 
     def _request_permits(self, service: str, queue: AdmissionQueue[Exchange]) -> None:
@@ -592,7 +628,13 @@
         loads: dict[str, TargetLoad] = {}
         by_service: dict[str, list[TargetLoad]] = {}
         engines: dict[str, KnownEngine] = {}
+        warm_ups: dict[str, WarmUpOptions] = {}
         for entry in self._directory.usable():
+            options = self._services.get(entry.service)
+            if options is not None and options.warm_up is not None:
+                warm_ups[entry.target_id] = options.warm_up
+            if entry.availability_zone in self._evacuated_zones:
+                continue
             load = self._loads.get(entry.target_id)
             if load is None or load.entry.is_other_incarnation_of(entry):
                 load = TargetLoad(entry)
@@ -607,6 +649,7 @@
             )
             known = KnownEngine(capacity, entry.availability_zone)
             engines[entry.target_id] = known
+        self.warm_ups.set_options(warm_ups)
         self._loads, self._loads_by_service = loads, by_service
         self._placement.keep_only(set(loads))
         self._permits.keep_only(set(loads))
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -14,13 +14,13 @@
 from citrondock_core.routing.target_directory import TargetDirectory
 from citrondock_platform import configuration
 from citrondock_platform.configuration import ConfigurationSink
-from citrondock_platform.json_pages import MAX_VALUE_BYTES, decode_page
 from citrondock_platform.peers import StorePeerRegistry
 from citrondock_platform.settings import SettingsFileError, read_settings
-from citrondock_platform.store import PlatformStore
+from citrondock_platform.store import PAGE_FORMAT, PlatformStore
 from citrondock_platform.targets import TargetSink
 from citrondock_router.gateway.gateway_settings import Address
 from citrondock_router.gateway.http_client import HttpResponse
+from citrondock_router.gateway.json_page_decoder import MAX_VALUE_BYTES, decode_page
 from citrondock_router.gateway.json_splitter import Unreadable
 from citrondock_router.gateway.watched_store import Snapshot, WatchedObject
 
@@ -218,11 +218,11 @@
         asyncio.run(check())
 
     def test_they_are_not_decoded(self, odd):
-        items = asyncio.run(decode_page(self.page(odd)))["items"]
+        items = asyncio.run(decode_page(self.page(odd), PAGE_FORMAT))["items"]
         assert all(isinstance(item["spec"], Unreadable) for item in items[1:4])
 
     def test_their_engines_are_known_by_name(self, odd):
-        items = asyncio.run(decode_page(self.page(odd)))["items"]
+        items = asyncio.run(decode_page(self.page(odd), PAGE_FORMAT))["items"]
         assert [item["metadata"]["name"] for item in items[1:4]] == [
             "odd-0",
             "odd-1",
@@ -238,7 +238,9 @@
 
     def test_one_over_the_limit_says_so(self):
         items = [entry("a", spec(zone=b'"%b"' % (b"z" * MAX_VALUE_BYTES)))] * 20
-        reason = asyncio.run(decode_page(page(items)))["items"][0]["spec"].reason
+        reason = asyncio.run(decode_page(page(items), PAGE_FORMAT))["items"][0][
+            "spec"
+        ].reason
         assert f"exceeds {MAX_VALUE_BYTES} bytes" in reason
 
     def test_a_configuration_may_be_as_large_as_the_store_takes_it(self):
@@ -300,7 +302,7 @@
     def test_a_response_that_is_no_object_is_an_error(self):
         for body in (b"", b"[]", b"{", NESTED, b'{"items":[{]}', b"\xff"):
             with pytest.raises(ValueError):
-                asyncio.run(decode_page(body))
+                asyncio.run(decode_page(body, PAGE_FORMAT))
 
     def test_a_page_without_progress_ends_the_listing(self):
         body = page([entry("a", spec())], morePages=b"true")
