--- a/packages/citrondock-core/src/citrondock_core/routing/engine_admission.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_admission.py
@@ -4,7 +4,7 @@
 
 from citrondock_core.routing.account_usage import UsageTracker
 from citrondock_core.routing.admission_queue import AdmissionQueue
-from citrondock_core.routing.engine_speed import FIRST_TOKEN_BASE_S, EngineSpeed
+from citrondock_core.routing.engine_speed import EngineSpeed
 from citrondock_core.routing.grant import (
     EngineBacklog,
     GrantAnswer,
@@ -24,6 +24,9 @@
 """Half-life of the counts by which the kinds of requests are served in equal ratios; a
 burst of one kind is evened out within a few seconds."""
 
+HOLD_GAIN = 0.1
+"""Weight of one request in the mean time for which a slot is held."""
+
 OUTPUT_TOKEN_WEIGHT = 2
 """Prompt tokens that one generated token counts as in the usage of an account."""
 
@@ -69,6 +72,8 @@
     backlog_tokens: float
     granted_at_s: float
     confirm_at_s: float
+    found_idle: bool
+    """Whether nothing else was to be read when it was granted."""
     started: bool = False
 
 
@@ -123,6 +128,7 @@
         self._busy_until_s = 0.0
         self._unstarted_tokens = 0
         self._memory_tokens = 0
+        self._mean_hold_s = 0.0
         self._limiter: RequestLimiter | None = None
 
     @property
@@ -152,11 +158,17 @@
         """Return the engine's load, the queue here included."""
         waiting_s = self._prefill_s(self._queue.waiting_tokens)
         backlog_s = self._backlog_s(now_s) + waiting_s
-        backlog_s = max(backlog_s, self._limit_wait_s(len(self._queue), now_s))
+        ahead_count = len(self._queue)
+        backlog_s = max(
+            backlog_s,
+            self._limit_wait_s(ahead_count, now_s),
+            self._slot_wait_s(ahead_count),
+        )
         return EngineBacklog(
             target_id=self.target_id,
             backlog_s=backlog_s,
             speed_percent=self.speed.percent,
+            first_token_base_s=self.speed.first_token_base_s,
         )
 
     def submit(self, request: GrantRequest, *, now_s: float) -> GrantAnswer:
@@ -264,6 +276,10 @@
                 charged_at_s=grant.granted_at_s,
                 now_s=now_s,
             )
+        else:
+            hold_s = now_s - grant.granted_at_s
+            gain = HOLD_GAIN if self._mean_hold_s else 1.0
+            self._mean_hold_s += (hold_s - self._mean_hold_s) * gain
         del self._grants[key]
         self._memory_tokens -= grant.request.memory_tokens
         if not grant.started:
@@ -321,7 +337,7 @@
         long, a prompt that was read is not yet reported as started.
         """
         unstarted_s = self._unstarted_tokens / self.speed.tokens_per_s
-        overdue_s = unstarted_s - FIRST_TOKEN_BASE_S
+        overdue_s = unstarted_s - self.speed.first_token_base_s
         return max(self._busy_until_s - now_s, overdue_s, 0.0)
 
     def _limit_wait_s(self, ahead_count: int, now_s: float) -> float:
@@ -330,6 +346,12 @@
             return 0.0
         return self._limiter.wait_s(ahead_count, now_s=now_s)
 
+    def _slot_wait_s(self, ahead_count: int) -> float:
+        """Return when one more request finds a free slot, from now."""
+        slots = self.engine.max_batch_size
+        lacking = ahead_count + 1 - (slots - len(self._grants))
+        return max(lacking, 0) * self._mean_hold_s / slots
+
     def _has_capacity(self, request: GrantRequest, now_s: float) -> bool:
         if self._backlog_s(now_s) > self.options.max_backlog_s:
             return False
@@ -350,7 +372,12 @@
         self._busy_until_s = start_s + self._prefill_s(tokens)
         confirm_at_s = now_s + self.options.max_unstarted_s
         self._grants[request.key] = _Grant(
-            request, tokens, backlog_tokens, now_s, confirm_at_s
+            request,
+            tokens,
+            backlog_tokens,
+            now_s,
+            confirm_at_s,
+            found_idle=not backlog_tokens and not self._unstarted_tokens,
         )
         self._unstarted_tokens += tokens
         self._ratios.record_served(request.kind, now_s=now_s)
@@ -362,8 +389,10 @@
         grant.started = True
         grant.confirm_at_s = now_s + self.options.confirm_period_s
         self._unstarted_tokens -= grant.prefill_tokens
-        read_tokens = grant.prefill_tokens + grant.backlog_tokens
-        self.speed.learn(read_tokens, now_s - grant.granted_at_s)
+        delay_s = now_s - grant.granted_at_s
+        if grant.found_idle:
+            self.speed.learn_base(grant.prefill_tokens, delay_s)
+        self.speed.learn(grant.prefill_tokens + grant.backlog_tokens, delay_s)
 
     def _refuse(
         self, request: GrantRequest, reason: RefusalReason, now_s: float
@@ -377,12 +406,16 @@
         now_s: float,
         refusal_reason: RefusalReason | None = None,
     ) -> GrantAnswer:
-        first_token_s = FIRST_TOKEN_BASE_S + self._backlog_s(now_s)
+        base_s = self.speed.first_token_base_s
+        first_token_s = base_s + self._backlog_s(now_s)
         account_tokens = None
         if verdict is not Verdict.GRANTED:
             first_token_s += self._prefill_s(self._queue.waiting_tokens)
-            limit_wait_s = self._limit_wait_s(len(self._queue), now_s)
-            first_token_s = max(first_token_s, FIRST_TOKEN_BASE_S + limit_wait_s)
+            ahead_count = len(self._queue)
+            wait_s = max(
+                self._limit_wait_s(ahead_count, now_s), self._slot_wait_s(ahead_count)
+            )
+            first_token_s = max(first_token_s, base_s + wait_s)
             account_tokens = int(
                 self._usage.received_tokens(request.account, now_s=now_s)
             )
@@ -400,7 +433,7 @@
 
     def _grant_deadline_s(self, request: GrantRequest, prefill_tokens: int) -> float:
         """Return when a request must be granted for its first token to be on time."""
-        ahead_s = FIRST_TOKEN_BASE_S + self.options.max_backlog_s
+        ahead_s = self.speed.first_token_base_s + self.options.max_backlog_s
         prefill_s = prefill_tokens / self.speed.tokens_per_s
         return request.on_time_until_s - ahead_s - prefill_s
 
--- a/packages/citrondock-core/src/citrondock_core/routing/engine_load_view.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_load_view.py
@@ -1,51 +1,147 @@
-"""Estimated load of the engines, from the reports of their home routers."""
+"""Estimated load of the engines, from reports that are always a little old.
+
+It answers many routers that choose at the same moment by the same old reports: engines
+that looked idle are overrun in turns while others idle.
+"""
+
+import random
+from collections import deque
 
 import attrs
 
-from citrondock_core.routing.engine_speed import NOMINAL_PREFILL_TOKENS_PER_S
+from citrondock_core.routing.engine_speed import (
+    FIRST_TOKEN_BASE_S,
+    NOMINAL_PREFILL_TOKENS_PER_S,
+)
 from citrondock_core.routing.grant import EngineBacklog
 
+MIN_SHARED_ENGINES = 16
+"""Engines from which on reports are passed on and old ones count less. A router that
+sends to fewer hears of each of them from its own requests."""
+
+REPORT_HALF_LIFE_S = 0.5
+"""Age at which a report counts half, and the mean of recent reports the other half. The
+queue of an engine lasts about as long."""
+
+MAX_RELAY_AGE_S = 0.5
+"""Age up to which a report is passed on to other routers."""
+
+MAX_OWN_PROMPTS = 32
+"""Own prompts that are counted on top of a report, the latest ones."""
+
+MEAN_GAIN = 0.1
+"""Weight of one report in the mean backlog."""
+
 
 @attrs.define
 class _LoadEstimate:
-    idle_at_s: float
+    backlog_s: float
+    reported_at_s: float
     speed_percent: int
+    first_token_base_s: float
+    # When own prompts were added since, and how long the engine reads them.
+    own: deque[tuple[float, float]] = attrs.field(
+        factory=lambda: deque(maxlen=MAX_OWN_PROMPTS)
+    )
+
+    def backlog_at(self, now_s: float) -> float:
+        """Return the backlog if nobody else has sent anything since the report."""
+        idle_at_s = self.reported_at_s + self.backlog_s
+        for added_at_s, prefill_s in self.own:
+            idle_at_s = max(idle_at_s, added_at_s) + prefill_s
+        return max(idle_at_s - now_s, 0.0)
 
 
 class EngineLoadView:
     """Backlog and speed of each engine, as its home router last reported them.
 
-    A reported backlog shrinks as time passes, until the next report replaces it.
+    A reported backlog shrinks as time passes, until the next report replaces it, and
+    own prompts are added to it. With `MIN_SHARED_ENGINES` or more, what is known of an
+    engine fades with its age into the mean of the reports, since other routers have
+    sent more to an engine that looked idle, and reports are passed on.
+
+    Parameters
+    ----------
+    rng : random.Random, optional
+        Chooses the reports that are passed on.
 
     Attributes
     ----------
     speed_version : int
         Changes whenever the speed of an engine does.
+    mean_backlog_s : float
+        Mean backlog in recent reports.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, rng: random.Random | None = None) -> None:
         self.speed_version = 0
+        self.mean_backlog_s = 0.0
+        self._rng = rng or random.Random()
         self._by_target: dict[str, _LoadEstimate] = {}
+        self._engine_count = 0
+
+    @property
+    def is_shared(self) -> bool:
+        """Whether there are enough engines that reports are passed on."""
+        return self._engine_count >= MIN_SHARED_ENGINES
 
     def update(self, backlog: EngineBacklog, *, now_s: float) -> None:
-        """Apply a report from an engine's home router."""
+        """Apply a report on an engine, unless a newer one is known."""
+        reported_at_s = now_s - backlog.age_s
+        known = self._by_target.get(backlog.target_id)
+        is_relayed = backlog.age_s > 0
+        if is_relayed and known is not None and known.reported_at_s >= reported_at_s:
+            return
         if self.speed(backlog.target_id) != backlog.speed_percent / 100:
             self.speed_version += 1
-        idle_at_s = now_s + backlog.backlog_s
-        self._by_target[backlog.target_id] = _LoadEstimate(
-            idle_at_s, backlog.speed_percent
+        estimate = _LoadEstimate(
+            backlog.backlog_s,
+            reported_at_s,
+            backlog.speed_percent,
+            backlog.first_token_base_s,
         )
+        if known is not None:
+            estimate.own.extend(own for own in known.own if own[0] > reported_at_s)
+        self._by_target[backlog.target_id] = estimate
+        self.mean_backlog_s += (backlog.backlog_s - self.mean_backlog_s) * MEAN_GAIN
+
+    def reports(self, count: int, *, now_s: float) -> list[EngineBacklog]:
+        """Return fresh reports, chosen at random, to pass on to another router."""
+        if not self.is_shared:
+            return []
+        fresh = [
+            (target_id, known)
+            for target_id, known in self._by_target.items()
+            if now_s - known.reported_at_s <= MAX_RELAY_AGE_S
+        ]
+        return [
+            EngineBacklog(
+                target_id=target_id,
+                backlog_s=known.backlog_s,
+                speed_percent=known.speed_percent,
+                first_token_base_s=known.first_token_base_s,
+                age_s=now_s - known.reported_at_s,
+            )
+            for target_id, known in self._rng.sample(fresh, min(count, len(fresh)))
+        ]
 
     def backlog_s(self, target_id: str, *, now_s: float) -> float:
-        """Return the estimated backlog of an engine; 0 for an unknown one."""
+        """Return the estimated backlog of an engine, known or not."""
         estimate = self._by_target.get(target_id)
-        return max(estimate.idle_at_s - now_s, 0.0) if estimate else 0.0
+        if estimate is None:
+            return self.mean_backlog_s if self.is_shared else 0.0
+        backlog_s = estimate.backlog_at(now_s)
+        if not self.is_shared:
+            return backlog_s
+        age_s = max(now_s - estimate.reported_at_s, 0.0)
+        weight = 0.5 ** (age_s / REPORT_HALF_LIFE_S)
+        return weight * backlog_s + (1 - weight) * max(backlog_s, self.mean_backlog_s)
 
     def add_prompt(self, target_id: str, prefill_s: float, *, now_s: float) -> None:
         """Add a prompt from this router that no report may include yet."""
         estimate = self._by_target.get(target_id)
         if estimate is not None:
-            estimate.idle_at_s = max(estimate.idle_at_s, now_s) + prefill_s
+            estimate.own.append((now_s, prefill_s))
 
     def speed(self, target_id: str) -> float:
         """Return the engine's prefill rate as a multiple of the nominal rate."""
@@ -56,8 +152,18 @@
         """Return the engine's estimated prefill rate."""
         return NOMINAL_PREFILL_TOKENS_PER_S * self.speed(target_id)
 
+    def first_token_base_s(self, target_id: str) -> float:
+        """Return the time to the first token of an empty prompt on an idle engine."""
+        estimate = self._by_target.get(target_id)
+        return estimate.first_token_base_s if estimate else FIRST_TOKEN_BASE_S
+
+    def knows(self, target_id: str) -> bool:
+        """Return whether there was a report on an engine."""
+        return target_id in self._by_target
+
     def keep_only(self, target_ids: set[str]) -> None:
         """Forget all engines but those named."""
+        self._engine_count = len(target_ids)
         for target_id in set(self._by_target) - target_ids:
             del self._by_target[target_id]
             self.speed_version += 1
--- a/packages/citrondock-core/src/citrondock_core/routing/grant.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/grant.py
@@ -8,8 +8,13 @@
 
 import attrs
 
+from citrondock_core.routing.engine_speed import FIRST_TOKEN_BASE_S
 from citrondock_core.routing.request_facts import PromptPart
 
+PLAIN_REQUEST_TOKENS = 1
+"""Output tokens of a grant request for a plain request, which takes up one slot. A
+grant request without any tokens is for a permit."""
+
 
 class Verdict(enum.Enum):
     """A home router's decision on a grant request."""
@@ -134,11 +139,18 @@
     target_id : str
         Id of the engine.
     backlog_s : float
-        Time until the engine has read all prompts granted or queued so far.
+        Time until the engine takes a further request: until it has read all prompts
+        granted or queued so far, or until it has a free slot, whichever is later.
     speed_percent : int
         Its prefill rate in percent of the nominal rate, rounded to coarse steps.
+    first_token_base_s : float
+        Time to the first token of an empty prompt on it while it is idle.
+    age_s : float
+        Time since its home router reported this.
     """
 
     target_id: str
     backlog_s: float
     speed_percent: int
+    first_token_base_s: float = FIRST_TOKEN_BASE_S
+    age_s: float = 0.0
--- a/packages/citrondock-core/src/citrondock_core/routing/placement.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/placement.py
@@ -2,6 +2,7 @@
 
 import heapq
 import math
+import random
 from collections import OrderedDict
 from collections.abc import Collection, Sequence
 
@@ -9,7 +10,6 @@
 
 from citrondock_core.rendezvous import RendezvousScores
 from citrondock_core.routing.engine_load_view import EngineLoadView
-from citrondock_core.routing.engine_speed import FIRST_TOKEN_BASE_S
 from citrondock_core.routing.prefix_cache_view import PrefixCacheView
 from citrondock_core.routing.request_facts import PromptFacts
 from citrondock_core.routing.target_load import TargetLoad
@@ -47,6 +47,18 @@
 RANKED_ENGINES = 8
 """Engines that are remembered for each key, the most preferred ones."""
 
+OVERFLOW_ENGINES = 2
+"""Engines behind the preferred one to which all routers send what finds no room there,
+so that shared parts are cached on few engines."""
+
+SAMPLED_ENGINES = 2
+"""Further engines that are considered, chosen at random. Among many engines, the one
+that looks best to all routers would be overrun."""
+
+OVERFLOW_CACHED_SHARE = 0.5
+"""Share of the shared parts that an overflow engine is expected to hold already, as
+other routers send prompts with them there, too."""
+
 
 class Placement:
     """Places prompts by prefix cache affinity and delay, other requests by load.
@@ -62,6 +74,8 @@
         Estimated load of the engines.
     options : PlacementOptions
         Trade-offs.
+    rng : random.Random, optional
+        Samples engines.
     """
 
     def __init__(
@@ -69,7 +83,9 @@
         availability_zone: str,
         load_view: EngineLoadView,
         options: PlacementOptions | None = None,
+        rng: random.Random | None = None,
     ) -> None:
+        self._rng = rng or random.Random()
         self._zone = availability_zone
         self._load_view = load_view
         self.options = options or PlacementOptions()
@@ -118,7 +134,9 @@
         """Return the engine for a prompt, or None without engines.
 
         It is the preferred engine unless another one is expected to answer earlier by
-        more than the affinity slack. See `choose_plain` for the parameters.
+        more than the affinity slack. See `choose_plain` for the parameters. Of many
+        engines, only the overflow engines of the prompt's key and a random sample are
+        considered.
         """
         pool = _eligible_targets(loads, excluded, now_s)
         if not pool:
@@ -126,22 +144,56 @@
         preferred = self._preferred_engine(prompt.affinity_key, loads, pool)
         shared_tokens = sum(part.token_count for part in prompt.parts[:-1])
         own_tokens = max(prompt.prompt_token_count - shared_tokens, 0)
-        best = self._choice(prompt, preferred, own_tokens, now_s)
+        best = self._choice(preferred, own_tokens, now_s)
         best_cost_s = self._cost_s(best) - self.options.affinity_slack_s
-        for load in pool:
+        overflow: Sequence[TargetLoad] = ()
+        others = pool
+        if self._load_view.is_shared:
+            overflow = self._overflow_engines(prompt.affinity_key, pool, preferred)
+            sample = self._rng.sample(pool, min(SAMPLED_ENGINES, len(pool)))
+            others = [*overflow, *(load for load in sample if load not in overflow)]
+        for load in others:
             if load is preferred:
                 continue
             target_id = load.entry.target_id
             backlog_s = self._load_view.backlog_s(target_id, now_s=now_s)
-            if FIRST_TOKEN_BASE_S + backlog_s >= best_cost_s:
+            base_s = self._load_view.first_token_base_s(target_id)
+            if base_s + backlog_s >= best_cost_s:
                 continue
-            prefill_tokens = self._prefill_tokens(prompt, load)
-            choice = self._choice(prompt, load, prefill_tokens, now_s)
+            prefill_tokens: float = self._prefill_tokens(prompt, load)
+            if load in overflow:
+                uncached = max(prefill_tokens - own_tokens, 0)
+                prefill_tokens -= uncached * OVERFLOW_CACHED_SHARE
+            choice = self._choice(load, int(prefill_tokens), now_s)
             cost_s = self._cost_s(choice)
             if cost_s < best_cost_s:
                 best, best_cost_s = choice, cost_s
         return best
 
+    def choose_slot(
+        self,
+        loads: Sequence[TargetLoad],
+        *,
+        excluded: Collection[str] = (),
+        now_s: float,
+    ) -> PlacementChoice | None:
+        """Return the target that is expected to have a free slot first.
+
+        See `choose_plain` for the parameters; routers get the slots from home routers.
+        """
+        pool = _eligible_targets(loads, excluded, now_s)
+        if not pool:
+            return None
+        choices = [self._choice(load, 0, now_s) for load in pool]
+        return min(
+            choices,
+            key=lambda choice: (
+                self._cost_s(choice),
+                choice.load.busy_share,
+                self._rng.random(),
+            ),
+        )
+
     def record_sent(
         self, prompt: PromptFacts, target_id: str, memory_tokens: int
     ) -> None:
@@ -207,13 +259,22 @@
         cached = cache.cached_tokens(prompt.parts[:-1]) if cache else 0
         return max(prompt.prompt_token_count - cached, 0)
 
+    def _overflow_engines(
+        self, key: str, pool: Sequence[TargetLoad], preferred: TargetLoad
+    ) -> list[TargetLoad]:
+        """Return the next engines of a key's ranking that may be used."""
+        by_id = {load.entry.target_id: load for load in pool}
+        ranked = [by_id[name] for name in self._rankings.get(key, ()) if name in by_id]
+        return [load for load in ranked if load is not preferred][:OVERFLOW_ENGINES]
+
     def _choice(
-        self, prompt: PromptFacts, load: TargetLoad, prefill_tokens: int, now_s: float
+        self, load: TargetLoad, prefill_tokens: int, now_s: float
     ) -> PlacementChoice:
         target_id = load.entry.target_id
         backlog_s = self._load_view.backlog_s(target_id, now_s=now_s)
         prefill_s = prefill_tokens / self._load_view.prefill_tokens_per_s(target_id)
-        first_s = FIRST_TOKEN_BASE_S + backlog_s + prefill_s
+        base_s = self._load_view.first_token_base_s(target_id)
+        first_s = base_s + backlog_s + prefill_s
         return PlacementChoice(load, prefill_tokens, first_s)
 
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
@@ -110,7 +110,7 @@
         # A limit in a datagram is applied before its grant requests.
         self.limits = LimitExchange(self.link, loop)
         self.link.add_handler(self)
-        self.home = GrantHome(self.link, self, self.limits.table, loop)
+        self.home = GrantHome(self.link, self, self.limits.table, loop, engine_loads)
         self._engine_loads = engine_loads
         self._loop = loop
         self._numbers = itertools.count(1)
@@ -211,7 +211,7 @@
     def handle_datagram(self, datagram: PeerDatagram) -> None:
         now_s = self._loop.time()
         sender = datagram.vm_name
-        for backlog in datagram.backlogs:
+        for backlog in (*datagram.backlogs, *datagram.known_backlogs):
             self._engine_loads.update(backlog, now_s=now_s)
         self.home.update_usage(sender, datagram.usage)
         for progress in datagram.progress:
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_home.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_home.py
@@ -7,6 +7,7 @@
 import attrs
 
 from citrondock_core.routing.engine_admission import EngineAdmission
+from citrondock_core.routing.engine_load_view import EngineLoadView
 from citrondock_core.routing.fleet_usage import FleetUsage, ReportedUsage
 from citrondock_core.routing.grant import (
     EngineBacklog,
@@ -36,6 +37,11 @@
 routers report less often to stay below it."""
 
 
+RELAYED_REPORTS = 6
+"""Reports on other engines that go with each answer to a grant request. Every router
+gets some answers a second, so that it hears of most engines within a second."""
+
+
 @attrs.frozen
 class KnownEngine:
     """Capacity and zone of an engine that prompts may be sent to."""
@@ -72,6 +78,9 @@
         Limits of the targets.
     loop : asyncio.AbstractEventLoop
         Event loop whose clock all times are on.
+    engine_loads : EngineLoadView
+        Backlogs of all engines; those of the engines homed here are added, and some
+        of the others are passed on.
     """
 
     def __init__(
@@ -80,8 +89,10 @@
         requester: LocalRequester,
         limits: TargetLimits,
         loop: asyncio.AbstractEventLoop,
+        engine_loads: EngineLoadView,
     ) -> None:
         self._link = link
+        self._engine_loads = engine_loads
         self._requester = requester
         self._limits = limits
         self._loop = loop
@@ -144,8 +155,9 @@
             return
         admission = self._admissions.get(request.target_id)
         if admission is None:
-            admission = EngineAdmission(request.target_id, engine.options, self._usage)
-            self._admissions[request.target_id] = admission
+            admission = self._admissions[request.target_id] = self._new_admission(
+                request.target_id, engine
+            )
         self._requesters[request.key] = requester
         self._apply_limit(admission, now_s)
         answer = admission.submit(request, now_s=now_s)
@@ -153,6 +165,17 @@
         if answer.verdict is Verdict.REFUSED or request.is_permit:
             self._requesters.pop(request.key, None)
 
+    def _new_admission(self, target_id: str, engine: KnownEngine) -> EngineAdmission:
+        admission = EngineAdmission(target_id, engine.options, self._usage)
+        loads = self._engine_loads
+        if loads.is_shared and loads.knows(target_id):
+            # What the router that was the engine's home before has learned.
+            admission.speed.adopt(
+                speed=loads.speed(target_id),
+                first_token_base_s=loads.first_token_base_s(target_id),
+            )
+        return admission
+
     def handle_progress(self, progress: GrantProgress) -> None:
         """Apply a report about a request that this router granted or queued."""
         if progress.stage is not Stage.STARTED:
@@ -252,9 +275,15 @@
         if requester == self._link.vm_name:
             self._requester.handle_answers(answers, requester, backlogs)
             return
+        now_s = self._loop.time()
         datagram = self._link.datagram()
         datagram.answers = answers
         datagram.backlogs = backlogs
+        datagram.known_backlogs = self._engine_loads.reports(
+            RELAYED_REPORTS, now_s=now_s
+        )
+        if backlog is not None:
+            self._engine_loads.update(backlog, now_s=now_s)
         self._link.send(requester, datagram)
 
     def _other_homes(self, now_s: float) -> set[str]:
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
@@ -13,6 +13,7 @@
 
 from citrondock_core.routing.engine_load_view import EngineLoadView
 from citrondock_core.routing.grant import (
+    PLAIN_REQUEST_TOKENS,
     GrantAnswer,
     GrantKey,
     GrantRequest,
@@ -43,8 +44,8 @@
 
     Parameters
     ----------
-    exchange, prompt : Exchange, PromptFacts
-        The client request and its prompt.
+    exchange, prompt : Exchange, PromptFacts or None
+        The client request and its prompt; None for a plain request, which needs a slot.
     shared_parts : tuple of PromptPart
         Parts of the prompt that other prompts share, hashed as in grant requests.
     wait_until_s : float
@@ -61,7 +62,7 @@
     """
 
     exchange: Exchange
-    prompt: PromptFacts
+    prompt: PromptFacts | None
     shared_parts: tuple[PromptPart, ...]
     wait_until_s: float
     key: GrantKey | None = None
@@ -147,13 +148,23 @@
         self._takeovers: dict[int, _EngineSearch] = {}
 
     def submit(
-        self, exchange: Exchange, prompt: PromptFacts, *, wait_until_s: float
+        self, exchange: Exchange, prompt: PromptFacts | None, *, wait_until_s: float
     ) -> None:
-        """Find an engine for one attempt of a request; refuse it if none is found."""
+        """Find a target for one attempt of a request; refuse it if none is found.
+
+        Parameters
+        ----------
+        exchange : Exchange
+            The request.
+        prompt : PromptFacts or None
+            Its prompt; None for a plain request.
+        wait_until_s : float
+            Loop time at which it is refused.
+        """
         search = _EngineSearch(
             exchange,
             prompt,
-            prompt.hashed_shared_parts,
+            prompt.hashed_shared_parts if prompt is not None else (),
             max(wait_until_s, self._loop.time()),
         )
         request_id = exchange.facts.request_id
@@ -217,15 +228,17 @@
 
     def _choose(self, search: _EngineSearch) -> PlacementChoice | None:
         exchange = search.exchange
+        loads = [
+            load
+            for load in self._pool.loads(exchange.service)
+            if load.entry.target_id != exchange.silent_target_id
+        ]
+        excluded = exchange.excluded | search.asked
+        now_s = self._loop.time()
+        if search.prompt is None:
+            return self._placement.choose_slot(loads, excluded=excluded, now_s=now_s)
         return self._placement.choose_engine(
-            search.prompt,
-            [
-                load
-                for load in self._pool.loads(exchange.service)
-                if load.entry.target_id != exchange.silent_target_id
-            ],
-            excluded=exchange.excluded | search.asked,
-            now_s=self._loop.time(),
+            search.prompt, loads, excluded=excluded, now_s=now_s
         )
 
     def _ask_best_engine(self, search: _EngineSearch) -> None:
@@ -268,14 +281,19 @@
         entry = choice.load.entry
         search.asked.add(entry.target_id)
         exchange.grant_request_count += 1
-        output = prompt.expected_output_token_count or prompt.max_output_token_count
+        prompt_tokens, output_tokens = 0, PLAIN_REQUEST_TOKENS
+        if prompt is not None:
+            prompt_tokens = prompt.prompt_token_count
+            output_tokens = (
+                prompt.expected_output_token_count or prompt.max_output_token_count
+            )
         request = GrantRequest(
             key=key,
             target_id=entry.target_id,
             account=exchange.account,
             kind=exchange.kind,
-            prompt_tokens=prompt.prompt_token_count,
-            output_tokens=output,
+            prompt_tokens=prompt_tokens,
+            output_tokens=output_tokens,
             shared_parts=search.shared_parts,
             on_time_until_s=exchange.on_time_until_s,
             wait_until_s=wait_until_s,
@@ -357,7 +375,7 @@
             self._ask_best_engine(search)
             return
         engine = self._pool.engine(exchange.service)
-        if engine is not None:
+        if engine is not None and search.prompt is not None:
             self._placement.record_sent(search.prompt, target_id, engine.memory_tokens)
         predicted = attrs.evolve(choice, first_answer_s=answer.first_answer_s)
         is_takeover = exchange.silent_target_id is not None
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -13,6 +13,7 @@
 from citrondock_core.routing.admission_queue import AdmissionQueue
 from citrondock_core.routing.engine_admission import SERVED_RATIOS_HALF_LIFE_S
 from citrondock_core.routing.engine_load_view import EngineLoadView
+from citrondock_core.routing.grant import PLAIN_REQUEST_TOKENS
 from citrondock_core.routing.placement import Placement, PlacementChoice
 from citrondock_core.routing.refused_requests import RefusedRequests
 from citrondock_core.routing.retry_ratio_budget import (
@@ -215,6 +216,10 @@
             wait_until_s = self._wait_until_s(exchange)
             self._grant_requester.submit(exchange, prompt, wait_until_s=wait_until_s)
             return
+        if self._needs_slot_grants(exchange.service):
+            wait_until_s = self._wait_until_s(exchange)
+            self._grant_requester.submit(exchange, None, wait_until_s=wait_until_s)
+            return
         queue = self._queue(exchange.service)
         if queue or not self._send_plain(exchange):
             if exchange.silent_target_id is None:
@@ -508,9 +513,18 @@
     def _wait_until_s(self, exchange: Exchange) -> float:
         return exchange.arrived_at_s + MAX_WAIT_RATIO * exchange.first_answer_target_s
 
-    # Plain requests. They are few compared with the slots of their targets, so this
+    # Plain requests. Where they are few compared with the slots of their targets, this
     # router sends them without a grant from another router.
 
+    def _needs_slot_grants(self, service: str) -> bool:
+        """Whether routers must share the slots of a service's targets.
+
+        With more routers than slots, each of them knows next to nothing of what the
+        others send, and targets reject requests while others have free slots.
+        """
+        slots = sum(load.entry.max_concurrency for load in self.loads(service))
+        return len(self._broker.peers) + 1 > slots
+
     def _send_waiting(self, service: str) -> None:
         queue = self._queues.get(service)
         if not queue or service in self._sending_services:
@@ -645,7 +659,8 @@
             by_service.setdefault(entry.service, []).append(load)
             # Plain targets have a home router too, for permits.
             capacity = self.engine(entry.service) or ModelEngineOptions(
-                max_batch_size=entry.max_concurrency, memory_tokens=0
+                max_batch_size=entry.max_concurrency,
+                memory_tokens=entry.max_concurrency * PLAIN_REQUEST_TOKENS,
             )
             known = KnownEngine(capacity, entry.availability_zone)
             engines[entry.target_id] = known
--- a/packages/citrondock-wire/grants.thrift
+++ b/packages/citrondock-wire/grants.thrift
@@ -57,6 +57,10 @@
   1: string target
   2: i32 backlog_ms
   3: i32 speed_percent
+  // Time to the first token of an empty prompt; routers of before don't state it.
+  4: optional i32 base_ms
+  // Age of a report that the sender passes on.
+  5: optional i32 age_ms
 }
 
 // Recent usage of an account at the engines that the sender is the home of.
@@ -125,4 +129,6 @@
   11: optional list<TargetLimit> limits
   12: optional list<Departure> departures
   13: optional list<StoreView> store_views
+  // Backlogs of other engines that the sender knows of.
+  14: optional list<Backlog> known_backlogs
 }
--- a/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
+++ b/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
@@ -434,14 +434,18 @@
      - target
      - backlog_ms
      - speed_percent
+     - base_ms
+     - age_ms
 
     """
 
 
-    def __init__(self, target=None, backlog_ms=None, speed_percent=None,):
+    def __init__(self, target=None, backlog_ms=None, speed_percent=None, base_ms=None, age_ms=None,):
         self.target = target
         self.backlog_ms = backlog_ms
         self.speed_percent = speed_percent
+        self.base_ms = base_ms
+        self.age_ms = age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -467,6 +471,16 @@
                     self.speed_percent = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.base_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -489,6 +503,14 @@
             oprot.writeFieldBegin('speed_percent', TType.I32, 3)
             oprot.writeI32(self.speed_percent)
             oprot.writeFieldEnd()
+        if self.base_ms is not None:
+            oprot.writeFieldBegin('base_ms', TType.I32, 4)
+            oprot.writeI32(self.base_ms)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 5)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1117,11 +1139,12 @@
      - limits
      - departures
      - store_views
+     - known_backlogs
 
     """
 
 
-    def __init__(self, vm_name=None, incarnation=None, asks=None, answers=None, progress=None, backlogs=None, presence=None, usage=None, crashes=None, part_states=None, limits=None, departures=None, store_views=None,):
+    def __init__(self, vm_name=None, incarnation=None, asks=None, answers=None, progress=None, backlogs=None, presence=None, usage=None, crashes=None, part_states=None, limits=None, departures=None, store_views=None, known_backlogs=None,):
         self.vm_name = vm_name
         self.incarnation = incarnation
         self.asks = asks
@@ -1135,6 +1158,7 @@
         self.limits = limits
         self.departures = departures
         self.store_views = store_views
+        self.known_backlogs = known_backlogs
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1271,6 +1295,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.known_backlogs = []
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = Backlog()
+                        _elem86.read(iprot)
+                        self.known_backlogs.append(_elem86)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1292,29 +1327,29 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter81 in self.asks:
-                iter81.write(oprot)
+            for iter87 in self.asks:
+                iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answers is not None:
             oprot.writeFieldBegin('answers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.answers))
-            for iter82 in self.answers:
-                iter82.write(oprot)
+            for iter88 in self.answers:
+                iter88.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.progress is not None:
             oprot.writeFieldBegin('progress', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.progress))
-            for iter83 in self.progress:
-                iter83.write(oprot)
+            for iter89 in self.progress:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.backlogs is not None:
             oprot.writeFieldBegin('backlogs', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.backlogs))
-            for iter84 in self.backlogs:
-                iter84.write(oprot)
+            for iter90 in self.backlogs:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.presence is not None:
@@ -1324,43 +1359,50 @@
         if self.usage is not None:
             oprot.writeFieldBegin('usage', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.usage))
-            for iter85 in self.usage:
-                iter85.write(oprot)
+            for iter91 in self.usage:
+                iter91.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter86 in self.crashes:
-                iter86.write(oprot)
+            for iter92 in self.crashes:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.part_states is not None:
             oprot.writeFieldBegin('part_states', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.part_states))
-            for iter87 in self.part_states:
-                iter87.write(oprot)
+            for iter93 in self.part_states:
+                iter93.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter88 in self.limits:
-                iter88.write(oprot)
+            for iter94 in self.limits:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.departures is not None:
             oprot.writeFieldBegin('departures', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.departures))
-            for iter89 in self.departures:
-                iter89.write(oprot)
+            for iter95 in self.departures:
+                iter95.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_views is not None:
             oprot.writeFieldBegin('store_views', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.store_views))
-            for iter90 in self.store_views:
-                iter90.write(oprot)
+            for iter96 in self.store_views:
+                iter96.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.known_backlogs is not None:
+            oprot.writeFieldBegin('known_backlogs', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.known_backlogs))
+            for iter97 in self.known_backlogs:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1415,6 +1457,8 @@
     (1, TType.STRING, 'target', 'UTF8', None, ),  # 1
     (2, TType.I32, 'backlog_ms', None, None, ),  # 2
     (3, TType.I32, 'speed_percent', None, None, ),  # 3
+    (4, TType.I32, 'base_ms', None, None, ),  # 4
+    (5, TType.I32, 'age_ms', None, None, ),  # 5
 )
 all_structs.append(Usage)
 Usage.thrift_spec = (
@@ -1484,6 +1528,7 @@
     (11, TType.LIST, 'limits', (TType.STRUCT, [TargetLimit, None], False), None, ),  # 11
     (12, TType.LIST, 'departures', (TType.STRUCT, [Departure, None], False), None, ),  # 12
     (13, TType.LIST, 'store_views', (TType.STRUCT, [StoreView, None], False), None, ),  # 13
+    (14, TType.LIST, 'known_backlogs', (TType.STRUCT, [Backlog, None], False), None, ),  # 14
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
+++ b/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
@@ -7,6 +7,7 @@
 
 from citrondock_core.errors import CitrondockError
 from citrondock_core.routing.engine_crash import EngineCrash
+from citrondock_core.routing.engine_speed import FIRST_TOKEN_BASE_S
 from citrondock_core.routing.fleet_usage import ReportedUsage
 from citrondock_core.routing.grant import (
     EngineBacklog,
@@ -76,6 +77,8 @@
         Progress of requests that the receiver granted or queued.
     backlogs : list of EngineBacklog
         Backlogs of the engines that the sender is the home of.
+    known_backlogs : list of EngineBacklog
+        Backlogs of other engines that the sender has been told.
     presence : Presence or None
         Announcement of the sender.
     usage : list of ReportedUsage
@@ -98,6 +101,7 @@
     answers: list[GrantAnswer] = attrs.field(factory=list)
     progress: list[GrantProgress] = attrs.field(factory=list)
     backlogs: list[EngineBacklog] = attrs.field(factory=list)
+    known_backlogs: list[EngineBacklog] = attrs.field(factory=list)
     presence: Presence | None = None
     usage: list[ReportedUsage] = attrs.field(factory=list)
     crashes: list[EngineCrash] = attrs.field(factory=list)
@@ -133,6 +137,10 @@
                 or None,
                 progress=[_progress_to_thrift(item) for item in datagram.progress]
                 or None,
+                known_backlogs=[
+                    _backlog_to_thrift(item) for item in datagram.known_backlogs
+                ]
+                or None,
                 backlogs=[_backlog_to_thrift(item) for item in datagram.backlogs]
                 or None,
                 presence=ttypes.Presence(
@@ -202,6 +210,9 @@
                 for item in decoded.progress or ()
             ],
             backlogs=[_backlog_from_thrift(item) for item in decoded.backlogs or ()],
+            known_backlogs=[
+                _backlog_from_thrift(item) for item in decoded.known_backlogs or ()
+            ],
             presence=Presence(
                 availability_zone=presence.availability_zone,
                 is_leaving=bool(presence.leaving),
@@ -304,6 +315,8 @@
         target=backlog.target_id,
         backlog_ms=_to_ms(backlog.backlog_s),
         speed_percent=backlog.speed_percent,
+        base_ms=_to_ms(backlog.first_token_base_s),
+        age_ms=_to_ms(backlog.age_s) or None,
     )
 
 
@@ -316,6 +329,10 @@
         target_id=backlog.target,
         backlog_s=backlog.backlog_ms / MS_PER_S,
         speed_percent=backlog.speed_percent,
+        first_token_base_s=FIRST_TOKEN_BASE_S
+        if backlog.base_ms is None
+        else backlog.base_ms / MS_PER_S,
+        age_s=(backlog.age_ms or 0) / MS_PER_S,
     )
 
 
