Pass changes of the store on within large zones

Change: in zones of eight routers or more, watchers send what they watched to the others, which hold no watch of their own. Changes are applied only where they continue what a router has; statements of the watchers tell it when it lacks some, and then it asks. Small zones are served as before.

--- a/packages/citrondock-core/src/citrondock_core/routing/store_watch_plan.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/store_watch_plan.py
@@ -33,6 +33,10 @@
 STATEMENT_MAX_AGE_S = 5.0
 """Age at which a watcher's statement no longer counts; one or two may be lost."""
 
+MIN_RELAY_ROUTERS = 8
+"""Routers of a zone from which on its watchers pass changes on, and the others wait for
+those instead of asking: in smaller zones they save few calls."""
+
 BEHIND_GRACE_S = 0.5
 """Time in which a router's own watch usually brings what a watcher has seen."""
 
@@ -105,10 +109,13 @@
     ----------
     is_watcher : bool
         Whether this router is a watcher of its zone.
+    is_relayed : bool
+        Whether the zone's watchers pass changes on.
     """
 
     def __init__(self) -> None:
         self.is_watcher = True
+        self.is_relayed = False
         self._own: dict[str, _OwnView] = {}
         self._statements: dict[tuple[str, str], _Statement] = {}
         self._newest_era = 0
@@ -125,6 +132,10 @@
             return SHORT_WAIT_S
         return LONG_WAIT_S
 
+    def may_wait_for_relay(self, kind: str, *, now_s: float) -> bool:
+        """Return whether changes will be passed on, so that no watch is needed."""
+        return self.is_relayed and self.wait_s(kind, now_s=now_s) == LONG_WAIT_S
+
     def record_seen(
         self,
         kind: str,
@@ -145,7 +156,8 @@
         changed_revision : int
             Revision of the last change in the answer; 0 without one.
         asked_at_s, now_s : float
-            Monotonic time at which the call began, and at which it was answered.
+            Monotonic time at which the call began, and at which it was answered. No
+            call began for changes that another router has passed on (minus infinity).
         """
         own = self._own.setdefault(kind, _OwnView())
         changed = StorePosition(position.era, changed_revision)
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -36,6 +36,7 @@
     RequestScheduler,
 )
 from citrondock_router.gateway.shutdown import shut_down
+from citrondock_router.gateway.store_change_relay import StoreChangeRelay
 from citrondock_router.gateway.store_view_exchange import StoreViewExchange
 from citrondock_router.gateway.target_connection_pool import TargetConnectionPool
 from citrondock_router.log import log_event
@@ -131,6 +132,9 @@
         self._store_views = StoreViewExchange(
             self.broker.link, self.watch_plan, self.loop
         )
+        self._store_changes = StoreChangeRelay(
+            self.broker.link, self.watch_plan, self.loop
+        )
         overload = OverloadGuard(
             self.loop.time, period_s=TICK_S, shed_lag_s=settings.shed_lag_s
         )
@@ -184,6 +188,7 @@
         """Run the followers of the store's objects while the process runs."""
         self._followers = followers
         self._store_views.set_followers(followers)
+        self._store_changes.set_followers(followers)
 
     async def run(self, background: Sequence[BackgroundTask]) -> None:
         """Serve until SIGTERM or SIGINT.
--- a/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
@@ -3,12 +3,15 @@
 import asyncio
 import math
 import random
+from abc import ABC, abstractmethod
+from collections import deque
 
 import attrs
 
 from citrondock_core.backoff import backoff_s
+from citrondock_core.routing.store_changes import StoreChanges
 from citrondock_core.routing.store_position import StorePosition
-from citrondock_core.routing.store_watch_plan import StoreWatchPlan
+from citrondock_core.routing.store_watch_plan import LONG_WAIT_S, StoreWatchPlan
 from citrondock_router.gateway.store_era import StoreEra
 from citrondock_router.gateway.watched_store import (
     HistoryGoneError,
@@ -43,14 +46,29 @@
     max_backoff_s: float = 0.5
 
 
+MAX_PENDING_CHANGES = 16
+"""Relayed changes that are kept while a follower cannot apply them yet."""
+
+
+class ChangeListener(ABC):
+    """Is told of changes that a follower has watched in the store itself."""
+
+    @abstractmethod
+    def changes_watched(
+        self, kind: str, changes: Snapshot, *, after_revision: int
+    ) -> None:
+        """Handle all changes of a kind after a revision."""
+
+
 @attrs.define
 class _Watch:
-    """A call of the store that waits for changes."""
+    """A call of the store that waits for changes, or the wait for a relay of them."""
 
     call: "asyncio.Future[Snapshot]"
     wait_s: float
     asked_at_s: float
     is_replaced: bool = False
+    is_for_relay: bool = False
 
 
 class ObjectFollower:
@@ -97,6 +115,11 @@
         self._era = era or StoreEra()
         self._era.on_change(self._handle_new_era)
         self._watch: _Watch | None = None
+        self.listener: ChangeListener | None = None
+        # Relayed changes with the revision that they continue.
+        self._pending: deque[tuple[int, Snapshot]] = deque(maxlen=MAX_PENDING_CHANGES)
+        # Whether the next watch has to be one of the store.
+        self._must_ask = False
         # Revision to watch from; None if the kind has to be listed.
         self._revision: int | None = None
         # Position of the last answer that was passed on.
@@ -124,8 +147,43 @@
             self._kind, wait_s=watch.wait_s, asked_at_s=watch.asked_at_s, now_s=now_s
         ):
             log_event("watch_replaced", kind=self._kind, revision=self._revision)
+            self._must_ask = True
             self._replace_watch()
 
+    def may_continue(self, changes: StoreChanges) -> bool:
+        """Return whether relayed changes bring news of the era that is followed."""
+        position = self._position
+        if self._revision is None or position is None:
+            return False
+        return changes.era == position.era and changes.revision > self._revision
+
+    def continue_with(self, changes: Snapshot, *, after_revision: int) -> None:
+        """Apply relayed changes once they continue what was applied before."""
+        self._pending.append((after_revision, changes))
+        watch = self._watch
+        if watch is not None and watch.is_for_relay and not watch.call.done():
+            applicable = self._next_pending()
+            if applicable is not None:
+                watch.call.set_result(applicable)
+
+    def _next_pending(self) -> Snapshot | None:
+        """Return relayed changes that continue the last revision; drop old ones."""
+        revision, position = self._revision, self._position
+        if revision is None or position is None:
+            return None
+        news = [
+            (after_revision, changes)
+            for after_revision, changes in self._pending
+            if changes.era == position.era and changes.revision > revision
+        ]
+        self._pending.clear()
+        self._pending.extend(news)
+        for after_revision, changes in news:
+            if after_revision <= revision:
+                objects = [item for item in changes.objects if item.revision > revision]
+                return attrs.evolve(changes, objects=objects)
+        return None
+
     def store_returned_for_others(self) -> None:
         """Handle the end of an outage that only other routers noticed."""
         if self._failure_count == 0:
@@ -146,13 +204,19 @@
     async def _step(self) -> None:
         pause_s = 0.0
         asked_at_s = asyncio.get_running_loop().time()
-        if self._revision is None:
+        after_revision = self._revision
+        if after_revision is None:
             snapshot = await self._store.list(self._kind)
             self._check_era(snapshot)
             self._handle_return(snapshot)
             self._sink.listed(snapshot)
         else:
-            watched = await self._watch_from(self._revision)
+            if self._may_wait_for_relay(asked_at_s):
+                watched = await self._wait_for_relay(asked_at_s)
+                asked_at_s = -math.inf
+            else:
+                watched = await self._watch_from(after_revision)
+                self._must_ask = False
             if watched is None:
                 return
             snapshot = watched
@@ -164,6 +228,10 @@
                 self._explain_deletions(snapshot)
                 self._sink.changed(snapshot)
                 pause_s = self._options.settle_s
+                if self.listener is not None and asked_at_s > -math.inf:
+                    self.listener.changes_watched(
+                        self._kind, snapshot, after_revision=after_revision
+                    )
         self._revision = snapshot.revision
         self._position = snapshot.position
         self._answered_at_s = asyncio.get_running_loop().time()
@@ -178,6 +246,33 @@
         if pause_s:
             await asyncio.sleep(pause_s)
 
+    def _may_wait_for_relay(self, now_s: float) -> bool:
+        if self._plan is None or self._must_ask:
+            return False
+        return self._plan.may_wait_for_relay(self._kind, now_s=now_s)
+
+    async def _wait_for_relay(self, now_s: float) -> Snapshot | None:
+        """Wait for relayed changes; return None if the store has to be asked."""
+        pending = self._next_pending()
+        if pending is not None:
+            return pending
+        call: asyncio.Future[Snapshot] = asyncio.get_running_loop().create_future()
+        watch = self._watch = _Watch(
+            call, wait_s=LONG_WAIT_S, asked_at_s=now_s, is_for_relay=True
+        )
+        try:
+            async with asyncio.timeout(LONG_WAIT_S):
+                return await call
+        except TimeoutError:
+            self._must_ask = True
+            return None
+        except asyncio.CancelledError:
+            if not watch.is_replaced:
+                raise
+            return None
+        finally:
+            self._watch = None
+
     async def _watch_from(self, revision: int) -> Snapshot | None:
         """Watch for changes; return None if the watch was replaced meanwhile."""
         now_s = asyncio.get_running_loop().time()
--- a/packages/citrondock-router/src/citrondock_router/gateway/store_view_exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/store_view_exchange.py
@@ -6,6 +6,7 @@
 from typing_extensions import override
 
 from citrondock_core.routing.store_watch_plan import (
+    MIN_RELAY_ROUTERS,
     STATEMENT_PERIOD_S,
     StoreView,
     StoreWatchPlan,
@@ -81,6 +82,7 @@
         ]
         if not peers.is_leaving:
             names.append(peers.vm_name)
+        self._plan.is_relayed = len(names) >= MIN_RELAY_ROUTERS
         is_watcher = peers.vm_name in watchers(names, zone)
         if is_watcher != self._plan.is_watcher:
             self._plan.is_watcher = is_watcher
--- a/packages/citrondock-wire/grants.thrift
+++ b/packages/citrondock-wire/grants.thrift
@@ -115,6 +115,15 @@
   4: optional i64 era          // of changed_revision; unset by earlier versions
 }
 
+// Changes of objects of one kind in the store, which a watcher passes on.
+struct StoreChanges {
+  1: string kind
+  2: i64 era
+  3: i64 after_revision
+  4: i64 revision
+  5: binary objects
+}
+
 struct Datagram {
   1: string vm_name
   2: i64 incarnation
@@ -131,4 +140,5 @@
   13: optional list<StoreView> store_views
   // Backlogs of other engines that the sender knows of.
   14: optional list<Backlog> known_backlogs
+  15: optional list<StoreChanges> store_changes
 }
--- a/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
+++ b/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
@@ -1123,6 +1123,107 @@
         return not (self == other)
 
 
+class StoreChanges(object):
+    """
+    Attributes:
+     - kind
+     - era
+     - after_revision
+     - revision
+     - objects
+
+    """
+
+
+    def __init__(self, kind=None, era=None, after_revision=None, revision=None, objects=None,):
+        self.kind = kind
+        self.era = era
+        self.after_revision = after_revision
+        self.revision = revision
+        self.objects = objects
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.after_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.objects = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('StoreChanges')
+        if self.kind is not None:
+            oprot.writeFieldBegin('kind', TType.STRING, 1)
+            oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
+            oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 2)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.after_revision is not None:
+            oprot.writeFieldBegin('after_revision', TType.I64, 3)
+            oprot.writeI64(self.after_revision)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 4)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.objects is not None:
+            oprot.writeFieldBegin('objects', TType.STRING, 5)
+            oprot.writeBinary(self.objects)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Datagram(object):
     """
     Attributes:
@@ -1140,11 +1241,12 @@
      - departures
      - store_views
      - known_backlogs
+     - store_changes
 
     """
 
 
-    def __init__(self, vm_name=None, incarnation=None, asks=None, answers=None, progress=None, backlogs=None, presence=None, usage=None, crashes=None, part_states=None, limits=None, departures=None, store_views=None, known_backlogs=None,):
+    def __init__(self, vm_name=None, incarnation=None, asks=None, answers=None, progress=None, backlogs=None, presence=None, usage=None, crashes=None, part_states=None, limits=None, departures=None, store_views=None, known_backlogs=None, store_changes=None,):
         self.vm_name = vm_name
         self.incarnation = incarnation
         self.asks = asks
@@ -1159,6 +1261,7 @@
         self.departures = departures
         self.store_views = store_views
         self.known_backlogs = known_backlogs
+        self.store_changes = store_changes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1306,6 +1409,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.store_changes = []
+                    (_etype90, _size87) = iprot.readListBegin()
+                    for _i91 in range(_size87):
+                        _elem92 = StoreChanges()
+                        _elem92.read(iprot)
+                        self.store_changes.append(_elem92)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1327,29 +1441,29 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter87 in self.asks:
-                iter87.write(oprot)
+            for iter93 in self.asks:
+                iter93.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answers is not None:
             oprot.writeFieldBegin('answers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.answers))
-            for iter88 in self.answers:
-                iter88.write(oprot)
+            for iter94 in self.answers:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.progress is not None:
             oprot.writeFieldBegin('progress', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.progress))
-            for iter89 in self.progress:
-                iter89.write(oprot)
+            for iter95 in self.progress:
+                iter95.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.backlogs is not None:
             oprot.writeFieldBegin('backlogs', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.backlogs))
-            for iter90 in self.backlogs:
-                iter90.write(oprot)
+            for iter96 in self.backlogs:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.presence is not None:
@@ -1359,50 +1473,57 @@
         if self.usage is not None:
             oprot.writeFieldBegin('usage', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.usage))
-            for iter91 in self.usage:
-                iter91.write(oprot)
+            for iter97 in self.usage:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter92 in self.crashes:
-                iter92.write(oprot)
+            for iter98 in self.crashes:
+                iter98.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.part_states is not None:
             oprot.writeFieldBegin('part_states', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.part_states))
-            for iter93 in self.part_states:
-                iter93.write(oprot)
+            for iter99 in self.part_states:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter94 in self.limits:
-                iter94.write(oprot)
+            for iter100 in self.limits:
+                iter100.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.departures is not None:
             oprot.writeFieldBegin('departures', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.departures))
-            for iter95 in self.departures:
-                iter95.write(oprot)
+            for iter101 in self.departures:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_views is not None:
             oprot.writeFieldBegin('store_views', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.store_views))
-            for iter96 in self.store_views:
-                iter96.write(oprot)
+            for iter102 in self.store_views:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.known_backlogs is not None:
             oprot.writeFieldBegin('known_backlogs', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.known_backlogs))
-            for iter97 in self.known_backlogs:
-                iter97.write(oprot)
+            for iter103 in self.known_backlogs:
+                iter103.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.store_changes is not None:
+            oprot.writeFieldBegin('store_changes', TType.LIST, 15)
+            oprot.writeListBegin(TType.STRUCT, len(self.store_changes))
+            for iter104 in self.store_changes:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1512,6 +1633,15 @@
     (3, TType.BOOL, 'lost', None, None, ),  # 3
     (4, TType.I64, 'era', None, None, ),  # 4
 )
+all_structs.append(StoreChanges)
+StoreChanges.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'kind', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'era', None, None, ),  # 2
+    (3, TType.I64, 'after_revision', None, None, ),  # 3
+    (4, TType.I64, 'revision', None, None, ),  # 4
+    (5, TType.STRING, 'objects', 'BINARY', None, ),  # 5
+)
 all_structs.append(Datagram)
 Datagram.thrift_spec = (
     None,  # 0
@@ -1529,6 +1659,7 @@
     (12, TType.LIST, 'departures', (TType.STRUCT, [Departure, None], False), None, ),  # 12
     (13, TType.LIST, 'store_views', (TType.STRUCT, [StoreView, None], False), None, ),  # 13
     (14, TType.LIST, 'known_backlogs', (TType.STRUCT, [Backlog, None], False), None, ),  # 14
+    (15, TType.LIST, 'store_changes', (TType.STRUCT, [StoreChanges, None], False), None, ),  # 15
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
+++ b/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
@@ -21,6 +21,7 @@
 )
 from citrondock_core.routing.part_quarantine import PartState
 from citrondock_core.routing.request_facts import PromptPart
+from citrondock_core.routing.store_changes import StoreChanges
 from citrondock_core.routing.store_watch_plan import StoreView
 from citrondock_core.routing.target_departure import TargetDeparture
 from citrondock_core.routing.target_limits import TargetLimit
@@ -93,6 +94,8 @@
         Targets that the sender knows to be leaving or gone.
     store_views : list of StoreView
         How far the sender has followed the store.
+    store_changes : list of StoreChanges
+        Changes that the sender has watched.
     """
 
     vm_name: str
@@ -109,6 +112,7 @@
     limits: list[TargetLimit] = attrs.field(factory=list)
     departures: list[TargetDeparture] = attrs.field(factory=list)
     store_views: list[StoreView] = attrs.field(factory=list)
+    store_changes: list[StoreChanges] = attrs.field(factory=list)
 
 
 class GrantCodec:
@@ -164,6 +168,11 @@
                     _store_view_to_thrift(item) for item in datagram.store_views
                 ]
                 or None,
+                store_changes=[
+                    ttypes.StoreChanges(**attrs.asdict(item))
+                    for item in datagram.store_changes
+                ]
+                or None,
             ),
             self._factory,
         )
@@ -235,6 +244,9 @@
             store_views=[
                 _store_view_from_thrift(item) for item in decoded.store_views or ()
             ],
+            store_changes=[
+                _store_changes_from_thrift(item) for item in decoded.store_changes or ()
+            ],
         )
 
 
@@ -425,3 +437,16 @@
         is_lost=bool(view.lost),
         era=view.era,
     )
+
+
+def _store_changes_from_thrift(changes: ttypes.StoreChanges) -> StoreChanges:
+    numbers = (changes.era, changes.after_revision, changes.revision)
+    if changes.objects is None or not all(isinstance(n, int) for n in numbers):
+        raise ValueError("changes of the store lack their objects or revisions")
+    return StoreChanges(
+        kind=changes.kind,
+        era=changes.era,
+        after_revision=changes.after_revision,
+        revision=changes.revision,
+        objects=changes.objects,
+    )
--- a/tests/gateway/test_store_views.py
+++ b/tests/gateway/test_store_views.py
@@ -1,4 +1,4 @@
-"""A router whose watch is dead learns of a change through the watchers of its zone."""
+"""Routers learn of changes through the watchers of their zone."""
 
 import asyncio
 
@@ -7,10 +7,15 @@
 from citrondock_core.routing.engine_load_view import EngineLoadView
 from citrondock_core.routing.peer_table import PeerTable
 from citrondock_core.routing.store_position import StorePosition
-from citrondock_core.routing.store_watch_plan import StoreWatchPlan
+from citrondock_core.routing.store_watch_plan import (
+    MIN_RELAY_ROUTERS,
+    WATCHERS_PER_ZONE,
+    StoreWatchPlan,
+)
 from citrondock_router.gateway.gateway_settings import Address
 from citrondock_router.gateway.grant_broker import GrantBroker
 from citrondock_router.gateway.object_follower import ObjectFollower
+from citrondock_router.gateway.store_change_relay import StoreChangeRelay
 from citrondock_router.gateway.store_view_exchange import StoreViewExchange
 from citrondock_router.gateway.watched_store import (
     HistoryGoneError,
@@ -111,7 +116,10 @@
         self.connection = Connection(store)
         self.sink = Sink()
         follower = ObjectFollower(self.connection, KIND, self.sink, plan=self.plan)
-        self.exchange.set_followers([follower])
+        self.followers = [follower]
+        self.exchange.set_followers(self.followers)
+        self.relay = StoreChangeRelay(self.broker.link, self.plan, loop)
+        self.relay.set_followers(self.followers)
         self.address = self.broker.open(Address(HOST, 0))
         self.tasks = [
             asyncio.ensure_future(follower.run()),
@@ -169,3 +177,79 @@
             close(routers)
 
         run(check())
+
+
+async def large_zone(store):
+    """Return the routers of a zone in which changes are passed on."""
+    routers = [Router(f"v{number}", store) for number in range(MIN_RELAY_ROUTERS + 1)]
+    for router in routers:
+        router.broker.announce(other.address for other in routers)
+    # The first short watches end, and the others wait for what is passed on.
+    await asyncio.sleep(3.5)
+    return routers
+
+
+def followers_of(routers):
+    return [router for router in routers if not router.plan.is_watcher]
+
+
+class TestLargeZone:
+    def test_only_watchers_call_the_store_for_a_change(self):
+        async def check():
+            store = Store()
+            routers = await large_zone(store)
+            before = [router.connection.call_count for router in followers_of(routers)]
+            assert len(before) == len(routers) - WATCHERS_PER_ZONE
+            for _ in range(4):
+                await store.change()
+                await asyncio.sleep(0.6)
+            assert {router.sink.position for router in routers} == {store.position}
+            after = [router.connection.call_count for router in followers_of(routers)]
+            assert after == before
+            close(routers)
+
+        run(check())
+
+    def test_a_router_that_missed_a_relay_asks_the_store(self):
+        async def check():
+            store = Store()
+            routers = await large_zone(store)
+            deaf = followers_of(routers)[0]
+            deaf.relay.set_followers([])
+            before = deaf.connection.call_count
+            await store.change()
+            await asyncio.sleep(1.2)
+            assert deaf.sink.position == store.position
+            assert deaf.connection.call_count > before
+            close(routers)
+
+        run(check())
+
+    def test_changes_that_leave_a_gap_are_not_applied(self):
+        async def check():
+            store = Store()
+            routers = await large_zone(store)
+            deaf = followers_of(routers)[0]
+            deaf.relay.set_followers([])
+            await store.change()
+            await asyncio.sleep(0.1)
+            deaf.relay.set_followers(deaf.followers)
+            await store.change()
+            await asyncio.sleep(1.4)
+            # The sink checks that positions only rise; both changes have arrived.
+            assert deaf.sink.position == store.position
+            close(routers)
+
+        run(check())
+
+    def test_a_store_that_comes_back_from_a_copy_is_listed_by_all(self):
+        async def check():
+            store = Store()
+            store.revision = 50
+            routers = await large_zone(store)
+            await store.restore(40)
+            await asyncio.sleep(1.4)
+            assert {router.sink.position for router in routers} == {store.position}
+            close(routers)
+
+        run(check())
