Keep load even by reports passed on and few overflow engines

Causes: a router hears of an engine only with answers to its own requests, which with 76 routers is once in seconds; an old backlog looks like an idle engine, and all routers take the one that looks best. A base time of 0.12 s for engines that need 0.03 s made all of them look fast.

--- a/packages/citrondock-core/src/citrondock_core/routing/engine_load_view.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_load_view.py
@@ -16,12 +16,8 @@
 from citrondock_core.routing.grant import EngineBacklog
 
 MIN_SHARED_ENGINES = 16
-"""Engines from which on reports are passed on and old ones count less. A router that
-sends to fewer hears of each of them from its own requests."""
-
-REPORT_HALF_LIFE_S = 0.5
-"""Age at which a report counts half, and the mean of recent reports the other half. The
-queue of an engine lasts about as long."""
+"""Engines from which on reports are passed on. A router that sends to fewer hears of
+each of them from its own requests."""
 
 MAX_RELAY_AGE_S = 0.5
 """Age up to which a report is passed on to other routers."""
@@ -29,9 +25,6 @@
 MAX_OWN_PROMPTS = 32
 """Own prompts that are counted on top of a report, the latest ones."""
 
-MEAN_GAIN = 0.1
-"""Weight of one report in the mean backlog."""
-
 
 @attrs.define
 class _LoadEstimate:
@@ -56,9 +49,8 @@
     """Backlog and speed of each engine, as its home router last reported them.
 
     A reported backlog shrinks as time passes, until the next report replaces it, and
-    own prompts are added to it. With `MIN_SHARED_ENGINES` or more, what is known of an
-    engine fades with its age into the mean of the reports, since other routers have
-    sent more to an engine that looked idle, and reports are passed on.
+    own prompts are added to it. With `MIN_SHARED_ENGINES` or more, reports are passed
+    on, so that each router hears of most engines within a second.
 
     Parameters
     ----------
@@ -69,16 +61,15 @@
     ----------
     speed_version : int
         Changes whenever the speed of an engine does.
-    mean_backlog_s : float
-        Mean backlog in recent reports.
     """
 
     def __init__(self, rng: random.Random | None = None) -> None:
         self.speed_version = 0
-        self.mean_backlog_s = 0.0
         self._rng = rng or random.Random()
         self._by_target: dict[str, _LoadEstimate] = {}
         self._engine_count = 0
+        # The keys of `_by_target`, to choose from.
+        self._names: list[str] = []
 
     @property
     def is_shared(self) -> bool:
@@ -103,39 +94,31 @@
         if known is not None:
             estimate.own.extend(own for own in known.own if own[0] > reported_at_s)
         self._by_target[backlog.target_id] = estimate
-        self.mean_backlog_s += (backlog.backlog_s - self.mean_backlog_s) * MEAN_GAIN
 
     def reports(self, count: int, *, now_s: float) -> list[EngineBacklog]:
         """Return fresh reports, chosen at random, to pass on to another router."""
-        if not self.is_shared:
+        if not self.is_shared or not self._by_target:
             return []
-        fresh = [
-            (target_id, known)
-            for target_id, known in self._by_target.items()
-            if now_s - known.reported_at_s <= MAX_RELAY_AGE_S
-        ]
-        return [
-            EngineBacklog(
-                target_id=target_id,
-                backlog_s=known.backlog_s,
-                speed_percent=known.speed_percent,
-                first_token_base_s=known.first_token_base_s,
-                age_s=now_s - known.reported_at_s,
-            )
-            for target_id, known in self._rng.sample(fresh, min(count, len(fresh)))
-        ]
+        if len(self._names) != len(self._by_target):
+            self._names = list(self._by_target)
+        found: dict[str, EngineBacklog] = {}
+        # Twice as many are looked at, as some of the reports are old.
+        for target_id in self._rng.choices(self._names, k=2 * count):
+            known = self._by_target[target_id]
+            if now_s - known.reported_at_s <= MAX_RELAY_AGE_S and len(found) < count:
+                found[target_id] = EngineBacklog(
+                    target_id=target_id,
+                    backlog_s=known.backlog_s,
+                    speed_percent=known.speed_percent,
+                    first_token_base_s=known.first_token_base_s,
+                    age_s=now_s - known.reported_at_s,
+                )
+        return list(found.values())
 
     def backlog_s(self, target_id: str, *, now_s: float) -> float:
-        """Return the estimated backlog of an engine, known or not."""
+        """Return the estimated backlog of an engine; 0 for an unknown one."""
         estimate = self._by_target.get(target_id)
-        if estimate is None:
-            return self.mean_backlog_s if self.is_shared else 0.0
-        backlog_s = estimate.backlog_at(now_s)
-        if not self.is_shared:
-            return backlog_s
-        age_s = max(now_s - estimate.reported_at_s, 0.0)
-        weight = 0.5 ** (age_s / REPORT_HALF_LIFE_S)
-        return weight * backlog_s + (1 - weight) * max(backlog_s, self.mean_backlog_s)
+        return estimate.backlog_at(now_s) if estimate else 0.0
 
     def add_prompt(self, target_id: str, prefill_s: float, *, now_s: float) -> None:
         """Add a prompt from this router that no report may include yet."""
@@ -167,3 +150,4 @@
         for target_id in set(self._by_target) - target_ids:
             del self._by_target[target_id]
             self.speed_version += 1
+        self._names = list(self._by_target)
--- a/packages/citrondock-core/src/citrondock_core/routing/engine_speed.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_speed.py
@@ -112,11 +112,7 @@
         self._sample_count += 1
         gain = max(1 / (self._sample_count + 2), LEARNING_GAIN)
         self.tokens_per_s += (rate - self.tokens_per_s) * gain
-        factor = self.tokens_per_s / NOMINAL_PREFILL_TOKENS_PER_S
-        if abs(factor - self._rounded_factor) >= SPEED_STEP:
-            self._rounded_factor = max(
-                round(factor / SPEED_STEP) * SPEED_STEP, SPEED_STEP
-            )
+        self._round()
 
     def learn_base(self, tokens: float, delay_s: float) -> None:
         """Add a sample of a prompt that found the engine idle; see `learn`."""
@@ -141,5 +137,22 @@
         base_s = bases_s[int(len(bases_s) * BASE_QUANTILE)]
         base_s = min(max(base_s, 0.0), MAX_FIRST_TOKEN_BASE_S)
         tolerance_s = SAME_BASE_SHARE * FIRST_TOKEN_BASE_S
-        is_same = abs(base_s - FIRST_TOKEN_BASE_S) <= tolerance_s
-        self.first_token_base_s = FIRST_TOKEN_BASE_S if is_same else base_s
+        if abs(base_s - FIRST_TOKEN_BASE_S) <= tolerance_s:
+            base_s = FIRST_TOKEN_BASE_S
+        if abs(base_s - self.first_token_base_s) > tolerance_s and s_per_token > 0:
+            # The rate was learned with another base time.
+            self._set_rate(1 / s_per_token)
+        self.first_token_base_s = base_s
+
+    def _set_rate(self, tokens_per_s: float) -> None:
+        low = NOMINAL_PREFILL_TOKENS_PER_S * MIN_FACTOR
+        high = NOMINAL_PREFILL_TOKENS_PER_S * MAX_FACTOR
+        self.tokens_per_s = min(max(tokens_per_s, low), high)
+        self._round()
+
+    def _round(self) -> None:
+        factor = self.tokens_per_s / NOMINAL_PREFILL_TOKENS_PER_S
+        if abs(factor - self._rounded_factor) >= SPEED_STEP:
+            self._rounded_factor = max(
+                round(factor / SPEED_STEP) * SPEED_STEP, SPEED_STEP
+            )
--- a/packages/citrondock-core/src/citrondock_core/routing/placement.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/placement.py
@@ -47,7 +47,7 @@
 RANKED_ENGINES = 8
 """Engines that are remembered for each key, the most preferred ones."""
 
-OVERFLOW_ENGINES = 2
+OVERFLOW_ENGINES = 3
 """Engines behind the preferred one to which all routers send what finds no room there,
 so that shared parts are cached on few engines."""
 
@@ -141,17 +141,26 @@
         pool = _eligible_targets(loads, excluded, now_s)
         if not pool:
             return None
-        preferred = self._preferred_engine(prompt.affinity_key, loads, pool)
+        ranking = self._ranking(prompt.affinity_key, loads)
+        ranked = _in_order_of(ranking, pool)
+        preferred = ranked[0] if ranked else self._best_ranked(prompt, pool)
         shared_tokens = sum(part.token_count for part in prompt.parts[:-1])
         own_tokens = max(prompt.prompt_token_count - shared_tokens, 0)
-        best = self._choice(preferred, own_tokens, now_s)
-        best_cost_s = self._cost_s(best) - self.options.affinity_slack_s
-        overflow: Sequence[TargetLoad] = ()
+        overflow_ids: set[str] = set()
         others = pool
         if self._load_view.is_shared:
-            overflow = self._overflow_engines(prompt.affinity_key, pool, preferred)
+            overflow = ranked[1 : OVERFLOW_ENGINES + 1]
             sample = self._rng.sample(pool, min(SAMPLED_ENGINES, len(pool)))
-            others = [*overflow, *(load for load in sample if load not in overflow)]
+            others = [*overflow, *sample]
+            overflow_ids = {load.entry.target_id for load in overflow}
+            if preferred.entry.target_id != ranking[0]:
+                # The engine that holds the shared parts may not be used now.
+                overflow_ids.add(preferred.entry.target_id)
+        prefill_tokens = own_tokens
+        if preferred.entry.target_id in overflow_ids:
+            prefill_tokens = self._overflow_tokens(prompt, preferred, own_tokens)
+        best = self._choice(preferred, prefill_tokens, now_s)
+        best_cost_s = self._cost_s(best) - self.options.affinity_slack_s
         for load in others:
             if load is preferred:
                 continue
@@ -160,11 +169,11 @@
             base_s = self._load_view.first_token_base_s(target_id)
             if base_s + backlog_s >= best_cost_s:
                 continue
-            prefill_tokens: float = self._prefill_tokens(prompt, load)
-            if load in overflow:
-                uncached = max(prefill_tokens - own_tokens, 0)
-                prefill_tokens -= uncached * OVERFLOW_CACHED_SHARE
-            choice = self._choice(load, int(prefill_tokens), now_s)
+            if target_id in overflow_ids:
+                prefill_tokens = self._overflow_tokens(prompt, load, own_tokens)
+            else:
+                prefill_tokens = self._prefill_tokens(prompt, load)
+            choice = self._choice(load, prefill_tokens, now_s)
             cost_s = self._cost_s(choice)
             if cost_s < best_cost_s:
                 best, best_cost_s = choice, cost_s
@@ -211,16 +220,11 @@
     def _plain_cost(self, load: TargetLoad) -> tuple[float, bool]:
         return load.busy_share, load.entry.availability_zone != self._zone
 
-    def _preferred_engine(
-        self, key: str, loads: Sequence[TargetLoad], pool: Sequence[TargetLoad]
+    def _best_ranked(
+        self, prompt: PromptFacts, pool: Sequence[TargetLoad]
     ) -> TargetLoad:
-        """Return the winner of weighted rendezvous hashing, the same on all routers."""
-        ranking = self._ranking(key, loads)
-        for target_id in ranking:
-            for load in pool:
-                if load.entry.target_id == target_id:
-                    return load
-        scores = RendezvousScores(key)
+        """Return the winner of weighted rendezvous hashing among some engines."""
+        scores = RendezvousScores(prompt.affinity_key)
         return max(pool, key=lambda load: self._weight(scores, load.entry.target_id))
 
     def _ranking(self, key: str, loads: Sequence[TargetLoad]) -> list[str]:
@@ -259,13 +263,12 @@
         cached = cache.cached_tokens(prompt.parts[:-1]) if cache else 0
         return max(prompt.prompt_token_count - cached, 0)
 
-    def _overflow_engines(
-        self, key: str, pool: Sequence[TargetLoad], preferred: TargetLoad
-    ) -> list[TargetLoad]:
-        """Return the next engines of a key's ranking that may be used."""
-        by_id = {load.entry.target_id: load for load in pool}
-        ranked = [by_id[name] for name in self._rankings.get(key, ()) if name in by_id]
-        return [load for load in ranked if load is not preferred][:OVERFLOW_ENGINES]
+    def _overflow_tokens(
+        self, prompt: PromptFacts, load: TargetLoad, own_tokens: int
+    ) -> int:
+        """Return the tokens that an overflow engine is expected to read."""
+        uncached = max(self._prefill_tokens(prompt, load) - own_tokens, 0)
+        return own_tokens + int(uncached * (1 - OVERFLOW_CACHED_SHARE))
 
     def _choice(
         self, load: TargetLoad, prefill_tokens: int, now_s: float
@@ -278,6 +281,17 @@
         return PlacementChoice(load, prefill_tokens, first_s)
 
 
+def _in_order_of(
+    target_ids: Sequence[str], pool: Sequence[TargetLoad]
+) -> list[TargetLoad]:
+    """Return the targets among a pool that are named, in the order of their names."""
+    wanted = set(target_ids)
+    found = {
+        load.entry.target_id: load for load in pool if load.entry.target_id in wanted
+    }
+    return [found[target_id] for target_id in target_ids if target_id in found]
+
+
 def _eligible_targets(
     loads: Sequence[TargetLoad], excluded: Collection[str], now_s: float
 ) -> Sequence[TargetLoad]:
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
@@ -34,6 +34,11 @@
 MAX_ASKED_ENGINES = 3
 """Most engines asked for a grant in one attempt before the request is refused."""
 
+STAY_SHARE = 0.5
+"""Where reports are passed on, a queued prompt stays where its parts are cached if it
+is expected to be answered within this share of the time until it is late. The rest is
+for predictions that are too short."""
+
 MIN_MOVE_GAIN_S = 0.1
 """A queued prompt moves to another engine only if it gains more time than this."""
 
@@ -255,6 +260,14 @@
             search, search.key, choice, wait_until_s=search.wait_until_s
         )
 
+    def _stays(self, search: _EngineSearch) -> bool:
+        """Return whether a queued prompt is on time without reading parts again."""
+        if not self._engine_loads.is_shared or search.prompt is None:
+            return False
+        now_s = self._loop.time()
+        until_s = search.exchange.on_time_until_s
+        return search.first_answer_at_s <= now_s + STAY_SHARE * (until_s - now_s)
+
     def _try_another_engine(self, search: _EngineSearch) -> None:
         """Ask one more engine, without leaving the queue."""
         if self._overload.is_busy:
@@ -353,7 +366,7 @@
             self._handle_trial_refusal(search, choice, answer)
         elif answer.verdict is Verdict.QUEUED:
             search.first_answer_at_s = self._loop.time() + answer.first_answer_s
-            if search.may_ask_another:
+            if search.may_ask_another and not self._stays(search):
                 self._try_another_engine(search)
         else:
             self._handle_refusal(search)
--- a/packages/citrondock-router/src/citrondock_router/gateway/paced_input.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/paced_input.py
@@ -89,8 +89,8 @@
     loop : asyncio.AbstractEventLoop
         Event loop of the connection.
     turns : TurnQueue, optional
-        Shares out the turns of several connections; without it, each connection gets
-        a turn in every iteration of the event loop.
+        Shares out the turns of connections whose bytes take long or are many; without
+        it, a connection gets a turn in every iteration of the event loop.
     clock : callable
         Monotonic time in seconds that goes on within an iteration of the loop.
 
@@ -117,6 +117,8 @@
         self._position = 0
         self.is_paused = False
         self._is_turn_due = False
+        # Whether turns end for their time, with bytes left.
+        self._is_costly = False
 
     @property
     def backlog_bytes(self) -> int:
@@ -142,7 +144,8 @@
         self._position = 0
         if self._is_turn_due:
             return
-        if self._turns is None or self._turns.has_time:
+        is_large = self._is_costly or len(data) > MAX_TURN_BYTES
+        if not is_large or self._turns is None or self._turns.has_time:
             self._take_turn()
         else:
             self._schedule_turn()
@@ -175,7 +178,10 @@
             data = self._next_slice()
             left_bytes -= len(data)
             self._consume(data)
-            if left_bytes <= 0 or self._clock() >= ends_at_s:
+            is_over = self._clock() >= ends_at_s
+            if is_over or not self.has_backlog:
+                self._is_costly = is_over and (self._is_costly or self.has_backlog)
+            if left_bytes <= 0 or is_over:
                 self._schedule_turn()
                 break
         if self._turns is not None:
