Look at more reports, as some of them are too old to be passed on

Cause: reports() drew twice as many targets as it needed, with repetition, and dropped old ones, so that few were left.

--- a/packages/citrondock-core/src/citrondock_core/routing/engine_load_view.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_load_view.py
@@ -102,8 +102,8 @@
         if len(self._names) != len(self._by_target):
             self._names = list(self._by_target)
         found: dict[str, EngineBacklog] = {}
-        # Twice as many are looked at, as some of the reports are old.
-        for target_id in self._rng.choices(self._names, k=2 * count):
+        # More are looked at, as some of the reports are old.
+        for target_id in self._rng.choices(self._names, k=4 * count):
             known = self._by_target[target_id]
             if now_s - known.reported_at_s <= MAX_RELAY_AGE_S and len(found) < count:
                 found[target_id] = EngineBacklog(
