Do not send a request that waited after its client has left

Cause: the end of a connection is read by the event loop; a late loop handles the grant of a waiting request first. Whether the client has left was checked only when a request began.

Change: a request that waited for over 0.2 s is checked again right before it is sent, by a poll of its socket.

--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -42,6 +42,11 @@
 SEARCH_PAUSE_S = 0.5
 """Pause after which another target is looked for again while a target is silent."""
 
+LEFT_CHECK_S = 0.2
+"""Wait after which it is checked whether the client has left before a request is sent:
+an event loop that is late reads the end of a connection after the grant of its request.
+Requests must not reach targets half a second after their clients have left."""
+
 MAX_CONNECT_ATTEMPTS = 4
 """Most targets to which a connection is tried before the request is refused."""
 
@@ -310,6 +315,11 @@
         if not self._shutdown.may_send(self.route, now_s=self._loop.time()):
             self._end_unanswered(HTTPStatus.BAD_GATEWAY, "leaving", "leaving")
             return
+        has_waited = self._loop.time() - self.arrived_at_s > LEFT_CHECK_S
+        if has_waited and self._client.has_left:
+            self.client_disconnected()
+            self._client.close_at_once("client_left")
+            return
         entry = choice.load.entry
         connection = self._connections.take_idle(
             entry,
