Test: let the waiting request wait long enough to be granted

It may wait for 3 s now. With the check taken out, both cases fail ('waits' not in received); with it, both pass.

--- a/tests/gateway/test_clients_that_left.py
+++ b/tests/gateway/test_clients_that_left.py
@@ -6,8 +6,17 @@
 
 import asyncio
 
+import attrs
 import pytest
-from harness import Client, Harness, ScriptedTarget, complete_response, request, run
+from harness import (
+    Client,
+    Harness,
+    ScriptedTarget,
+    complete_response,
+    configuration,
+    request,
+    run,
+)
 
 from citrondock_router.gateway.client_connection import ClientConnection
 from citrondock_router.gateway.exchange import LEFT_CHECK_S
@@ -25,12 +34,22 @@
         writer.write(complete_response(got))
 
 
+def patient_configuration():
+    """Return a configuration whose requests may wait for seconds."""
+    configured = configuration(timeout_s=5.0)
+    routes = [
+        attrs.evolve(route, first_answer_target_s=3.0) for route in configured.routes
+    ]
+    return attrs.evolve(configured, routes=tuple(routes))
+
+
 class TestWaitingRequest:
     @pytest.mark.parametrize("path", ["/safe/x", "/unsafe/x"])
     def test_it_is_not_sent_after_its_client_has_left(self, monkeypatch, path):
         async def check():
             target = HoldingTarget()
-            async with Harness([target]) as harness:
+            configured = patient_configuration()
+            async with Harness([target], configured=configured) as harness:
                 slots = target.entry.max_concurrency
                 busy = [
                     asyncio.ensure_future(harness.get(path, f"b{number}"))
@@ -45,7 +64,7 @@
                 await asyncio.sleep(LEFT_CHECK_S - 0.05)
                 # The end of the connection has arrived and is not read yet.
                 monkeypatch.setattr(ClientConnection, "has_left", True)
-                await asyncio.sleep(0.06)
+                await asyncio.sleep(0.1)
                 target.may_answer.set()
                 await asyncio.gather(*busy)
                 await asyncio.sleep(0.05)
