Do not wait for relays of watchers that the store does not answer

Cause: routers of a large zone waited for relays as long as any watcher was heard, also if its statement said that the store didn't answer it, and for up to 5 s after the last statement. If both watchers of a zone were among those turned away, the others of the zone learned of nothing.

Change: a router waits for relays only while a watcher has said within 2.5 s that the store answers it; else it watches for itself, as before relays. Watchers of such zones use waits of 1 s, so that they notice silence sooner.

Evidence: two tests in TestLargeZone, which fail without the check of lost statements and with the former age.

Ruled out: changes applied out of order (they are applied only where they continue what a router has).

--- a/packages/citrondock-core/src/citrondock_core/routing/store_watch_plan.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/store_watch_plan.py
@@ -37,6 +37,13 @@
 """Routers of a zone from which on its watchers pass changes on, and the others wait for
 those instead of asking: in smaller zones they save few calls."""
 
+RELAY_WATCH_WAIT_S = 1.0
+"""Wait of a watcher's watch where changes are passed on. A zone whose watchers get no
+answer any more is blind until they notice, so they use shorter waits there."""
+
+RELAY_STATEMENT_AGE_S = 2.5
+"""Age of a watcher's latest statement above which no relay is waited for."""
+
 BEHIND_GRACE_S = 0.5
 """Time in which a router's own watch usually brings what a watcher has seen."""
 
@@ -128,13 +135,24 @@
             return NEW_ERA_WAIT_S
         if self._is_behind(kind):
             return CATCH_UP_WAIT_S
+        if self.is_watcher and self.is_relayed:
+            return RELAY_WATCH_WAIT_S
         if self.is_watcher or not self._live_statements(kind, now_s):
             return SHORT_WAIT_S
         return LONG_WAIT_S
 
     def may_wait_for_relay(self, kind: str, *, now_s: float) -> bool:
-        """Return whether changes will be passed on, so that no watch is needed."""
-        return self.is_relayed and self.wait_s(kind, now_s=now_s) == LONG_WAIT_S
+        """Return whether changes will be passed on, so that no watch is needed.
+
+        A watcher must have said lately that the store answers it.
+        """
+        if not self.is_relayed or self.wait_s(kind, now_s=now_s) != LONG_WAIT_S:
+            return False
+        return any(
+            not statement.view.is_lost
+            and now_s - statement.heard_at_s <= RELAY_STATEMENT_AGE_S
+            for statement in self._live_statements(kind, now_s)
+        )
 
     def record_seen(
         self,
--- a/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/object_follower.py
@@ -143,7 +143,10 @@
         watch = self._watch
         if watch is None or self._plan is None or watch.is_replaced:
             return
-        if self._plan.must_ask_now(
+        has_no_relay = watch.is_for_relay and not self._plan.may_wait_for_relay(
+            self._kind, now_s=now_s
+        )
+        if has_no_relay or self._plan.must_ask_now(
             self._kind, wait_s=watch.wait_s, asked_at_s=watch.asked_at_s, now_s=now_s
         ):
             log_event("watch_replaced", kind=self._kind, revision=self._revision)
--- a/tests/gateway/test_store_views.py
+++ b/tests/gateway/test_store_views.py
@@ -9,6 +9,8 @@
 from citrondock_core.routing.store_position import StorePosition
 from citrondock_core.routing.store_watch_plan import (
     MIN_RELAY_ROUTERS,
+    RELAY_STATEMENT_AGE_S,
+    SHORT_WAIT_S,
     WATCHERS_PER_ZONE,
     StoreWatchPlan,
 )
@@ -23,6 +25,7 @@
     Snapshot,
     WatchedObject,
     WatchedStore,
+    WatchedStoreError,
 )
 
 KIND = "servers"
@@ -64,13 +67,18 @@
         self.store = store
         self.call_count = 0
         self.silenced_calls = 0
+        self.is_rejected = False
 
     async def list(self, kind):
         self.call_count += 1
+        if self.is_rejected:
+            raise WatchedStoreError("HTTP status 503", step="list")
         return self.store.snapshot
 
     async def watch(self, kind, *, after_revision, wait_s):
         self.call_count += 1
+        if self.is_rejected:
+            raise WatchedStoreError("HTTP status 503", step="watch")
         number = self.call_count
         try:
             async with asyncio.timeout(wait_s), self.store.changed:
@@ -253,3 +261,35 @@
             close(routers)
 
         run(check())
+
+    def test_routers_watch_for_themselves_once_the_store_rejects_the_watchers(self):
+        async def check():
+            store = Store()
+            routers = await large_zone(store)
+            others = followers_of(routers)
+            for router in routers:
+                router.connection.is_rejected = router.plan.is_watcher
+            # The watchers notice with their next call, and say so.
+            await asyncio.sleep(SHORT_WAIT_S + 0.8)
+            await store.change()
+            await asyncio.sleep(0.3)
+            assert {router.sink.position for router in others} == {store.position}
+            close(routers)
+
+        run(check())
+
+    def test_nor_do_they_wait_for_watchers_that_are_not_heard(self):
+        async def check():
+            store = Store()
+            routers = await large_zone(store)
+            others = followers_of(routers)
+            for router in routers:
+                if router.plan.is_watcher:
+                    router.broker.close()
+            await asyncio.sleep(RELAY_STATEMENT_AGE_S + 0.3)
+            await store.change()
+            await asyncio.sleep(0.3)
+            assert {router.sink.position for router in others} == {store.position}
+            close(routers)
+
+        run(check())
