Bound learned rates in one place, and drop counters that nothing reads

Found in the read-through: EngineSpeed had its bounds twice, and the relay of store changes counted what no metric shows. Behaviour is the same.

--- a/packages/citrondock-core/src/citrondock_core/routing/engine_speed.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_speed.py
@@ -105,9 +105,7 @@
         if tokens < MIN_SAMPLE_TOKENS:
             return
         prefill_s = max(delay_s - self.first_token_base_s, MIN_SAMPLE_S)
-        low = NOMINAL_PREFILL_TOKENS_PER_S * MIN_FACTOR
-        high = NOMINAL_PREFILL_TOKENS_PER_S * MAX_FACTOR
-        rate = min(max(tokens / prefill_s, low), high)
+        rate = _bounded(tokens / prefill_s)
         # The nominal rate weighs as much as two samples.
         self._sample_count += 1
         gain = max(1 / (self._sample_count + 2), LEARNING_GAIN)
@@ -141,18 +139,19 @@
             base_s = FIRST_TOKEN_BASE_S
         if abs(base_s - self.first_token_base_s) > tolerance_s and s_per_token > 0:
             # The rate was learned with another base time.
-            self._set_rate(1 / s_per_token)
+            self.tokens_per_s = _bounded(1 / s_per_token)
+            self._round()
         self.first_token_base_s = base_s
 
-    def _set_rate(self, tokens_per_s: float) -> None:
-        low = NOMINAL_PREFILL_TOKENS_PER_S * MIN_FACTOR
-        high = NOMINAL_PREFILL_TOKENS_PER_S * MAX_FACTOR
-        self.tokens_per_s = min(max(tokens_per_s, low), high)
-        self._round()
-
     def _round(self) -> None:
         factor = self.tokens_per_s / NOMINAL_PREFILL_TOKENS_PER_S
         if abs(factor - self._rounded_factor) >= SPEED_STEP:
             self._rounded_factor = max(
                 round(factor / SPEED_STEP) * SPEED_STEP, SPEED_STEP
             )
+
+
+def _bounded(tokens_per_s: float) -> float:
+    low = NOMINAL_PREFILL_TOKENS_PER_S * MIN_FACTOR
+    high = NOMINAL_PREFILL_TOKENS_PER_S * MAX_FACTOR
+    return min(max(tokens_per_s, low), high)
--- a/packages/citrondock-router/src/citrondock_router/gateway/store_change_relay.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/store_change_relay.py
@@ -43,7 +43,6 @@
         self._plan = plan
         self._loop = loop
         self._followers: dict[str, ObjectFollower] = {}
-        self.sent_count = self.applied_count = 0
         link.add_handler(self)
 
     def set_followers(self, followers: Sequence[ObjectFollower]) -> None:
@@ -61,7 +60,6 @@
         objects = _encode(changes.objects)
         if len(objects) > MAX_RELAYED_BYTES:
             return
-        self.sent_count += 1
         datagram = self._link.datagram()
         datagram.store_changes = [
             StoreChanges(
@@ -91,7 +89,6 @@
                     detail=repr(error),
                 )
                 continue
-            self.applied_count += 1
             follower.continue_with(
                 Snapshot(objects=objects, revision=changes.revision, era=changes.era),
                 after_revision=changes.after_revision,
