Log what an account is charged, and whether a prompt is late

The lines could not tell an account that home routers charge too much from one whose usage they know too late, nor prompts that are refused because they are late from others. engine_answered now names its account, the tokens of the request and the time left until it is late. OUTPUT_TOKEN_WEIGHT moves to the messages, where both sides use it.

--- a/packages/citrondock-core/src/citrondock_core/routing/engine_admission.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_admission.py
@@ -27,9 +27,6 @@
 HOLD_GAIN = 0.1
 """Weight of one request in the mean time for which a slot is held."""
 
-OUTPUT_TOKEN_WEIGHT = 2
-"""Prompt tokens that one generated token counts as in the usage of an account."""
-
 
 @attrs.frozen(kw_only=True)
 class EngineAdmissionOptions:
@@ -272,7 +269,7 @@
                 self._limiter.give_back()
             self._usage.give_back(
                 grant.request.account,
-                _charged_tokens(grant.request),
+                grant.request.charged_tokens,
                 charged_at_s=grant.granted_at_s,
                 now_s=now_s,
             )
@@ -382,7 +379,7 @@
         self._unstarted_tokens += tokens
         self._ratios.record_served(request.kind, now_s=now_s)
         self._memory_tokens += request.memory_tokens
-        self._usage.add(request.account, _charged_tokens(request), now_s=now_s)
+        self._usage.add(request.account, request.charged_tokens, now_s=now_s)
         return self._answer(request, Verdict.GRANTED, now_s)
 
     def _record_start(self, grant: _Grant, now_s: float) -> None:
@@ -456,7 +453,3 @@
     def _remove_waiting(self, waiting: _WaitingRequest) -> None:
         del self._waiting[waiting.request.key]
         self._queue.remove(waiting)
-
-
-def _charged_tokens(request: GrantRequest) -> int:
-    return request.prompt_tokens + OUTPUT_TOKEN_WEIGHT * request.output_tokens
--- a/packages/citrondock-core/src/citrondock_core/routing/grant.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/grant.py
@@ -15,6 +15,9 @@
 """Output tokens of a grant request for a plain request, which takes up one slot. A
 grant request without any tokens is for a permit."""
 
+OUTPUT_TOKEN_WEIGHT = 2
+"""Prompt tokens that one generated token counts as in the usage of an account."""
+
 
 class Verdict(enum.Enum):
     """A home router's decision on a grant request."""
@@ -90,6 +93,11 @@
         """Tokens of the engine's memory that the request takes up until it ends."""
         return self.prompt_tokens + self.output_tokens
 
+    @property
+    def charged_tokens(self) -> int:
+        """Tokens that the usage of the account grows by if it is granted."""
+        return self.prompt_tokens + OUTPUT_TOKEN_WEIGHT * self.output_tokens
+
     @property
     def is_permit(self) -> bool:
         """Whether it is for one plain request, which only a limit can hold back."""
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
@@ -62,6 +62,8 @@
     trial_key : GrantKey or None
         Grant request to another engine that is granted at once or refused, while
         ``key`` stays queued.
+    charged_tokens : int
+        Tokens that the account is charged for the last grant request, if granted.
     asked : set of str
         Target ids of the engines that were asked.
     """
@@ -73,6 +75,7 @@
     key: GrantKey | None = None
     first_answer_at_s: float = 0.0
     trial_key: GrantKey | None = None
+    charged_tokens: int = 0
     asked: set[str] = attrs.field(factory=set)
 
     @property
@@ -311,6 +314,7 @@
             on_time_until_s=exchange.on_time_until_s,
             wait_until_s=wait_until_s,
         )
+        search.charged_tokens = request.charged_tokens
         log_event(
             "engine_asked",
             request_id=exchange.facts.request_id,
@@ -348,16 +352,19 @@
             if answer.verdict is Verdict.GRANTED:
                 self._broker.report_progress(answer.key, Stage.WITHDRAWN)
             return
-        target_id = choice.load.entry.target_id
+        now_s = self._loop.time()
         log_event(
             "engine_answered",
             request_id=exchange.facts.request_id,
-            target=target_id,
+            target=choice.load.entry.target_id,
+            account=exchange.account,
             verdict=answer.verdict.name.lower(),
             refused=answer.refusal_reason and answer.refusal_reason.name.lower(),
             account_tokens=answer.account_tokens,
+            request_tokens=search.charged_tokens,
+            on_time_left_s=exchange.on_time_until_s - now_s,
             predicted_s=answer.first_answer_s,
-            waited_s=self._loop.time() - exchange.arrived_at_s,
+            waited_s=now_s - exchange.arrived_at_s,
         )
         if answer.verdict is Verdict.GRANTED:
             self._handle_grant(search, choice, answer)
--- a/tests/routing/test_engine_admission.py
+++ b/tests/routing/test_engine_admission.py
@@ -2,7 +2,6 @@
 
 from citrondock_core.routing.account_usage import DecayingUsage
 from citrondock_core.routing.engine_admission import (
-    OUTPUT_TOKEN_WEIGHT,
     EngineAdmission,
     EngineAdmissionOptions,
 )
@@ -12,6 +11,7 @@
     EngineSpeed,
 )
 from citrondock_core.routing.grant import (
+    OUTPUT_TOKEN_WEIGHT,
     GrantKey,
     GrantRequest,
     RefusalReason,
