Forget account usage within a second, so that a burst is no head start

Callers of an account that had been served while engines had room got nothing for up to three seconds once other accounts came, and less than half of what those got over six.

Cause: home routers serve the account with the lowest recent usage, and usage had a half-life of 2 s, a decay time of 2.9 s. An account that had used an engine alone stands at 2.9 s of its capacity; N new accounts need 2.9 s x ln(N + 1) to get there, and until then it gets nothing. That is 3.2 s for two and 7.4 s for twelve, of the six seconds over which users judge.

With a half-life of 0.5 s it is 0.8 s for two and 1.9 s for twelve. Ruled out: charging only service in contention, and lifting accounts that were idle, need to know across the fleet who waits, and since when; a short memory needs neither.

--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_home.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_home.py
@@ -24,13 +24,13 @@
 from citrondock_router.gateway.peer_link import PeerLink
 from citrondock_router.log import log_event
 
-USAGE_HALF_LIFE_S = 2.0
-"""Half-life of the usage of each account. Usage older than a few seconds hardly counts,
-as users judge fairness over six seconds."""
+USAGE_HALF_LIFE_S = 0.5
+"""Half-life of the usage of each account. What an account got before others came holds
+it up until they have caught up; that must take far less than the six seconds over which
+users judge fairness, however many accounts come at once."""
 
 MIN_USAGE_PERIOD_S = 0.5
-"""Home routers report account usage to each other at most four times in
-`USAGE_HALF_LIFE_S`."""
+"""Home routers report account usage to each other at most this often."""
 
 MAX_USAGE_BYTES_PER_S = 1000.0
 """Rate limit of usage reports: a third of a router's control traffic. In a large fleet
