Order late prompts by the share of their account, not behind all others

Callers of an account that was refused once were refused again when they came back, while others with a higher usage were served.

Cause: late prompts went behind all prompts that can be on time until their account had less than half of the usage of the best served one, the bound of the rule itself: the queue held such an account at half.

Now usage decides, and counts a third more for late prompts: an account that only has late ones gets three quarters of what others get, by its own weight and not beside the best served one.

TestPromptsThatComeBackLate bracketed the old threshold between 0.33 and 0.67 of the other account's usage; it brackets the new one between 0.67 and 0.83.

--- a/packages/citrondock-core/src/citrondock_core/routing/admission_queue.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/admission_queue.py
@@ -22,19 +22,19 @@
 
 _W = TypeVar("_W", bound=WaitingRequest)
 
-UNDERSERVED_SHARE = 0.5
-"""An account is underserved below this share of the recent usage of the account with
-the highest usage that waits beside it."""
+LATE_USAGE_FACTOR = 4 / 3
+"""Late requests are ordered as if their account had this multiple of its usage. An
+account that only has late ones, as it is refused, gets three quarters of what the
+others get."""
 
 
 class AdmissionQueue(Generic[_W]):
-    """Waiting requests, ordered by deadline and by fairness between accounts.
+    """Waiting requests, ordered by fairness between accounts and by deadline.
 
-    Requests that can still be on time go before late ones, except for late ones of an
-    underserved account: its requests may be late because it is. Among these the account
-    with the lowest recent usage goes first. Within an account, requests that can be on
-    time go first, then the kind of request with the lowest served ratio, and within a
-    kind the earliest deadline.
+    The account with the lowest recent usage goes first; for late requests that usage
+    counts `LATE_USAGE_FACTOR` times. Within an account, requests that can be on time go
+    first, then the kind of request with the lowest served ratio, and within a kind the
+    earliest deadline.
 
     Parameters
     ----------
@@ -89,22 +89,18 @@
 
         Each request counts as usage for the requests behind it of the same account.
         """
-        ordered: list[tuple[bool, float, float, int, _W]] = []
-        usage = {
-            account: self._usage.received_tokens(account, now_s=now_s)
-            for account in self._by_account
-        }
-        underserved_tokens = UNDERSERVED_SHARE * max(usage.values(), default=0.0)
+        ordered: list[tuple[float, bool, float, int, _W]] = []
         for account, waiting in self._by_account.items():
-            received_tokens = usage[account]
+            received_tokens = self._usage.received_tokens(account, now_s=now_s)
             in_turn = sorted(
                 waiting.values(),
                 key=lambda request: self._order_in_account(request, now_s),
             )
             for request in in_turn:
                 until_s = request.on_time_until_s
-                goes_last = until_s < now_s and received_tokens >= underserved_tokens
-                rank = (goes_last, received_tokens, until_s, id(request), request)
+                is_late = until_s < now_s
+                rank_tokens = received_tokens * (LATE_USAGE_FACTOR if is_late else 1.0)
+                rank = (rank_tokens, is_late, until_s, id(request), request)
                 ordered.append(rank)
                 received_tokens += request.cost_tokens
         ordered.sort(key=lambda rank: rank[:4])
--- a/packages/citrondock-core/src/citrondock_core/routing/engine_admission.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_admission.py
@@ -87,8 +87,7 @@
 class EngineAdmission:
     """Grants, queues or refuses the prompts that routers want to send to one engine.
 
-    Prompts that can still be on time go before late ones; among these the account with
-    the lowest recent usage goes first.
+    The account with the lowest recent usage goes first, see `AdmissionQueue`.
 
     Parameters
     ----------
