Add up account usage by zones, so that home routers know it within a second

Cause: each home router reported to each other one, which at 42 home routers took until 9 s within the traffic allowed, far longer than usage lasts.

Home routers now report to one router of their zone, the collector, every 0.25 s and get the sum of all zones in return. What is reported is kept until the next report is overdue and then decays.

The tests of reports to each other are replaced by ones of the sums, of a silent collector and of large zones, with the same limit of 1,000 bytes a second.

--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -283,7 +283,7 @@
 
     async def _report_usage(self) -> None:
         while True:
-            await asyncio.sleep(self.broker.home.report_usage())
+            await asyncio.sleep(self.broker.usage.report())
 
     def _tick(self) -> None:
         lag_s = self.gateway.overload.timer_fired()
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_broker.py
@@ -29,6 +29,7 @@
 from citrondock_router.gateway.grant_home import GrantHome, KnownEngine, LocalRequester
 from citrondock_router.gateway.limit_exchange import LimitExchange
 from citrondock_router.gateway.peer_link import DatagramHandler, PeerLink
+from citrondock_router.gateway.usage_exchange import UsageExchange
 from citrondock_router.log import log_event
 from citrondock_wire.grant_codec import PeerDatagram
 
@@ -111,6 +112,7 @@
         self.limits = LimitExchange(self.link, loop)
         self.link.add_handler(self)
         self.home = GrantHome(self.link, self, self.limits.table, loop, engine_loads)
+        self.usage = UsageExchange(self.link, self.home.usage, loop)
         self._engine_loads = engine_loads
         self._loop = loop
         self._numbers = itertools.count(1)
@@ -213,7 +215,6 @@
         sender = datagram.vm_name
         for backlog in (*datagram.backlogs, *datagram.known_backlogs):
             self._engine_loads.update(backlog, now_s=now_s)
-        self.home.update_usage(sender, datagram.usage)
         for progress in datagram.progress:
             self.home.handle_progress(progress)
         for request in datagram.grant_requests:
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_home.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_home.py
@@ -8,7 +8,7 @@
 
 from citrondock_core.routing.engine_admission import EngineAdmission
 from citrondock_core.routing.engine_load_view import EngineLoadView
-from citrondock_core.routing.fleet_usage import FleetUsage, ReportedUsage
+from citrondock_core.routing.fleet_usage import FleetUsage
 from citrondock_core.routing.grant import (
     EngineBacklog,
     GrantAnswer,
@@ -29,14 +29,6 @@
 it up until they have caught up; that must take far less than the six seconds over which
 users judge fairness, however many accounts come at once."""
 
-MIN_USAGE_PERIOD_S = 0.5
-"""Home routers report account usage to each other at most this often."""
-
-MAX_USAGE_BYTES_PER_S = 1000.0
-"""Rate limit of usage reports: a third of a router's control traffic. In a large fleet
-routers report less often to stay below it."""
-
-
 RELAYED_REPORTS = 6
 """Reports on other engines that go with each answer to a grant request. Every router
 gets some answers a second, so that it hears of most engines within a second."""
@@ -81,6 +73,11 @@
     engine_loads : EngineLoadView
         Backlogs of all engines; those of the engines homed here are added, and some
         of the others are passed on.
+
+    Attributes
+    ----------
+    usage : FleetUsage
+        Recent usage of accounts at all engines, as far as it is known here.
     """
 
     def __init__(
@@ -100,7 +97,7 @@
         # VM names of the routers that sent the requests.
         self._requesters: dict[GrantKey, str] = {}
         self._engines: dict[str, KnownEngine] = {}
-        self._usage = FleetUsage(half_life_s=USAGE_HALF_LIFE_S)
+        self.usage = FleetUsage(half_life_s=USAGE_HALF_LIFE_S)
         self.expired_grant_count = 0
 
     @property
@@ -119,11 +116,7 @@
 
     def received_tokens(self, account: str, *, now_s: float) -> float:
         """Return the recent usage of an account, as far as it is known here."""
-        return self._usage.received_tokens(account, now_s=now_s)
-
-    def update_usage(self, vm_name: str, usage: Iterable[ReportedUsage]) -> None:
-        """Apply another home router's report of account usage."""
-        self._usage.update(vm_name, usage, now_s=self._loop.time())
+        return self.usage.received_tokens(account, now_s=now_s)
 
     def set_engines(self, engines: dict[str, KnownEngine]) -> None:
         """Replace the engines that prompts may be sent to.
@@ -166,7 +159,7 @@
             self._requesters.pop(request.key, None)
 
     def _new_admission(self, target_id: str, engine: KnownEngine) -> EngineAdmission:
-        admission = EngineAdmission(target_id, engine.options, self._usage)
+        admission = EngineAdmission(target_id, engine.options, self.usage)
         loads = self._engine_loads
         if loads.is_shared and loads.knows(target_id):
             # What the router that was the engine's home before has learned.
@@ -219,25 +212,6 @@
             if request_key in known
         }
 
-    def report_usage(self) -> float:
-        """Report local account usage to the other home routers.
-
-        Returns
-        -------
-        float
-            Time in seconds until the next report is due.
-        """
-        now_s = self._loop.time()
-        usage = self._usage.top_accounts(now_s=now_s) if self._admissions else []
-        homes = self._other_homes(now_s) if usage else set()
-        before_bytes = self._link.sent_bytes
-        datagram = self._link.datagram()
-        datagram.usage = usage
-        for vm_name in homes:
-            self._link.send(vm_name, datagram)
-        report_bytes = self._link.sent_bytes - before_bytes
-        return max(report_bytes / MAX_USAGE_BYTES_PER_S, MIN_USAGE_PERIOD_S)
-
     def forget_router(self, former_incarnation: int) -> None:
         """Drop all requests and grants of a former incarnation of a router."""
         for admission in self._admissions.values():
@@ -285,11 +259,3 @@
         if backlog is not None:
             self._engine_loads.update(backlog, now_s=now_s)
         self._link.send(requester, datagram)
-
-    def _other_homes(self, now_s: float) -> set[str]:
-        peers = self._link.peers
-        homes = {
-            peers.home_router_of(target_id, engine.availability_zone, now_s=now_s)
-            for target_id, engine in self._engines.items()
-        }
-        return homes - {self._link.vm_name}
--- a/packages/citrondock-wire/grants.thrift
+++ b/packages/citrondock-wire/grants.thrift
@@ -63,7 +63,7 @@
   5: optional i32 age_ms
 }
 
-// Recent usage of an account at the engines that the sender is the home of.
+// Recent usage of an account at some engines.
 struct Usage {
   1: string account
   2: i32 tokens
@@ -132,7 +132,7 @@
   5: optional list<Progress> progress
   6: optional list<Backlog> backlogs
   7: optional Presence presence
-  8: optional list<Usage> usage
+  8: optional list<Usage> usage // at the engines that the sender is the home of
   9: optional list<Crash> crashes
   10: optional list<PartState> part_states
   11: optional list<TargetLimit> limits
@@ -141,4 +141,6 @@
   // Backlogs of other engines that the sender knows of.
   14: optional list<Backlog> known_backlogs
   15: optional list<StoreChanges> store_changes
+  16: optional list<Usage> zone_usage  // at the engines homed in the sender's zone
+  17: optional list<Usage> fleet_usage // at all engines
 }
--- a/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
+++ b/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
@@ -1242,11 +1242,13 @@
      - store_views
      - known_backlogs
      - store_changes
+     - zone_usage
+     - fleet_usage
 
     """
 
 
-    def __init__(self, vm_name=None, incarnation=None, asks=None, answers=None, progress=None, backlogs=None, presence=None, usage=None, crashes=None, part_states=None, limits=None, departures=None, store_views=None, known_backlogs=None, store_changes=None,):
+    def __init__(self, vm_name=None, incarnation=None, asks=None, answers=None, progress=None, backlogs=None, presence=None, usage=None, crashes=None, part_states=None, limits=None, departures=None, store_views=None, known_backlogs=None, store_changes=None, zone_usage=None, fleet_usage=None,):
         self.vm_name = vm_name
         self.incarnation = incarnation
         self.asks = asks
@@ -1262,6 +1264,8 @@
         self.store_views = store_views
         self.known_backlogs = known_backlogs
         self.store_changes = store_changes
+        self.zone_usage = zone_usage
+        self.fleet_usage = fleet_usage
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1420,6 +1424,28 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.zone_usage = []
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = Usage()
+                        _elem98.read(iprot)
+                        self.zone_usage.append(_elem98)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.LIST:
+                    self.fleet_usage = []
+                    (_etype102, _size99) = iprot.readListBegin()
+                    for _i103 in range(_size99):
+                        _elem104 = Usage()
+                        _elem104.read(iprot)
+                        self.fleet_usage.append(_elem104)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1441,29 +1467,29 @@
         if self.asks is not None:
             oprot.writeFieldBegin('asks', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.asks))
-            for iter93 in self.asks:
-                iter93.write(oprot)
+            for iter105 in self.asks:
+                iter105.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.answers is not None:
             oprot.writeFieldBegin('answers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.answers))
-            for iter94 in self.answers:
-                iter94.write(oprot)
+            for iter106 in self.answers:
+                iter106.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.progress is not None:
             oprot.writeFieldBegin('progress', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.progress))
-            for iter95 in self.progress:
-                iter95.write(oprot)
+            for iter107 in self.progress:
+                iter107.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.backlogs is not None:
             oprot.writeFieldBegin('backlogs', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.backlogs))
-            for iter96 in self.backlogs:
-                iter96.write(oprot)
+            for iter108 in self.backlogs:
+                iter108.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.presence is not None:
@@ -1473,57 +1499,71 @@
         if self.usage is not None:
             oprot.writeFieldBegin('usage', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.usage))
-            for iter97 in self.usage:
-                iter97.write(oprot)
+            for iter109 in self.usage:
+                iter109.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 9)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter98 in self.crashes:
-                iter98.write(oprot)
+            for iter110 in self.crashes:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.part_states is not None:
             oprot.writeFieldBegin('part_states', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.part_states))
-            for iter99 in self.part_states:
-                iter99.write(oprot)
+            for iter111 in self.part_states:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter100 in self.limits:
-                iter100.write(oprot)
+            for iter112 in self.limits:
+                iter112.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.departures is not None:
             oprot.writeFieldBegin('departures', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.departures))
-            for iter101 in self.departures:
-                iter101.write(oprot)
+            for iter113 in self.departures:
+                iter113.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_views is not None:
             oprot.writeFieldBegin('store_views', TType.LIST, 13)
             oprot.writeListBegin(TType.STRUCT, len(self.store_views))
-            for iter102 in self.store_views:
-                iter102.write(oprot)
+            for iter114 in self.store_views:
+                iter114.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.known_backlogs is not None:
             oprot.writeFieldBegin('known_backlogs', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.known_backlogs))
-            for iter103 in self.known_backlogs:
-                iter103.write(oprot)
+            for iter115 in self.known_backlogs:
+                iter115.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.store_changes is not None:
             oprot.writeFieldBegin('store_changes', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.store_changes))
-            for iter104 in self.store_changes:
-                iter104.write(oprot)
+            for iter116 in self.store_changes:
+                iter116.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.zone_usage is not None:
+            oprot.writeFieldBegin('zone_usage', TType.LIST, 16)
+            oprot.writeListBegin(TType.STRUCT, len(self.zone_usage))
+            for iter117 in self.zone_usage:
+                iter117.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.fleet_usage is not None:
+            oprot.writeFieldBegin('fleet_usage', TType.LIST, 17)
+            oprot.writeListBegin(TType.STRUCT, len(self.fleet_usage))
+            for iter118 in self.fleet_usage:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1660,6 +1700,8 @@
     (13, TType.LIST, 'store_views', (TType.STRUCT, [StoreView, None], False), None, ),  # 13
     (14, TType.LIST, 'known_backlogs', (TType.STRUCT, [Backlog, None], False), None, ),  # 14
     (15, TType.LIST, 'store_changes', (TType.STRUCT, [StoreChanges, None], False), None, ),  # 15
+    (16, TType.LIST, 'zone_usage', (TType.STRUCT, [Usage, None], False), None, ),  # 16
+    (17, TType.LIST, 'fleet_usage', (TType.STRUCT, [Usage, None], False), None, ),  # 17
 )
 fix_spec(all_structs)
 del all_structs
--- a/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
+++ b/packages/citrondock-wire/src/citrondock_wire/grant_codec.py
@@ -29,6 +29,9 @@
 
 MS_PER_S = 1_000
 
+MAX_USAGE_TOKENS = 2**31 - 1
+"""Largest usage that fits into a report."""
+
 LIMIT_STEPS_PER_REQUEST = 1_000
 MAX_LIMIT_STEPS = 2**31 - 1
 """Limits are sent in thousandths of a request a second; 0 stands for no limit."""
@@ -82,8 +85,9 @@
         Backlogs of other engines that the sender has been told.
     presence : Presence or None
         Announcement of the sender.
-    usage : list of ReportedUsage
-        Recent usage of accounts at the engines that the sender is the home of.
+    usage, zone_usage, fleet_usage : list of ReportedUsage
+        Recent usage of accounts at the engines that the sender is the home of, at those
+        of its zone's routers, and at all engines.
     crashes : list of EngineCrash
         Engines that the sender found to have crashed.
     part_states : list of PartState
@@ -107,6 +111,8 @@
     known_backlogs: list[EngineBacklog] = attrs.field(factory=list)
     presence: Presence | None = None
     usage: list[ReportedUsage] = attrs.field(factory=list)
+    zone_usage: list[ReportedUsage] = attrs.field(factory=list)
+    fleet_usage: list[ReportedUsage] = attrs.field(factory=list)
     crashes: list[EngineCrash] = attrs.field(factory=list)
     part_states: list[PartState] = attrs.field(factory=list)
     limits: list[TargetLimit] = attrs.field(factory=list)
@@ -155,7 +161,9 @@
                 )
                 if presence
                 else None,
-                usage=[_usage_to_thrift(item) for item in datagram.usage] or None,
+                usage=_usage_to_thrift(datagram.usage),
+                zone_usage=_usage_to_thrift(datagram.zone_usage),
+                fleet_usage=_usage_to_thrift(datagram.fleet_usage),
                 crashes=[_crash_to_thrift(item) for item in datagram.crashes] or None,
                 part_states=[
                     _part_state_to_thrift(item) for item in datagram.part_states
@@ -230,9 +238,9 @@
             )
             if presence
             else None,
-            usage=[
-                ReportedUsage(item.account, item.tokens) for item in decoded.usage or ()
-            ],
+            usage=_usage_from_thrift(decoded.usage),
+            zone_usage=_usage_from_thrift(decoded.zone_usage),
+            fleet_usage=_usage_from_thrift(decoded.fleet_usage),
             crashes=[_crash_from_thrift(item) for item in decoded.crashes or ()],
             part_states=[
                 _part_state_from_thrift(item) for item in decoded.part_states or ()
@@ -332,8 +340,15 @@
     )
 
 
-def _usage_to_thrift(usage: ReportedUsage) -> ttypes.Usage:
-    return ttypes.Usage(account=usage.account, tokens=usage.tokens)
+def _usage_to_thrift(usage: list[ReportedUsage]) -> list[ttypes.Usage] | None:
+    return [
+        ttypes.Usage(account=item.account, tokens=min(item.tokens, MAX_USAGE_TOKENS))
+        for item in usage
+    ] or None
+
+
+def _usage_from_thrift(usage: list[ttypes.Usage] | None) -> list[ReportedUsage]:
+    return [ReportedUsage(item.account, item.tokens) for item in usage or ()]
 
 
 def _backlog_from_thrift(backlog: ttypes.Backlog) -> EngineBacklog:
--- a/tests/gateway/simulated_gateways.py
+++ b/tests/gateway/simulated_gateways.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from citrondock_core.routing.account_usage import DecayingUsage
 from citrondock_core.routing.engine_load_view import EngineLoadView
 from citrondock_core.routing.peer_table import Peer, PeerTable
 from citrondock_core.routing.placement import Placement
@@ -22,7 +23,7 @@
 from citrondock_core.routing.target_load import TargetLoad
 from citrondock_router.gateway.crash_exchange import CrashExchange
 from citrondock_router.gateway.grant_broker import GrantBroker
-from citrondock_router.gateway.grant_home import KnownEngine
+from citrondock_router.gateway.grant_home import USAGE_HALF_LIFE_S, KnownEngine
 from citrondock_router.gateway.grant_requester import EnginePool, GrantRequester
 from citrondock_router.gateway.overload_guard import OverloadGuard
 
@@ -330,7 +331,7 @@
 
     def report_usage(self):
         self.spend(self.costs.datagram_s)
-        period_s = self.broker.home.report_usage()
+        period_s = self.broker.usage.report()
         self.fleet.simulation.call_at(self.time() + period_s, self.report_usage)
 
     # As a gateway.
@@ -363,6 +364,7 @@
 
     def start(self, exchange, choice):
         exchange.is_waiting = False
+        self.fleet.usage.add(exchange.account, exchange.tokens, now_s=self.time())
         self.overload.record_sent()
         simulation = self.fleet.simulation
         engine = self.fleet.engines_by_id[choice.load.entry.target_id]
@@ -395,6 +397,8 @@
         self.simulation = Simulation()
         self.record = Record(self.simulation)
         self.seed = seed
+        # What accounts were charged in the whole fleet.
+        self.usage = DecayingUsage(half_life_s=USAGE_HALF_LIFE_S)
         self.random = random.Random(seed)
         zones = ["z1", "z2", "z3"]
         self.engines = [
--- a/tests/gateway/test_grant_broker.py
+++ b/tests/gateway/test_grant_broker.py
@@ -9,6 +9,7 @@
 
 from citrondock_core.routing.engine_crash import EngineCrash
 from citrondock_core.routing.engine_load_view import EngineLoadView
+from citrondock_core.routing.fleet_usage import ReportedUsage
 from citrondock_core.routing.grant import (
     EngineBacklog,
     GrantAnswer,
@@ -33,10 +34,11 @@
 from citrondock_core.routing.target_limits import TargetLimit
 from citrondock_router.gateway.gateway_settings import Address
 from citrondock_router.gateway.grant_broker import ANSWER_TIMEOUT_S, GrantBroker
-from citrondock_router.gateway.grant_home import (
-    MAX_USAGE_BYTES_PER_S,
-    MIN_USAGE_PERIOD_S,
-    KnownEngine,
+from citrondock_router.gateway.grant_home import KnownEngine
+from citrondock_router.gateway.usage_exchange import (
+    MAX_COLLECTED_PER_S,
+    MAX_MISSED_REPORTS,
+    MIN_REPORT_PERIOD_S,
 )
 from citrondock_wire.gen.citrondock_grants import ttypes
 from citrondock_wire.grant_codec import (
@@ -47,6 +49,8 @@
 )
 
 HOST = "127.0.0.1"
+MAX_USAGE_BYTES_PER_S = 1000
+"""A third of the control traffic of a router."""
 ENGINE = ModelEngineOptions(max_batch_size=8, memory_tokens=100_000)
 
 
@@ -152,6 +156,10 @@
         ]
 
 
+def asyncio_time():
+    return asyncio.get_running_loop().time()
+
+
 async def router_pair():
     """Return a router of zone z1 and one of z2 that know each other."""
     routers = [Router("v1", "z1"), Router("v2", "z2")]
@@ -194,7 +202,7 @@
             for _ in range(3):
                 first.request_grant("z2")
                 await tick_for([first, second], 0.05)
-            second.broker.home.report_usage()
+            second.broker.usage.report()
             await asyncio.sleep(0.05)
             now_s = asyncio.get_running_loop().time()
             received = first.broker.home.received_tokens("a", now_s=now_s)
@@ -206,30 +214,64 @@
         async def check():
             first, _ = await router_pair()
             before_bytes = first.broker.link.sent_bytes
-            assert first.broker.home.report_usage() == MIN_USAGE_PERIOD_S
+            assert first.broker.usage.report() == MIN_REPORT_PERIOD_S
             assert first.broker.link.sent_bytes == before_bytes
 
         run(check())
 
-    def test_usage_is_reported_less_often_in_a_large_fleet(self):
+    def test_usage_is_reported_less_often_in_a_large_zone(self):
         async def check():
             first, _ = await router_pair()
-            for number in range(200):
+            for number in range(400):
                 first.table.put(
                     Peer(
-                        vm_name=f"p{number}", host=HOST, port=9, availability_zone="z2"
+                        vm_name=f"p{number}", host=HOST, port=9, availability_zone="z1"
                     )
                 )
-            engines = {f"e{n}": KnownEngine(ENGINE, "z2") for n in range(400)}
-            engines["e1"] = KnownEngine(ENGINE, "z1")
-            first.broker.set_engines(engines)
-            first.request_grant("z1")
-            await tick_for([first], 0.05)
+            first.broker.set_engines({"e1": KnownEngine(ENGINE, "z1")})
+            first.broker.home.usage.add("a", 5000, now_s=asyncio_time())
             before_bytes = first.broker.link.sent_bytes
-            period_s = first.broker.home.report_usage()
+            period_s = first.broker.usage.report()
             report_bytes = first.broker.link.sent_bytes - before_bytes
-            assert report_bytes > 2000
-            assert report_bytes / period_s <= MAX_USAGE_BYTES_PER_S
+            assert 401 / period_s <= MAX_COLLECTED_PER_S
+            assert 0 < report_bytes / period_s <= MAX_USAGE_BYTES_PER_S
+
+        run(check())
+
+    def test_a_home_router_gets_the_sum_from_its_collector(self):
+        async def check():
+            router = Router("v1", "z1")
+            await router.start()
+            collector = await ScriptedHome.start("v2", "z1", router)
+            router.table.is_overloaded = True  # so that the other one is chosen
+            usage = router.broker.home.usage
+            usage.add("a", 5000, now_s=asyncio_time())
+            router.broker.usage.report()
+            await asyncio.sleep(0.02)
+            reported = collector.received[-1].usage
+            assert [item.account for item in reported] == ["a"]
+            total = [ReportedUsage("a", reported[0].tokens + 7000)]
+            collector.send(fleet_usage=total)
+            await asyncio.sleep(0.02)
+            known = usage.received_tokens("a", now_s=asyncio_time())
+            assert 0.8 * 12_000 < known <= 12_000
+
+        run(check())
+
+    def test_a_collector_that_answers_no_report_is_replaced(self):
+        async def check():
+            router = Router("v1", "z1")
+            await router.start()
+            collector = await ScriptedHome.start("v2", "z1", router)
+            router.table.is_overloaded = True
+            usage = router.broker.home.usage
+            for _ in range(MAX_MISSED_REPORTS + 1):
+                usage.add("a", 5000, now_s=asyncio_time())
+                router.broker.usage.report()
+            await asyncio.sleep(0.02)
+            assert len(collector.received) == MAX_MISSED_REPORTS
+            now_s = asyncio_time()
+            assert router.table.home_router_of("usage/z1", "z1", now_s=now_s) == "v1"
 
         run(check())
 
--- a/tests/gateway/test_promised_shares.py
+++ b/tests/gateway/test_promised_shares.py
@@ -77,6 +77,32 @@
         assert mix.violations() == []
 
 
+class TestUsageKnownToHomeRouters:
+    def test_the_usage_of_a_burst_is_known_in_a_large_fleet_within_a_second(self):
+        burst_at_s = 2.0
+        fleet = SimulatedFleet(66, 40, seed=1)
+        capacity_per_s = fleet.tokens_per_s / TOKENS_PER_REQUEST
+        load = {"until_s": LENGTH_S, "returns": True}
+        few_routers = fleet.routers[:2]
+        fleet.add_load("steady", 0.2 * capacity_per_s, few_routers, from_s=0.5, **load)
+        fleet.add_load(
+            "burst", 1.2 * capacity_per_s, fleet.routers, from_s=burst_at_s, **load
+        )
+        fleet.run(burst_at_s + 1.0)
+        now_s = fleet.simulation.now_s
+        homes = [
+            router.broker.home
+            for router in fleet.routers
+            if router.broker.home.granted_count
+        ]
+        assert len(homes) > 20
+        for account in ("steady", "burst"):
+            charged = fleet.usage.received_tokens(account, now_s=now_s)
+            known = [home.received_tokens(account, now_s=now_s) for home in homes]
+            assert min(known) > 0.5 * charged
+            assert max(known) < 2 * charged
+
+
 class TestManyMixes:
     @pytest.mark.parametrize("seed", range(1, 9))
     def test_an_account_that_waits_gets_half_of_what_another_gets(self, seed):
