Let a stream go on only at the software version that began it

Callers got streams whose first part was written by targets of one software version and the rest by another's, within one answer and after they had taken them up, with nothing in the answer to show it.

Cause: nothing read the version of a target's entry. A broken stream went on at any target of its service, and a take-up went to any.

A target's entry now has its version. An answer goes on only at the version that wrote its first event. Services with one version read and write nothing for their streams.

--- a/packages/citrondock-core/src/citrondock_core/routing/request_facts.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/request_facts.py
@@ -79,6 +79,8 @@
         Time until the client's deadline, if it gave one.
     resume_after_event_id : int or None
         Last event that the client has received, if it resumes a stream.
+    begun_by_request_id : str or None
+        Attempt that brought the first event of that stream, if the client names it.
     prompt : PromptFacts or None
         The prompt; None for requests that go to no model.
     """
@@ -89,4 +91,5 @@
     key: str | None
     time_left_s: float | None
     resume_after_event_id: int | None = None
+    begun_by_request_id: str | None = None
     prompt: PromptFacts | None = None
--- /dev/null
+++ b/packages/citrondock-core/src/citrondock_core/routing/stream_versions.py
@@ -0,0 +1,189 @@
+"""Which software version began each stream that a client may take up again.
+
+Each service has a base version. A stream without a record began at the base version;
+every other one is recorded in the store before its first event is passed on.
+"""
+
+import math
+from collections.abc import Collection, Iterable, Mapping
+
+import attrs
+import xxhash
+
+LIFETIME_MARGIN_S = 5.0
+"""Time beyond the longest deadline of a client for which streams are remembered: their
+targets may serve on for seconds after their entries are gone, and clocks differ."""
+
+MAX_LIFETIME_S = 60.0
+"""Longest time for which streams are remembered."""
+
+
+def stream_key(request_id: str) -> str:
+    """Return the key of the stream whose first event a client attempt brought."""
+    return xxhash.xxh64_hexdigest(request_id.encode())
+
+
+@attrs.frozen(kw_only=True)
+class StreamRecord:
+    """The version that began one stream.
+
+    Parameters
+    ----------
+    key : str
+        Key of the stream.
+    version : str
+        Software version.
+    order : tuple of int
+        Position among the records of the stream; the latest one holds.
+    """
+
+    key: str
+    version: str
+    order: tuple[int, int]
+
+
+@attrs.define
+class _ServiceState:
+    live: Mapping[str, int] = attrs.field(factory=dict)
+    """Targets by version, those that are leaving included."""
+
+    base: str | None = None
+    is_base_confirmed: bool = False
+    """Whether the base version has had targets ever since it was read."""
+
+    base_gone_at_s: float = math.inf
+    mixed_until_s: float = -math.inf
+
+
+class StreamVersions:
+    """What this router knows of base versions and records.
+
+    The base version changes only when it has had no targets for so long that none of
+    its streams can be taken up any more. A router that does not know of the change
+    records too much, or takes streams for ones of a version that no target has; it
+    never takes them for ones of a version that serves.
+    """
+
+    def __init__(self) -> None:
+        self._services: dict[str, _ServiceState] = {}
+        self._records: dict[str, StreamRecord] = {}
+        self._expires_at_s: dict[str, float] = {}
+        self._longest_deadline_s = 0.0
+        self.is_read = False
+
+    @property
+    def lifetime_s(self) -> float:
+        """Time for which a stream may be taken up after it began."""
+        return min(self._longest_deadline_s + LIFETIME_MARGIN_S, MAX_LIFETIME_S)
+
+    def observe_deadline(self, time_left_s: float) -> None:
+        """Take account of how long a client waits for a stream."""
+        if time_left_s > self._longest_deadline_s:
+            self._longest_deadline_s = time_left_s
+
+    def set_live(
+        self, services: Mapping[str, Mapping[str, int]], *, now_s: float
+    ) -> None:
+        """Apply the number of registered targets of each service and version."""
+        for service in {*services, *self._services}:
+            state = self._services.setdefault(service, _ServiceState())
+            state.live = services.get(service, {})
+            self._update(state, now_s)
+
+    def set_base(self, service: str, version: str, *, now_s: float) -> None:
+        """Apply the base version that the store names."""
+        state = self._services.setdefault(service, _ServiceState())
+        if state.base != version:
+            state.base = version
+            state.base_gone_at_s = math.inf
+        state.is_base_confirmed = True
+        self._update(state, now_s)
+
+    def _update(self, state: _ServiceState, now_s: float) -> None:
+        if state.base in state.live:
+            state.base_gone_at_s = math.inf
+        elif state.live:
+            state.is_base_confirmed = False
+            state.base_gone_at_s = min(state.base_gone_at_s, now_s)
+        versions = {*state.live, state.base} - {None}
+        if len(versions) > 1:
+            state.mixed_until_s = now_s + MAX_LIFETIME_S
+
+    def base(self, service: str) -> str | None:
+        """Return the base version of a service as it is known here."""
+        state = self._services.get(service)
+        return state.base if state is not None else None
+
+    def services(self) -> list[str]:
+        """Return the services that have targets."""
+        return [service for service, state in self._services.items() if state.live]
+
+    def is_live(self, service: str, version: str) -> bool:
+        """Return whether a version of a service has registered targets."""
+        state = self._services.get(service)
+        return state is not None and version in state.live
+
+    @property
+    def must_read(self) -> bool:
+        """Whether the store may name other base versions than those known here."""
+        return not self.is_read or any(
+            not state.is_base_confirmed and state.base in state.live
+            for state in self._services.values()
+        )
+
+    def is_mixed(self, service: str, *, now_s: float) -> bool:
+        """Return whether a stream may have begun at another version than the base."""
+        state = self._services.get(service)
+        if state is None or not self.is_read or state.base is None:
+            return True
+        return now_s < state.mixed_until_s or len({*state.live, state.base}) > 1
+
+    def needs_record(self, service: str, version: str) -> bool:
+        """Return whether a stream has to be recorded before it begins at a version."""
+        state = self._services.get(service)
+        if state is None:
+            return False
+        if state.base is None:
+            return len(state.live) > 1
+        return version != state.base or not state.is_base_confirmed
+
+    def add(self, records: Iterable[StreamRecord], *, expires_at_s: float) -> None:
+        """Remember records until they expire."""
+        for record in records:
+            known = self._records.get(record.key)
+            if known is None or known.order <= record.order:
+                self._records[record.key] = record
+            self._expires_at_s[record.key] = expires_at_s
+
+    def expire(self, *, now_s: float) -> None:
+        """Forget the records of streams that cannot be taken up any more."""
+        for key, expires_at_s in list(self._expires_at_s.items()):
+            if now_s >= expires_at_s:
+                del self._expires_at_s[key], self._records[key]
+
+    def recorded_version(self, request_id: str) -> str | None:
+        """Return the version of a recorded stream; None without a record."""
+        record = self._records.get(stream_key(request_id))
+        return record.version if record is not None else None
+
+    def new_base(self, service: str, *, now_s: float) -> str | None:
+        """Return the version that should become the base; None for no change."""
+        state = self._services.get(service)
+        if state is None or not state.live or state.base in state.live:
+            return None
+        if state.base is None and len(state.live) == 1:
+            return next(iter(state.live))
+        if now_s < state.base_gone_at_s + self.lifetime_s:
+            return None
+        return max(state.live, key=lambda version: (state.live[version], version))
+
+
+def count_versions(
+    targets: Collection[tuple[str, str]],
+) -> dict[str, dict[str, int]]:
+    """Count targets, given by their service and version, by both."""
+    counts: dict[str, dict[str, int]] = {}
+    for service, version in targets:
+        by_version = counts.setdefault(service, {})
+        by_version[version] = by_version.get(version, 0) + 1
+    return counts
--- a/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/target_directory.py
@@ -122,6 +122,10 @@
         """Return the entry of a target, or None."""
         return self._entries.get(target_id)
 
+    def entries(self) -> list[TargetEntry]:
+        """Return the entries of all targets, those that are leaving included."""
+        return list(self._entries.values())
+
     def usable(self, service: str | None = None) -> list[TargetEntry]:
         """Return the targets that take new requests, of one service or of all."""
         return [
--- a/packages/citrondock-core/src/citrondock_core/routing/target_entry.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/target_entry.py
@@ -21,6 +21,8 @@
         Most requests that it runs at once.
     is_leaving : bool
         Whether it is shutting down and takes no new requests.
+    software_version : str
+        Version of its software; empty if unknown.
     started_at_ms : int
         Start of its process in Unix milliseconds; 0 if unknown.
     registered_revision : int
@@ -35,14 +37,22 @@
     availability_zone: str
     max_concurrency: int
     is_leaving: bool
+    software_version: str = ""
     started_at_ms: int = 0
     registered_revision: int = attrs.field(default=0, eq=False)
 
     def is_other_incarnation_of(self, other: "TargetEntry") -> bool:
         """Return whether the target restarted or moved since ``other``."""
-        return (self.started_at_ms, self.host, self.port, self.service) != (
+        return (
+            self.started_at_ms,
+            self.host,
+            self.port,
+            self.service,
+            self.software_version,
+        ) != (
             other.started_at_ms,
             other.host,
             other.port,
             other.service,
+            other.software_version,
         )
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -13,8 +13,9 @@
 from citrondock_core.routing.attempt_rules import AttemptHistory, ExecutionStatus
 from citrondock_core.routing.placement import PlacementChoice
 from citrondock_core.routing.request_facts import RequestFacts
-from citrondock_core.routing.route import Route
+from citrondock_core.routing.route import Route, RouteKind
 from citrondock_core.routing.shutdown_admission import ShutdownAdmission
+from citrondock_core.routing.target_entry import TargetEntry
 from citrondock_router.gateway.client_connection import ClientConnection
 from citrondock_router.gateway.client_response import ClientResponse
 from citrondock_router.gateway.event_stream_filter import (
@@ -89,6 +90,34 @@
     def return_retry(self, exchange: "Exchange") -> None:
         """Return a retry to the budget, as the request was not sent again."""
 
+    @abstractmethod
+    def known_stream_version(self, exchange: "Exchange") -> str | None:
+        """Return the version that began the stream that a client takes up.
+
+        Returns None if it has to be read first.
+        """
+
+    @abstractmethod
+    async def read_stream_version(self, exchange: "Exchange") -> str | None:
+        """Read the version that began that stream; None if it cannot be known."""
+
+    @abstractmethod
+    def needs_record(self, exchange: "Exchange", version: str) -> bool:
+        """Return whether a stream has to be recorded before it begins at a version."""
+
+    @abstractmethod
+    def can_record(self) -> bool:
+        """Return whether streams can be recorded now."""
+
+    @abstractmethod
+    def record_stream(
+        self, exchange: "Exchange", version: str
+    ) -> "asyncio.Future[None]":
+        """Record the version at which a stream is about to begin.
+
+        The result has an error if the stream may not begin there.
+        """
+
     @abstractmethod
     def target_resumed(self, exchange: "Exchange") -> None:
         """Record that a silent target goes on with its response."""
@@ -219,7 +248,8 @@
         self.account_or_none = account
         self.account = account or ""
         self.kind = route.name
-        self.service = route.service_for(facts.request_id)
+        begun_by = facts.begun_by_request_id
+        self.service = route.service_for(begun_by or facts.request_id)
         self.configuration_version = configuration_version
         self.arrived_at_s = now_s
         time_left_s = route.timeout_s
@@ -240,6 +270,14 @@
         self.is_silent = False
         self.is_client_slow = False
         self.may_search_from_s = now_s
+        # Version whose events the client has, once it has any.
+        self.software_version: str | None = None
+        # Version that was recorded last, and what tells once the store has it.
+        self._recorded_version: str | None = None
+        self._unwritten: asyncio.Future[None] | None = None
+        # What arrives until then.
+        self._held_events: list[bytes] = []
+        self._held_end: Callable[[], None] | None = None
         self.grant_request_count = 0
         self.sent_at_s = 0.0
         self.last_data_at_s = 0.0
@@ -302,8 +340,60 @@
             return None
         return self.choice.load.entry.target_id
 
+    @property
+    def may_be_taken_up(self) -> bool:
+        """Whether the client may go on with the stream at another router."""
+        return self.route.kind is RouteKind.RESUMABLE_STREAM
+
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether the client goes on with a stream that another attempt began."""
+        return self.may_be_taken_up and self.facts.resume_after_event_id is not None
+
+    def accepts(self, entry: TargetEntry) -> bool:
+        """Return whether a target's software version may write what comes next."""
+        version = entry.software_version
+        if self.software_version is not None:
+            return version == self.software_version
+        if not self.may_be_taken_up:
+            return True
+        if self._is_searching and self.choice is not None:
+            # Either of the two may turn out to write the first event.
+            return version == self.choice.load.entry.software_version
+        return not self._needs_record(version) or self._scheduler.can_record()
+
     # Called by the scheduler.
 
+    @_answers_on_error
+    def take_up_stream(self) -> None:
+        """Look for a target of the version that began the stream."""
+        version = self._scheduler.known_stream_version(self)
+        if version is not None:
+            self.software_version = version
+            self._scheduler.submit(self)
+            return
+        self._connect_task = self._loop.create_task(self._find_version())
+
+    async def _find_version(self) -> None:
+        try:
+            version = await self._scheduler.read_stream_version(self)
+        except Exception as error:
+            self._connect_task = None
+            self.end_after_error(error)
+            return
+        self._connect_task = None
+        self._version_found(version)
+
+    @_answers_on_error
+    def _version_found(self, version: str | None) -> None:
+        if self.state is not ExchangeState.WAITING:
+            return
+        if version is None:
+            self.refuse("stream_version_unknown")
+            return
+        self.software_version = version
+        self._scheduler.submit(self)
+
     @_answers_on_error
     def send_to(self, choice: PlacementChoice) -> None:
         """Send the request to a target, which may have to take it over."""
@@ -320,6 +410,9 @@
             self.client_disconnected()
             self._client.close_at_once("client_left")
             return
+        if not self.accepts(choice.load.entry):
+            self._connect_failed("version cannot be recorded")
+            return
         entry = choice.load.entry
         connection = self._connections.take_idle(
             entry,
@@ -491,7 +584,10 @@
                 self._connection.pause()
             self._scheduler.first_byte_received(self)
         if self._head.is_success and self.route.kind.is_stream:
-            self._forward_events(data)
+            if self._unwritten is None or self.software_version is not None:
+                self._forward_events(data)
+            else:
+                self._hold_events(data)
         elif self._head.is_success or self._response.fits(data):
             self._response.write_plain(self._head, data)
         else:
@@ -505,6 +601,9 @@
         self._connection = None
         if self.state is ExchangeState.DONE or self._head is None:
             return
+        if self._held_events:
+            self._held_end = self.response_ended
+            return
         if self._did_not_run:
             self._handle_not_run()
         elif self._head.is_success and self.route.kind.is_stream:
@@ -518,6 +617,9 @@
         self._connection = None
         if self.state is ExchangeState.DONE:
             return
+        if self._held_events:
+            self._held_end = functools.partial(self.response_failed, cause)
+            return
         if self._did_not_run:
             self._handle_not_run()
             return
@@ -570,6 +672,7 @@
         self.state = ExchangeState.SENT
         self.sent_at_s = self.last_data_at_s = sent_at_s
         self._head = None
+        self._held_events, self._held_end = [], None
         self._did_not_run = self._has_begun = False
         self._refusal_bytes = 0
         self._response.discard_buffer()
@@ -578,6 +681,7 @@
     def _request_for(self, choice: PlacementChoice) -> bytes:
         """Return the request as it is sent to a target now, and record that."""
         entry = choice.load.entry
+        self._record_version(entry.software_version)
         time_left_s = self.deadline_s - self._loop.time()
         resume_after = self.facts.resume_after_event_id
         if self._event_filter is not None:
@@ -607,6 +711,51 @@
             lines.append(b"Content-Length: %d" % len(body))
         return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
+    # The software version that begins a stream. The client may take the stream up at
+    # another router once it has an event, so no event is passed on before the record of
+    # its version is written.
+
+    def _needs_record(self, version: str) -> bool:
+        if not self.may_be_taken_up or version == self._recorded_version:
+            return False
+        # A later record takes the place of one for a version that sent no event.
+        is_recorded = self._recorded_version is not None
+        return is_recorded or self._scheduler.needs_record(self, version)
+
+    def _record_version(self, version: str) -> None:
+        if self.software_version is not None or not self._needs_record(version):
+            return
+        self._recorded_version = version
+        self._unwritten = self._scheduler.record_stream(self, version)
+        self._unwritten.add_done_callback(self._version_written)
+
+    @_answers_on_error
+    def _version_written(self, written: "asyncio.Future[None]") -> None:
+        if written is not self._unwritten:
+            return
+        self._unwritten = None
+        if written.cancelled() or written.exception() is not None:
+            self._recorded_version = None
+            if self.state in (ExchangeState.SENT, ExchangeState.RECEIVING):
+                self._fail_response("version_not_recorded")
+        elif self._held_events:
+            self._release_events()
+
+    def _hold_events(self, data: bytes) -> None:
+        self._held_events.append(data)
+        self._record_progress()
+        if self._connection is not None:
+            self._connection.pause()
+
+    def _release_events(self) -> None:
+        data, self._held_events = b"".join(self._held_events), []
+        self._forward_events(data)
+        end_response, self._held_end = self._held_end, None
+        if end_response is not None:
+            end_response()
+        elif self._connection is not None and not self.is_client_slow:
+            self._connection.resume()
+
     # Responses of the target.
 
     def _forward_events(self, data: bytes) -> None:
@@ -634,6 +783,9 @@
             self._scheduler.target_resumed(self)
 
     def _record_begun(self) -> None:
+        if self.may_be_taken_up and self.software_version is None:
+            assert self.choice is not None
+            self.software_version = self.choice.load.entry.software_version
         if not self._has_begun:
             self._has_begun = True
             self._scheduler.response_begun(self)
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -9,7 +9,11 @@
 from typing_extensions import override
 
 from citrondock_core.routing.memory_budget import MemoryBudget
-from citrondock_core.routing.route import ClientLimits, RoutingConfiguration
+from citrondock_core.routing.route import (
+    ClientLimits,
+    RouteKind,
+    RoutingConfiguration,
+)
 from citrondock_core.routing.route_table import ConfigurationHolder
 from citrondock_core.routing.shutdown_admission import ShutdownAdmission
 from citrondock_core.routing.target_directory import DirectoryChange, TargetDirectory
@@ -181,6 +185,14 @@
         limits = configuration.limits
         self._memory.allow_requests_of(limits.max_header_bytes + limits.max_body_bytes)
         self.scheduler.configure(dict(configuration.services))
+        self.scheduler.set_resumable_services(
+            {
+                share.service
+                for route in configuration.routes
+                if route.kind is RouteKind.RESUMABLE_STREAM
+                for share in route.shares
+            }
+        )
         for client in self._clients:
             client.extend_idle(limits.idle_timeout_s)
         self._shutdown.keep_only({route.name for route in configuration.routes})
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_process.py
@@ -15,6 +15,7 @@
 from citrondock_core.routing.peer_table import PeerTable
 from citrondock_core.routing.placement import Placement
 from citrondock_core.routing.store_watch_plan import StoreWatchPlan
+from citrondock_core.routing.stream_versions import StreamVersions
 from citrondock_core.routing.target_directory import TargetDirectory
 from citrondock_core.routing.zone_evacuations import ZoneEvacuations
 from citrondock_router.gateway.client_connection import ClientConnection
@@ -37,8 +38,11 @@
 )
 from citrondock_router.gateway.shutdown import shut_down
 from citrondock_router.gateway.store_change_relay import StoreChangeRelay
+from citrondock_router.gateway.store_era import StoreEra
 from citrondock_router.gateway.store_view_exchange import StoreViewExchange
+from citrondock_router.gateway.stream_version_log import StreamVersionLog
 from citrondock_router.gateway.target_connection_pool import TargetConnectionPool
+from citrondock_router.gateway.watched_store import WritableStore
 from citrondock_router.log import log_event
 
 HOUSEKEEPING_S = 0.5
@@ -141,6 +145,12 @@
         self.memory = MemoryBudget()
         if settings.memory_limit_bytes is not None:
             self.memory = MemoryBudget.for_machine(settings.memory_limit_bytes)
+        self.stream_versions = StreamVersionLog(
+            StreamVersions(),
+            peers,
+            writer_name=f"{settings.vm_name}.{self.broker.link.incarnation:x}",
+            loop=self.loop,
+        )
         scheduler = RequestScheduler(
             directory=self.directory,
             connections=self._connections,
@@ -150,6 +160,7 @@
             budget_options=settings.budget_options(known_router_count=1),
             metrics=self.metrics,
             overload=overload,
+            stream_versions=self.stream_versions,
             loop=self.loop,
         )
         self.gateway = Gateway(
@@ -180,6 +191,11 @@
         """Call ``reload`` on SIGHUP, the request to read the settings again."""
         self._reload = reload
 
+    def use_store(self, store: WritableStore, era: StoreEra) -> None:
+        """Keep in a store what must outlive all routers."""
+        writes_per_s = self.settings.store_writes_per_s
+        self.stream_versions.use_store(store, writes_per_s=writes_per_s, era=era)
+
     def evacuations_changed(self) -> None:
         """Apply what is known of evacuated zones."""
         self.gateway.scheduler.set_evacuated_zones(self.evacuations.zones)
@@ -209,6 +225,7 @@
             partial(self._run_every, LOG_DRAIN_S, self._log_writer.drain),
             partial(self._check_every, WATCH_CHECK_S, self._store_views.tick),
             self._report_usage,
+            self.stream_versions.run,
         ]
         followed = [follower.run for follower in self._followers]
         tasks = [
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway_settings.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway_settings.py
@@ -55,6 +55,8 @@
         Memory of the machine that the process may use, if that is known.
     socket_limit : int or None
         Sockets that the process may have, if that is known.
+    store_writes_per_s : float or None
+        Write calls that the store takes from all routers, if that is known.
     has_evacuations : bool
         Whether the operator may evacuate zones, so that this has to be followed.
     shed_lag_s : float
@@ -79,6 +81,9 @@
     socket_limit: int | None = attrs.field(
         default=None, validator=attrs.validators.optional(gt(0))
     )
+    store_writes_per_s: float | None = attrs.field(
+        default=None, validator=attrs.validators.optional(gt(0))
+    )
     has_evacuations: bool = False
     shed_lag_s: float = attrs.field(default=SHED_LAG_S, validator=gt(0))
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
@@ -240,6 +240,7 @@
             load
             for load in self._pool.loads(exchange.service)
             if load.entry.target_id != exchange.silent_target_id
+            and exchange.accepts(load.entry)
         ]
         excluded = exchange.excluded | search.asked
         now_s = self._loop.time()
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -26,6 +26,7 @@
     ServiceOptions,
 )
 from citrondock_core.routing.served_ratios import ServedRatios
+from citrondock_core.routing.stream_versions import count_versions
 from citrondock_core.routing.target_directory import DirectoryChange, TargetDirectory
 from citrondock_core.routing.target_load import MAX_SUSPENSION_S, TargetLoad
 from citrondock_core.routing.warm_up import RETURN_WARM_UP_S, WarmUpOptions, WarmUps
@@ -45,6 +46,7 @@
     first_byte_timeout_s,
     is_stalled,
 )
+from citrondock_router.gateway.stream_version_log import StreamVersionLog
 from citrondock_router.gateway.target_connection_pool import TargetConnectionPool
 from citrondock_router.log import log_event
 
@@ -86,6 +88,8 @@
         Counts requests, denied retries and stalls.
     overload : OverloadGuard
         Is told of each request that is sent.
+    stream_versions : StreamVersionLog
+        Knows which software version began each stream.
     loop : asyncio.AbstractEventLoop
         Event loop whose clock all times are on.
     stall_options : StallOptions, optional
@@ -103,6 +107,7 @@
         budget_options: RetryRatioBudgetOptions,
         metrics: GatewayMetrics,
         overload: OverloadGuard,
+        stream_versions: StreamVersionLog,
         loop: asyncio.AbstractEventLoop,
         stall_options: StallOptions | None = None,
     ) -> None:
@@ -130,6 +135,8 @@
         )
         self._metrics = metrics
         self._overload = overload
+        self._stream_versions = stream_versions
+        self._resumable_services: frozenset[str] = frozenset()
         self._loop = loop
         self._stall_options = stall_options or StallOptions()
         self._services: dict[str, ServiceOptions] = {}
@@ -158,6 +165,11 @@
         self._services = services
         self._rebuild()
 
+    def set_resumable_services(self, services: Collection[str]) -> None:
+        """Replace the services whose streams clients may take up."""
+        self._resumable_services = frozenset(services)
+        self._update_versions()
+
     def directory_changed(self, change: DirectoryChange) -> None:
         """Apply a change of targets; connections to removed ones are closed."""
         for entry in change.removed:
@@ -195,7 +207,14 @@
         exchange.first_arrived_at_s = self._refused_requests.first_arrival_s(
             exchange.account, exchange.facts, now_s=now_s
         )
-        self.submit(exchange)
+        if exchange.may_be_taken_up:
+            self._stream_versions.versions.observe_deadline(
+                exchange.facts.time_left_s or exchange.route.timeout_s
+            )
+        if exchange.takes_up_stream:
+            exchange.take_up_stream()
+        else:
+            self.submit(exchange)
 
     def read_peers(self) -> None:
         """Read what other routers have sent, if that was not done for a while."""
@@ -208,9 +227,13 @@
         if not self._loads_by_service.get(exchange.service):
             exchange.refuse("no_target_known")
             return
-        if not self.loads(exchange.service):
+        loads = self.loads(exchange.service)
+        if not loads:
             exchange.refuse("all_targets_paused")
             return
+        if not any(exchange.accepts(load.entry) for load in loads):
+            exchange.refuse("no_target_of_version")
+            return
         prompt = exchange.facts.prompt
         if prompt is not None and self.engine(exchange.service):
             wait_until_s = self._wait_until_s(exchange)
@@ -248,6 +271,28 @@
     def return_retry(self, exchange: Exchange) -> None:
         self._budget(exchange.service).give_back()
 
+    @override
+    def known_stream_version(self, exchange: Exchange) -> str | None:
+        return self._stream_versions.known_version(exchange.service)
+
+    @override
+    async def read_stream_version(self, exchange: Exchange) -> str | None:
+        return await self._stream_versions.find_version(
+            exchange.service, exchange.facts.begun_by_request_id
+        )
+
+    @override
+    def needs_record(self, exchange: Exchange, version: str) -> bool:
+        return self._stream_versions.versions.needs_record(exchange.service, version)
+
+    @override
+    def can_record(self) -> bool:
+        return self._stream_versions.can_record
+
+    @override
+    def record_stream(self, exchange: Exchange, version: str) -> "asyncio.Future[None]":
+        return self._stream_versions.record(version, exchange.facts.request_id)
+
     @override
     def target_resumed(self, exchange: Exchange) -> None:
         if exchange.choice is not None:
@@ -513,6 +558,16 @@
     def _wait_until_s(self, exchange: Exchange) -> float:
         return exchange.arrived_at_s + MAX_WAIT_RATIO * exchange.first_answer_target_s
 
+    def _update_versions(self) -> None:
+        entries = [
+            (entry.service, entry.software_version)
+            for entry in self._directory.entries()
+            if entry.service in self._resumable_services
+        ]
+        self._stream_versions.versions.set_live(
+            count_versions(entries), now_s=self._loop.time()
+        )
+
     # Plain requests. Where they are few compared with the slots of their targets, this
     # router sends them without a grant from another router.
 
@@ -544,8 +599,13 @@
             return
         for exchange in queue.in_order(now_s=self._loop.time()):
             is_sent = self._send_plain(exchange, queue=queue)
-            # One that only lacks a target besides its silent one holds up no other.
-            if not is_sent and exchange.silent_target_id is None:
+            # One that only lacks a target besides its silent one, or one of its
+            # version, holds up no other.
+            if (
+                not is_sent
+                and exchange.silent_target_id is None
+                and exchange.software_version is None
+            ):
                 self._request_permits(service, queue)
                 return
 
@@ -561,6 +621,7 @@
                 for load in loads
                 if load not in limited
                 and load.entry.target_id != exchange.silent_target_id
+                and exchange.accepts(load.entry)
             ],
             excluded=exchange.excluded,
             now_s=now_s,
@@ -618,7 +679,7 @@
         waiting = [
             exchange
             for exchange in queue.in_order(now_s=self._loop.time())
-            if exchange.silent_target_id != target_id
+            if exchange.silent_target_id != target_id and exchange.accepts(load.entry)
         ]
         if not waiting:
             return
@@ -668,6 +729,7 @@
         self._loads, self._loads_by_service = loads, by_service
         self._placement.keep_only(set(loads))
         self._permits.keep_only(set(loads))
+        self._update_versions()
         self._broker.limits.keep_only(set(loads))
         self._broker.set_engines(engines)
         for service in list(self._queues):
--- a/packages/citrondock-router/src/citrondock_router/gateway/watched_store.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/watched_store.py
@@ -9,6 +9,9 @@
 from citrondock_core.errors import CitrondockError
 from citrondock_core.routing.store_position import StorePosition
 
+ObjectValue = Mapping[str, Any]
+"""Decoded JSON object that is written under a name."""
+
 
 @attrs.define(eq=False)
 class WatchedStoreError(CitrondockError):
@@ -40,7 +43,7 @@
 
     name: str
     revision: int
-    value: Mapping[str, Any] | None
+    value: ObjectValue | None
     is_deleted: bool = False
     problem: str = ""
 
@@ -110,6 +113,40 @@
         """
 
 
+class WritableStore(WatchedStore):
+    """A store whose objects can be written, too.
+
+    All methods raise `WatchedStoreError` if there is no usable answer; the call may
+    have been executed then.
+    """
+
+    @abstractmethod
+    async def create(self, kind: str, name: str, value: ObjectValue) -> bool:
+        """Create an object; return False if there is one of this name."""
+
+    @abstractmethod
+    async def replace(
+        self, kind: str, name: str, value: ObjectValue, *, revision: int | None = None
+    ) -> bool:
+        """Replace an object, only at ``revision`` if that is given.
+
+        Returns False if there is no such object, or if it has another revision.
+        """
+
+    async def put(self, kind: str, name: str, value: ObjectValue) -> None:
+        """Create an object, or replace it at whatever revision."""
+        if await self.create(kind, name, value):
+            return
+        if not await self.replace(kind, name, value):
+            raise WatchedStoreError(
+                "object was neither created nor replaced", step=f"put {kind}/{name}"
+            )
+
+    @abstractmethod
+    async def delete(self, kind: str, name: str) -> None:
+        """Delete an object; a missing object is no error."""
+
+
 class ObjectSink(ABC):
     """Receives the objects of one kind from an `ObjectFollower`."""
 
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 import attrs
+from memory_store import MemoryStore
 
 from citrondock_core.routing.route import (
     ClientLimits,
@@ -24,6 +25,7 @@
 from citrondock_router.gateway.gateway_process import GatewayProcess
 from citrondock_router.gateway.gateway_settings import Address, GatewaySettings
 from citrondock_router.gateway.log_writer import LogWriter
+from citrondock_router.gateway.store_era import StoreEra
 
 HOST = "127.0.0.1"
 KINDS = {
@@ -237,6 +239,8 @@
         Event loop lag above which the gateway refuses requests.
     vm_name : str
         Name of the gateway's VM; the gateways of one test need different ones.
+    store : MemoryStore or None
+        Store for the versions of streams, if gateways of one test share it.
     """
 
     def __init__(
@@ -247,8 +251,10 @@
         spare_retries=20.0,
         shed_lag_s=10.0,
         vm_name="v1",
+        store=None,
     ) -> None:
         self.vm_name = vm_name
+        self.store = store
         # A busy machine may delay tests for longer than a router would tolerate.
         self.shed_lag_s = shed_lag_s
         self.targets = targets
@@ -282,6 +288,8 @@
             metrics_path=b"/metrics",
         )
         self.gateway = self.process.gateway
+        self.store = self.store or MemoryStore()
+        self.process.use_store(self.store, StoreEra())
         self._running = asyncio.ensure_future(self.process.run([]))
         if self.configured is not None:
             self.gateway.configure(self.configured)
--- /dev/null
+++ b/tests/gateway/memory_store.py
@@ -0,0 +1,94 @@
+"""A store in memory whose outages tests decide on."""
+
+import asyncio
+
+from citrondock_router.gateway.watched_store import (
+    HistoryGoneError,
+    Snapshot,
+    WatchedObject,
+    WatchedStoreError,
+    WritableStore,
+)
+
+
+class MemoryStore(WritableStore):
+    """Objects of all kinds with one counter of revisions.
+
+    Attributes
+    ----------
+    is_down : bool
+        Whether all calls fail.
+    calls : list of str
+        Names of the calls, in order.
+    may_write : asyncio.Event
+        Writes wait for it.
+    """
+
+    def __init__(self):
+        self.is_down = False
+        self.calls = []
+        self.may_write = asyncio.Event()
+        self.may_write.set()
+        self._objects = {}
+        self._revision = 0
+        self._first_revision = 0
+
+    def forget_history(self):
+        self._first_revision = self._revision
+
+    def _call(self, name):
+        self.calls.append(name)
+        if self.is_down:
+            raise WatchedStoreError("store is down", step=name)
+
+    def _write(self, kind, name, value, *, is_deleted=False):
+        self._revision += 1
+        self._objects[kind, name] = WatchedObject(
+            name=name, revision=self._revision, value=value, is_deleted=is_deleted
+        )
+
+    def _snapshot(self, kind, after_revision, *, with_deleted):
+        objects = [
+            item
+            for (item_kind, _), item in self._objects.items()
+            if item_kind == kind
+            and item.revision > after_revision
+            and (with_deleted or not item.is_deleted)
+        ]
+        return Snapshot(objects=objects, revision=self._revision)
+
+    def _known(self, kind, name):
+        item = self._objects.get((kind, name))
+        return None if item is None or item.is_deleted else item
+
+    async def list(self, kind):
+        self._call("list")
+        return self._snapshot(kind, 0, with_deleted=False)
+
+    async def watch(self, kind, *, after_revision, wait_s):
+        self._call("watch")
+        if after_revision < self._first_revision:
+            raise HistoryGoneError("history is gone", step="watch")
+        return self._snapshot(kind, after_revision, with_deleted=True)
+
+    async def create(self, kind, name, value):
+        self._call("create")
+        await self.may_write.wait()
+        if self._known(kind, name) is not None:
+            return False
+        self._write(kind, name, value)
+        return True
+
+    async def replace(self, kind, name, value, *, revision=None):
+        self._call("replace")
+        await self.may_write.wait()
+        known = self._known(kind, name)
+        if known is None or revision not in (None, known.revision):
+            return False
+        self._write(kind, name, value)
+        return True
+
+    async def delete(self, kind, name):
+        self._call("delete")
+        if self._known(kind, name) is not None:
+            self._write(kind, name, None, is_deleted=True)
--- a/tests/gateway/simulated_gateways.py
+++ b/tests/gateway/simulated_gateways.py
@@ -118,6 +118,9 @@
         output_tokens = self.prompt.expected_output_token_count
         return self.prompt.prompt_token_count + 2 * output_tokens
 
+    def accepts(self, _entry):
+        return True
+
     def refuse(self, _reason):
         self.is_waiting = False
         self.record.refused(self)
--- a/tests/gateway/test_grant_requester.py
+++ b/tests/gateway/test_grant_requester.py
@@ -64,6 +64,9 @@
     silent_target_id: str | None = None
     refused: str = ""
 
+    def accepts(self, _entry):
+        return True
+
     def refuse(self, reason):
         self.is_waiting = False
         self.refused = reason
--- /dev/null
+++ b/tests/gateway/test_stream_version_log.py
@@ -0,0 +1,257 @@
+"""Where routers keep, and look up, the versions that began streams."""
+
+import asyncio
+
+import pytest
+from harness import run
+from memory_store import MemoryStore
+
+from citrondock_core.routing.peer_table import PeerTable
+from citrondock_core.routing.stream_versions import StreamVersions
+from citrondock_router.gateway import stream_version_log
+from citrondock_router.gateway.store_era import StoreEra
+from citrondock_router.gateway.stream_version_log import (
+    StreamNotRecordedError,
+    StreamVersionLog,
+)
+
+DEADLINE_S = 0.2
+
+
+@pytest.fixture(autouse=True)
+def _short_times(monkeypatch):
+    monkeypatch.setattr(stream_version_log, "HOUSEKEEPING_S", 0.01)
+    monkeypatch.setattr(stream_version_log, "KEEPER_DELAY_S", 0.0)
+    monkeypatch.setattr(
+        "citrondock_core.routing.stream_versions.LIFETIME_MARGIN_S", 0.1
+    )
+
+
+class RouterLog:
+    """The log of one router, whose targets tests set."""
+
+    def __init__(self, store, name="v1", **live):
+        self.loop = asyncio.get_running_loop()
+        self.versions = StreamVersions()
+        self.versions.observe_deadline(DEADLINE_S)
+        self.log = StreamVersionLog(
+            self.versions, PeerTable(name, "z1"), writer_name=name, loop=self.loop
+        )
+        self.era = StoreEra()
+        self.log.use_store(store, era=self.era)
+        self.set_live(**live)
+        self.task = asyncio.ensure_future(self.log.run())
+
+    def set_live(self, **live):
+        self.versions.set_live({"llm": live}, now_s=self.loop.time())
+
+    async def base(self, version):
+        """Wait until the base version is this one."""
+        async with asyncio.timeout(5):
+            while self.versions.base("llm") != version:
+                await asyncio.sleep(0.01)
+
+    async def find(self, request_id):
+        """Return the version of a stream as a client's take-up learns it."""
+        return self.log.known_version("llm") or await self.log.find_version(
+            "llm", request_id
+        )
+
+
+class TestOneVersion:
+    def test_nothing_is_read_or_written_for_streams(self):
+        async def check():
+            store = MemoryStore()
+            router = RouterLog(store, v1=2)
+            await router.base("v1")
+            await asyncio.sleep(0.05)
+            store.calls.clear()
+            assert not router.versions.needs_record("llm", "v1")
+            assert await router.find("r1") == "v1"
+            await asyncio.sleep(0.05)
+            assert store.calls == []
+
+        run(check())
+
+    def test_a_restarted_router_reads_the_base_before_it_answers(self):
+        async def check():
+            store = MemoryStore()
+            await RouterLog(store, v1=2).base("v1")
+            # The old targets left while all routers were down.
+            router = RouterLog(store, name="v2", v2=2)
+            assert await router.find("r1") == "v1"
+
+        run(check())
+
+
+class TestTwoVersions:
+    def test_another_router_finds_the_version_of_each_stream(self):
+        async def check():
+            store = MemoryStore()
+            first, second = RouterLog(store, v1=2), RouterLog(store, "v2", v1=2)
+            await first.base("v1")
+            for router in (first, second):
+                router.set_live(v1=1, v2=1)
+            assert not first.versions.needs_record("llm", "v1")
+            assert first.versions.needs_record("llm", "v2")
+            await first.log.record("v2", "r2")
+            assert await second.find("r2") == "v2"
+            assert await second.find("r1") == "v1"
+
+        run(check())
+
+    def test_the_last_record_of_a_stream_holds(self):
+        async def check():
+            store = MemoryStore()
+            first, second = RouterLog(store, v1=2), RouterLog(store, "v2", v1=2)
+            await first.base("v1")
+            for router in (first, second):
+                router.set_live(v1=1, v2=1, v3=1)
+            for version in ("v2", "v3"):
+                await first.log.record(version, "r1")
+            assert await second.find("r1") == "v3"
+
+        run(check())
+
+    def test_records_outlive_all_routers(self):
+        async def check():
+            store = MemoryStore()
+            first = RouterLog(store, v1=2)
+            await first.base("v1")
+            first.set_live(v1=1, v2=1)
+            await asyncio.gather(
+                *(first.log.record("v2", f"r{number}") for number in range(50))
+            )
+            first.task.cancel()
+            restarted = RouterLog(store, name="v1b", v2=2)
+            assert await restarted.find("r49") == "v2"
+            assert await restarted.find("unrecorded") == "v1"
+
+        run(check())
+
+    def test_records_are_written_in_batches(self):
+        async def check():
+            store = MemoryStore()
+            router = RouterLog(store, v1=1, v2=1)
+            await asyncio.sleep(0.1)
+            store.calls.clear()
+            for _ in range(3):
+                await asyncio.gather(
+                    *(router.log.record("v2", f"r{number}") for number in range(20))
+                )
+            assert store.calls.count("create") == 1
+            assert store.calls.count("replace") <= 5
+
+        run(check())
+
+    def test_a_reader_lists_again_after_a_gap_in_the_history(self):
+        async def check():
+            store = MemoryStore()
+            first, second = RouterLog(store, v1=2), RouterLog(store, "v2", v1=2)
+            await first.base("v1")
+            await second.base("v1")
+            for router in (first, second):
+                router.set_live(v1=1, v2=1)
+            await first.log.record("v2", "r1")
+            store.forget_history()
+            assert await second.find("r1") == "v2"
+
+        run(check())
+
+
+class TestStoreOutage:
+    def test_a_stream_that_has_to_be_recorded_may_not_begin(self):
+        async def check():
+            store = MemoryStore()
+            router = RouterLog(store, v1=2)
+            await router.base("v1")
+            router.set_live(v1=1, v2=1)
+            store.is_down = True
+            with pytest.raises(StreamNotRecordedError):
+                await router.log.record("v2", "r1")
+            assert not router.log.can_record
+
+        run(check())
+
+    def test_the_version_of_a_stream_is_unknown_among_several(self):
+        async def check():
+            store = MemoryStore()
+            router = RouterLog(store, v1=2)
+            await router.base("v1")
+            router.set_live(v1=1, v2=1)
+            store.is_down = True
+            assert await router.find("r1") is None
+
+        run(check())
+
+    def test_streams_of_the_only_version_go_on(self):
+        async def check():
+            store = MemoryStore()
+            router = RouterLog(store, v1=2)
+            await router.base("v1")
+            await asyncio.sleep(0.05)
+            store.is_down = True
+            assert await router.find("r1") == "v1"
+
+        run(check())
+
+    def test_records_are_written_again_when_the_store_is_back_from_a_copy(self):
+        async def check():
+            store = MemoryStore()
+            router = RouterLog(store, v1=2)
+            await router.base("v1")
+            router.set_live(v1=1, v2=1)
+            await router.log.record("v2", "r1")
+            store._objects.clear()
+            router.era.observe(1)
+            router.era.observe(2)
+            await asyncio.sleep(0.1)
+            restarted = RouterLog(store, name="v2", v2=2)
+            assert await restarted.find("r1") == "v2"
+
+        run(check())
+
+
+class TestBaseVersion:
+    def test_it_changes_once_no_stream_of_the_old_one_can_be_taken_up(self):
+        async def check():
+            store = MemoryStore()
+            router = RouterLog(store, v1=2)
+            await router.base("v1")
+            router.set_live(v1=1, v2=1)
+            await asyncio.sleep(0.05)
+            left_at_s = router.loop.time()
+            router.set_live(v2=2)
+            await router.base("v2")
+            assert router.loop.time() - left_at_s >= router.versions.lifetime_s
+
+        run(check())
+
+    def test_a_router_that_missed_the_change_still_finds_streams(self):
+        async def check():
+            store = MemoryStore()
+            first, second = RouterLog(store, v1=2), RouterLog(store, "v2", v1=2)
+            await first.base("v1")
+            await second.base("v1")
+            second.task.cancel()
+            first.set_live(v2=2)
+            await first.base("v2")
+            second.set_live(v2=2)
+            assert await second.find("r1") == "v2"
+
+        run(check())
+
+    def test_a_version_that_returns_is_recorded_until_the_base_was_read(self):
+        async def check():
+            store = MemoryStore()
+            first, second = RouterLog(store, v1=2), RouterLog(store, "v2", v1=2)
+            await first.base("v1")
+            await second.base("v1")
+            second.task.cancel()
+            for router in (first, second):
+                router.set_live(v2=2)
+            await first.base("v2")
+            second.set_live(v1=1, v2=1)
+            assert second.versions.needs_record("llm", "v1")
+
+        run(check())
