Do not pass on a status that does not exist

A target in trouble that answers with status 000 (or 099, 600, 999) had that passed on to the client as an answer: the parser reads any number of three digits, and nothing checked its range.

--- a/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
@@ -29,6 +29,7 @@
 
 _NO_BODY_STATUSES = frozenset({204, 304})
 _INTERIM_STATUSES = range(100, 200)
+_STATUSES = range(100, 600)
 
 
 class ResponseFailure(enum.Enum):
@@ -97,6 +98,7 @@
         self._is_close_delimited = False
         self._is_complete = False
         self._has_extra_bytes = False
+        self._has_invalid_status = False
         self._overhead_bytes = 0
         self._is_head_request = False
         self._is_reusable = True
@@ -111,6 +113,11 @@
         """Whether the connection is open for writing."""
         return self._transport is not None and not self._transport.is_closing()
 
+    @property
+    def _has_unsent_bytes(self) -> bool:
+        """Whether part of the request has not been written yet."""
+        return bool(self._transport and self._transport.get_write_buffer_size())
+
     def send(self, data: bytes, listener: ResponseListener, *, is_head: bool) -> None:
         """Write a request.
 
@@ -185,7 +192,7 @@
             self._fail(ResponseFailure.TOO_LONG)
             return
         self._pass_body_on()
-        if is_malformed and not self._is_complete:
+        if self._has_invalid_status or (is_malformed and not self._is_complete):
             self._fail(ResponseFailure.NOT_HTTP)
             return
         self._has_extra_bytes |= is_malformed
@@ -239,12 +246,15 @@
         if self._is_complete or self._listener is None or self._parser is None:
             return
         status = self._parser.get_status_code()
+        if status not in _STATUSES:
+            self._has_invalid_status = self._is_skipped = True
+            return
         self._is_interim = status in _INTERIM_STATUSES
         if self._is_interim:
             return
         self._read_connection_headers(status)
         head = ResponseHead(status=status, reason=self._reason, headers=self._headers)
-        if self._transport is not None and self._transport.get_write_buffer_size():
+        if self._has_unsent_bytes:
             # The target responded before it had read the complete request.
             self._is_reusable = False
         self._is_skipped = not self._listener.response_started(head)
@@ -289,6 +299,7 @@
         self._is_skipped = self._is_interim = False
         self._is_close_delimited = False
         self._is_complete = self._has_extra_bytes = False
+        self._has_invalid_status = False
         self._overhead_bytes = 0
 
     def _read_connection_headers(self, status: int) -> None:
