Do not take an answer for complete that ends while its request is written

A target that answers a long upload at once, without a length, and breaks off had the part that arrived passed on to the client as a complete answer, if it ended its own side of the connection before the reset: 60 of 60 requests to a route that is not idempotent, real sockets, and the first request of the test to either kind of route. An end of the connection is the end of such an answer, and nothing looked whether the request was written.

Such an answer is now broken off: what ends a connection in the middle of an upload may be a reset, which looks like an end once a write has met it.

--- a/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
@@ -211,6 +211,9 @@
             if self._is_skipped:
                 # The response to another request ended; there is none to this one.
                 self._fail(ResponseFailure.CLOSED)
+            elif self._has_unsent_bytes:
+                # A reset can look like an end once a write has met it.
+                self._fail(ResponseFailure.RESET)
             else:
                 self._finish_response()
         return False
