Record a stream anew if an earlier record of it may exist

A record whose write failed may be in the store all the same. The stream then began at the base version without a record, and a take-up would have gone on at the version of the failed record. Found on reading; the test failed before.

--- a/packages/citrondock-core/src/citrondock_core/routing/stream_versions.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/stream_versions.py
@@ -138,6 +138,13 @@
             return True
         return now_s < state.mixed_until_s or len({*state.live, state.base}) > 1
 
+    @property
+    def lacks_base(self) -> bool:
+        """Whether the base version of a service with targets is unknown."""
+        return any(
+            state.live and state.base is None for state in self._services.values()
+        )
+
     def needs_record(self, service: str, version: str) -> bool:
         """Return whether a stream has to be recorded before it begins at a version."""
         state = self._services.get(service)
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -248,7 +248,8 @@
         self.account_or_none = account
         self.account = account or ""
         self.kind = route.name
-        begun_by = facts.begun_by_request_id
+        # A stream that is taken up goes on at the service that began it.
+        begun_by = facts.begun_by_request_id if self.takes_up_stream else None
         self.service = route.service_for(begun_by or facts.request_id)
         self.configuration_version = configuration_version
         self.arrived_at_s = now_s
@@ -272,8 +273,10 @@
         self.may_search_from_s = now_s
         # Version whose events the client has, once it has any.
         self.software_version: str | None = None
-        # Version that was recorded last, and what tells once the store has it.
+        # Version that was recorded last, and what tells once the store has it. A write
+        # that failed may have left a record.
         self._recorded_version: str | None = None
+        self._may_have_record = False
         self._unwritten: asyncio.Future[None] | None = None
         # What arrives until then.
         self._held_events: list[bytes] = []
@@ -672,7 +675,7 @@
         self.state = ExchangeState.SENT
         self.sent_at_s = self.last_data_at_s = sent_at_s
         self._head = None
-        self._held_events, self._held_end = [], None
+        self._drop_held_events()
         self._did_not_run = self._has_begun = False
         self._refusal_bytes = 0
         self._response.discard_buffer()
@@ -719,13 +722,13 @@
         if not self.may_be_taken_up or version == self._recorded_version:
             return False
         # A later record takes the place of one for a version that sent no event.
-        is_recorded = self._recorded_version is not None
-        return is_recorded or self._scheduler.needs_record(self, version)
+        return self._may_have_record or self._scheduler.needs_record(self, version)
 
     def _record_version(self, version: str) -> None:
         if self.software_version is not None or not self._needs_record(version):
             return
         self._recorded_version = version
+        self._may_have_record = True
         self._unwritten = self._scheduler.record_stream(self, version)
         self._unwritten.add_done_callback(self._version_written)
 
@@ -747,6 +750,9 @@
         if self._connection is not None:
             self._connection.pause()
 
+    def _drop_held_events(self) -> None:
+        self._held_events, self._held_end = [], None
+
     def _release_events(self) -> None:
         data, self._held_events = b"".join(self._held_events), []
         self._forward_events(data)
@@ -1028,6 +1034,7 @@
     def _end_attempt(self, status: ExecutionStatus | None, reason: str) -> None:
         """Record the end of an attempt; ``status`` is None unless it failed."""
         self._stop_search()
+        self._drop_held_events()
         if status is not None:
             self.history.record_ended(status)
             self._log(
@@ -1058,6 +1065,7 @@
 
     def _cancel_attempt(self) -> None:
         self._stop_search()
+        self._drop_held_events()
         self._cancel_takeover("request_ended")
         if self.state is ExchangeState.WAITING:
             self._scheduler.withdraw(self)
--- a/packages/citrondock-router/src/citrondock_router/gateway/stream_version_log.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/stream_version_log.py
@@ -189,7 +189,11 @@
                 continue
             now_s = self._loop.time()
             self.versions.expire(now_s=now_s)
-            if self.versions.must_read and not await self._read():
+            must_read = self.versions.must_read
+            if now_s >= keeps_from_s + KEEPER_DELAY_S:
+                # The keeper has written all base versions by then.
+                must_read = must_read or self.versions.lacks_base
+            if must_read and not await self._read():
                 await asyncio.sleep(RETRY_S)
                 continue
             try:
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -50,20 +50,32 @@
             await asyncio.sleep(0.02)
 
 
+async def stalled_or_broken(got, writer):
+    """Stall plain requests, and break off streams."""
+    if "/safe/" in got.first_line:
+        await asyncio.sleep(20)
+    await BROKEN(got, writer)
+
+
 class Rollout:
     """A gateway that has begun at v1 and now has the targets of a rollout to v2."""
 
-    def __init__(self, script=BROKEN):
+    def __init__(self, script=BROKEN, *, keeps_old=False, spare_retries=0):
+        self.keeps_old = keeps_old
+        self.spare_retries = spare_retries
         self.store = MemoryStore()
-        self.old = VersionedTarget("t1", BROKEN, "v1")
+        self.old = VersionedTarget("t1", stalled_or_broken, "v1")
         self.new = VersionedTarget("t2", script, "v2")
 
     async def __aenter__(self):
-        self.harness = Harness([self.old], store=self.store, spare_retries=0)
+        self.harness = Harness(
+            [self.old], store=self.store, spare_retries=self.spare_retries
+        )
         await self.harness.__aenter__()
         await base_known(self.harness)
         await self.new.start()
-        list_targets(self.harness, [self.new], revision=2)
+        targets = [self.old, self.new] if self.keeps_old else [self.new]
+        list_targets(self.harness, targets, revision=2)
         return self
 
     async def __aexit__(self, *error):
@@ -147,6 +159,40 @@
 
         run(check())
 
+    def test_nothing_is_written_for_a_client_that_left_meanwhile(self):
+        async def check():
+            async with Rollout(stream_script(0, 6)) as rollout:
+                rollout.store.may_write.clear()
+                client = await Client.connect(rollout.harness.port)
+                client.writer.write(request("/resumable/x"))
+                await asyncio.sleep(0.2)
+                assert rollout.new.received
+                client.writer.close()
+                await asyncio.sleep(0.1)
+                assert rollout.harness.gateway.live_count == 0
+                rollout.store.may_write.set()
+                await asyncio.sleep(0.1)
+                reply = await rollout.harness.get("/resumable/x", "r2")
+                assert (reply.body, reply.is_complete) == (ALL_EVENTS, True)
+
+        run(check())
+
+    def test_a_write_that_failed_may_have_left_a_record(self):
+        async def check():
+            script = stream_script(0, 6)
+            async with Rollout(script, keeps_old=True, spare_retries=20) as rollout:
+                # The old target has one request, so that the new one is preferred.
+                harness = rollout.harness
+                busy = asyncio.ensure_future(harness.get("/safe/x", "busy"))
+                await asyncio.sleep(0.1)
+                rollout.store.is_down = True
+                await harness.get("/resumable/x", "r1")
+                busy.cancel()
+                assert [got.request_id for got in rollout.new.received] == ["r1"]
+                assert [got.request_id for got in rollout.old.received] == ["busy"]
+
+        run(check())
+
     def test_without_the_store_no_stream_of_the_new_version_begins(self):
         async def check():
             async with Rollout(stream_script(0, 6)) as rollout:
