Soak: targets of several versions, and clients that take streams up

Targets register with a version that rises as they are replaced, their events name it, and clients go on with a resumable stream that broke off at any router. The text of a stream, over all its requests, has to come from one version. The store's stand-in now checks the revision that a replacement names.

--- a/tests/platform/store_standin.py
+++ b/tests/platform/store_standin.py
@@ -175,7 +175,11 @@
         if rest[0] not in known:
             return 404, {}
         if method == "PUT":
-            await self.put(kind, rest[0], json.loads(body)["spec"])
+            given = json.loads(body)
+            revision = given["metadata"].get("revision")
+            if revision not in (None, known[rest[0]]["metadata"]["revision"]):
+                return 409, known[rest[0]]
+            await self.put(kind, rest[0], given["spec"])
             return 200, known[rest[0]]
         await self.put(kind, rest[0], None, deleted=True)
         return 200, {}
--- a/tests/soak/soak_clients.py
+++ b/tests/soak/soak_clients.py
@@ -10,6 +10,9 @@
 
 CLIENT_COUNT = 10
 MEAN_PAUSE_S = 0.03
+MAX_TAKE_UPS = 3
+"""Times that a client goes on with a resumable stream which broke off."""
+
 REUSE_PROBABILITY = 0.8
 """Chance that a client keeps its connection for the next request."""
 
@@ -36,11 +39,24 @@
 
     async def _send_request(self) -> None:
         kind = self._rng.choice(list(KINDS))
+        request = await self._send(kind)
+        for _ in range(MAX_TAKE_UPS):
+            if request is None or request.is_complete or kind != "resumable":
+                return
+            if not request.event_count or request.status not in (0, 200, 503):
+                return
+            self._abort_connection()
+            request = await self._send(kind, takes_up=request) or request
+
+    async def _send(
+        self, kind: str, *, takes_up: ObservedRequest | None = None
+    ) -> ObservedRequest | None:
+        """Send a request; return it with its answer, or None without a connection."""
         try:
             reader, writer = await self._connect()
         except (OSError, TimeoutError):
             self._abort_connection()
-            return
+            return None
         router = self._router
         assert router is not None
         loop = asyncio.get_running_loop()
@@ -48,13 +64,20 @@
         request.is_after_faults = self.is_after_faults
         request.timeout_s = TIMEOUT_MS / 1000
         request.router_was_stopped = router.stopped_until_s > 0
+        request.takes_up = takes_up
+        resuming = ""
+        if takes_up is not None:
+            resuming = (
+                f"Last-Event-Id: {takes_up.event_count - 1}\r\n"
+                f"Resumes: {takes_up.first.request_id}\r\n"
+            )
         self._record.requests.append(request)
         try:
             async with asyncio.timeout(TIMEOUT_MS / 1000 + 8):
                 writer.write(
                     f"POST /{kind}/x HTTP/1.1\r\nHost: h.example\r\n"
                     f"Request-Id: {request.request_id}\r\nDeadline-Ms: {TIMEOUT_MS}\r\n"
-                    "Content-Length: 3\r\n\r\nabc".encode()
+                    f"{resuming}Content-Length: 3\r\n\r\nabc".encode()
                 )
                 await self._read(reader, request)
         except (OSError, asyncio.IncompleteReadError, ValueError, TimeoutError):
@@ -63,6 +86,7 @@
         request.router_was_stopped |= router.stopped_until_s > 0
         if not request.is_complete or self._rng.random() > REUSE_PROBABILITY:
             self._abort_connection()
+        return request
 
     async def _connect(self):
         if self._connection is None:
--- a/tests/soak/soak_record.py
+++ b/tests/soak/soak_record.py
@@ -35,16 +35,42 @@
     timeout_s: float = 0.0
     is_after_faults: bool = False
     router_was_stopped: bool = False
+    takes_up: "ObservedRequest | None" = None
+    """Request whose stream it goes on with."""
 
+    @property
+    def first(self) -> "ObservedRequest":
+        """The request that brought the first event of its stream."""
+        return self if self.takes_up is None else self.takes_up.first
 
-def stream_event(number: int, request_id: str) -> bytes:
-    """Return an event of a stream; events of different requests differ."""
-    return f"id: {number}\ndata: {request_id}-{number}\n\n".encode()
+    @property
+    def received(self) -> bytes:
+        """Whole events of its stream that the client has, from all requests."""
+        before = b"" if self.takes_up is None else self.takes_up.received
+        whole, end, _ = self.body.rpartition(b"\n\n")
+        return before + whole + end
 
+    @property
+    def event_count(self) -> int:
+        """Number of these events."""
+        return self.received.count(b"\n\n")
 
-def stream_body(request_id: str, count: int) -> bytes:
-    """Return the body of a complete stream."""
-    return b"".join(stream_event(number, request_id) for number in range(count))
+
+def stream_event(number: int, request_id: str, version: str) -> bytes:
+    """Return an event of a stream; events of different requests and versions differ."""
+    return f"id: {number}\ndata: {request_id}-{number} {version}\n\n".encode()
+
+
+def stream_body(request_id: str, count: int, version: str = "v1") -> bytes:
+    """Return the body of a complete stream that one software version wrote."""
+    return b"".join(
+        stream_event(number, request_id, version) for number in range(count)
+    )
+
+
+def version_of(body: bytes) -> str:
+    """Return the version that wrote the first event of a body; empty without one."""
+    return body.partition(b"\n\n")[0].rpartition(b" ")[2].decode("latin-1")
 
 
 def plain_body(request_id: str) -> bytes:
@@ -124,12 +150,17 @@
     def _answer_violations(self, request: ObservedRequest) -> list[str]:
         if request.kind in ("safe", "unsafe"):
             expected = plain_body(request.request_id)
+            body = request.body
         else:
-            expected = stream_body(request.request_id, self.event_count)
-        if request.is_complete and request.body != expected:
-            return [f"a wrong answer looked complete: {request.body[-80:]!r}"]
-        if not request.is_complete and not expected.startswith(request.body):
-            return [f"events out of order: {request.body[-80:]!r}"]
+            # What the client has of the stream, whatever requests brought it.
+            before = request.takes_up.received if request.takes_up is not None else b""
+            body = before + request.body
+            first = request.first
+            expected = stream_body(first.request_id, self.event_count, version_of(body))
+        if request.is_complete and body != expected:
+            return [f"a wrong answer looked complete: {body[-80:]!r}"]
+        if not request.is_complete and not expected.startswith(body):
+            return [f"events out of order, or of two versions: {body[-80:]!r}"]
         return []
 
     def _recovery_violations(self) -> list[str]:
--- a/tests/soak/soak_targets.py
+++ b/tests/soak/soak_targets.py
@@ -31,6 +31,8 @@
     ----------
     target_id : str
         Id; requests that expect another instance are answered with 421.
+    version : str
+        Version of its software, which its events name.
     record : SoakRecord
         Records each run.
     rng : random.Random
@@ -44,8 +46,11 @@
         Time after which an arriving request counts as late.
     """
 
-    def __init__(self, target_id: str, record: SoakRecord, rng: random.Random) -> None:
+    def __init__(
+        self, target_id: str, version: str, record: SoakRecord, rng: random.Random
+    ) -> None:
         self.target_id = target_id
+        self.version = version
         self.fault_probability = 0.0
         self.late_after_s: float | None = None
         self._record = record
@@ -116,7 +121,8 @@
         if fault == "hang":
             await asyncio.sleep(20)
         if "stream" in path or "resumable" in path:
-            return await self._stream(request_id, start, fault, writer)
+            stream_id = headers.get("resumes", request_id)
+            return await self._stream(request_id, stream_id, start, fault, writer)
         await asyncio.sleep(ANSWER_DELAY_S)
         if self._paces(SILENT_SHARE):
             await asyncio.sleep(SILENCE_S)
@@ -145,7 +151,7 @@
             writer.write(response)
         return True
 
-    async def _stream(self, request_id, start, fault, writer) -> bool:
+    async def _stream(self, request_id, stream_id, start, fault, writer) -> bool:
         is_framed = not self._draws(UNFRAMED_SHARE)
         framing = b"Transfer-Encoding: chunked\r\n" if is_framed else b""
         writer.write(self._head(200, request_id) + framing + b"\r\n")
@@ -157,7 +163,7 @@
             endless_at = self._pace_rng.randrange(self._record.event_count)
         has_tiny_chunks = is_framed and self._paces(TINY_CHUNKS_SHARE)
         for number in range(start, self._record.event_count):
-            data = stream_event(number, request_id)
+            data = stream_event(number, stream_id, self.version)
             if number == silent_at:
                 await asyncio.sleep(SILENCE_S)
             if number == endless_at:
--- a/tests/soak/soak_testbed.py
+++ b/tests/soak/soak_testbed.py
@@ -191,6 +191,12 @@
         self._log.close()
 
 
+def version_of_target(name: str) -> str:
+    """Return the software version of a target, which rises as targets are replaced."""
+    number = int(name.removeprefix("i-"))
+    return f"v{1 + (number - 1) // TARGET_COUNT}"
+
+
 class Testbed:
     """The routers, store, targets and proxies of one soak."""
 
@@ -243,7 +249,8 @@
         """Register a new target behind a proxy of its own."""
         self._next_target += 1
         name = f"i-{self._next_target}"
-        target = SoakTarget(name, self.record, random.Random(self.rng.random()))
+        rng = random.Random(self.rng.random())
+        target = SoakTarget(name, version_of_target(name), self.record, rng)
         await target.start()
         self.targets[name] = target
         self.proxies[name] = FaultProxy(HOST, target.port).start()
@@ -256,6 +263,7 @@
             "service": "app",
             "address": f"{HOST}:{self.proxies[name].port}",
             "zone": "z1",
+            "version": version_of_target(name),
             "maxBatchSize": 16,
             "state": state,
         }
