Let streams that go on wait for a target, before new prompts of their account

Cause: a request that continues a stream was queued like a new one. It waited until its aim for the first answer, beside all new prompts, and one that a router resumes within an answer did not wait at all, as that aim had passed. With one version's targets only, there is less room.

Such requests now wait for 1.5 s from the last event or the take-up, and go first within their account; grant requests say so. TestStreamsThatGoOn and test_a_stream_that_goes_on_waits_longer_than_a_new_one fail without it.

--- a/packages/citrondock-core/src/citrondock_core/routing/admission_queue.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/admission_queue.py
@@ -15,6 +15,10 @@
     arrived_at_s: float
     cost_tokens: int
 
+    @property
+    def continues_stream(self) -> bool:
+        """Whether the client has part of the stream already."""
+
     @property
     def on_time_until_s(self) -> float:
         """Deadline after which the request counts as late."""
@@ -32,9 +36,9 @@
     """Waiting requests, ordered by fairness between accounts and by deadline.
 
     The account with the lowest recent usage goes first; for late requests that usage
-    counts `LATE_USAGE_FACTOR` times. Within an account, requests that can be on time go
-    first, then the kind of request with the lowest served ratio, and within a kind the
-    earliest deadline.
+    counts `LATE_USAGE_FACTOR` times. Within an account, streams that were begun go
+    first, then requests that can be on time, then the kind of request with the lowest
+    served ratio, and within a kind the earliest deadline.
 
     Parameters
     ----------
@@ -98,7 +102,7 @@
             )
             for request in in_turn:
                 until_s = request.on_time_until_s
-                is_late = until_s < now_s
+                is_late = until_s < now_s and not request.continues_stream
                 rank_tokens = received_tokens * (LATE_USAGE_FACTOR if is_late else 1.0)
                 rank = (rank_tokens, is_late, until_s, id(request), request)
                 ordered.append(rank)
@@ -106,6 +110,9 @@
         ordered.sort(key=lambda rank: rank[:4])
         return [rank[4] for rank in ordered]
 
-    def _order_in_account(self, request: _W, now_s: float) -> tuple[bool, float, float]:
+    def _order_in_account(
+        self, request: _W, now_s: float
+    ) -> tuple[bool, bool, float, float]:
         until_s = request.on_time_until_s
-        return until_s < now_s, self._ratios.ratio(request.kind), until_s
+        ratio = self._ratios.ratio(request.kind)
+        return not request.continues_stream, until_s < now_s, ratio, until_s
--- a/packages/citrondock-core/src/citrondock_core/routing/engine_admission.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/engine_admission.py
@@ -82,6 +82,7 @@
     arrived_at_s: float
     on_time_until_s: float
     cost_tokens: int
+    continues_stream: bool
 
 
 class EngineAdmission:
@@ -186,7 +187,7 @@
         is_account_queue_full = (
             self._prefill_s(waiting_tokens) > self.options.max_account_queue_s
         )
-        if is_account_queue_full:
+        if is_account_queue_full and not request.continues_stream:
             return self._refuse(request, RefusalReason.ACCOUNT_QUEUE_FULL, now_s)
         if now_s >= request.wait_until_s:
             return self._refuse(request, RefusalReason.WAITED_OUT, now_s)
@@ -197,6 +198,7 @@
             arrived_at_s=now_s,
             on_time_until_s=self._grant_deadline_s(request, prefill_tokens),
             cost_tokens=prefill_tokens,
+            continues_stream=request.continues_stream,
         )
         answer = self._answer(request, Verdict.QUEUED, now_s)
         self._waiting[request.key] = waiting
--- a/packages/citrondock-core/src/citrondock_core/routing/grant.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/grant.py
@@ -76,6 +76,8 @@
         Loop time after which a first token is late.
     wait_until_s : float
         Loop time at which the requesting router gives up.
+    continues_stream : bool
+        Whether the client has part of the stream already.
     """
 
     key: GrantKey
@@ -87,6 +89,7 @@
     shared_parts: tuple[PromptPart, ...]
     on_time_until_s: float
     wait_until_s: float
+    continues_stream: bool = False
 
     @property
     def memory_tokens(self) -> int:
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -48,6 +48,10 @@
 an event loop that is late reads the end of a connection after the grant of its request.
 Requests must not reach targets half a second after their clients have left."""
 
+MAX_RESUMPTION_S = 1.5
+"""Longest wait for a target that goes on with a stream; clients abandon one that pauses
+for two seconds."""
+
 MAX_CONNECT_ATTEMPTS = 4
 """Most targets to which a connection is tried before the request is refused."""
 
@@ -353,6 +357,18 @@
         """Whether the client goes on with a stream that another attempt began."""
         return self.may_be_taken_up and self.facts.resume_after_event_id is not None
 
+    @property
+    def continues_stream(self) -> bool:
+        """Whether the client has part of the stream already."""
+        return self.software_version is not None
+
+    @property
+    def wait_until_s(self) -> float:
+        """Loop time until which it may wait for a target."""
+        if self.continues_stream:
+            return max(self.arrived_at_s, self._last_received_at_s) + MAX_RESUMPTION_S
+        return self.arrived_at_s + self.first_answer_target_s
+
     def accepts(self, entry: TargetEntry) -> bool:
         """Return whether a target's software version may write what comes next."""
         version = entry.software_version
--- a/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/grant_requester.py
@@ -314,6 +314,7 @@
             shared_parts=search.shared_parts,
             on_time_until_s=exchange.on_time_until_s,
             wait_until_s=wait_until_s,
+            continues_stream=exchange.continues_stream,
         )
         search.charged_tokens = request.charged_tokens
         log_event(
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -56,9 +56,6 @@
 STALL_CHECK_S = 0.05
 """Period of the check for stalled requests; a stall lasts longer than 0.3 s."""
 
-MAX_WAIT_RATIO = 1.0
-"""Longest wait for a target, as a multiple of `Exchange.first_answer_target_s`."""
-
 MIN_RETRY_AFTER_S = 0.05
 MAX_RETRY_BACKLOG_S = 2.0
 """Refused clients are asked to retry once the engines have read their backlog: after
@@ -236,12 +233,12 @@
             return
         prompt = exchange.facts.prompt
         if prompt is not None and self.engine(exchange.service):
-            wait_until_s = self._wait_until_s(exchange)
-            self._grant_requester.submit(exchange, prompt, wait_until_s=wait_until_s)
+            until_s = exchange.wait_until_s
+            self._grant_requester.submit(exchange, prompt, wait_until_s=until_s)
             return
         if self._needs_slot_grants(exchange.service):
-            wait_until_s = self._wait_until_s(exchange)
-            self._grant_requester.submit(exchange, None, wait_until_s=wait_until_s)
+            until_s = exchange.wait_until_s
+            self._grant_requester.submit(exchange, None, wait_until_s=until_s)
             return
         queue = self._queue(exchange.service)
         if queue or not self._send_plain(exchange):
@@ -428,6 +425,8 @@
             whole=outcome.is_complete,
             attempts=exchange.history.sent_count,
             targets=",".join(exchange.history.target_ids),
+            takes_up=exchange.facts.begun_by_request_id or "",
+            version=exchange.software_version or "",
             asks=exchange.grant_request_count,
             refused_before_s=arrived_at_s - exchange.first_arrived_at_s,
             waited_s=exchange.sent_at_s - arrived_at_s if exchange.sent_at_s else None,
@@ -510,7 +509,7 @@
         for service, queue in self._queues.items():
             for exchange in list(queue):
                 try:
-                    if now_s >= self._wait_until_s(exchange):
+                    if now_s >= exchange.wait_until_s:
                         queue.remove(exchange)
                         exchange.refuse("no_room_in_time")
                 except Exception as error:
@@ -555,9 +554,6 @@
         until_s = min(load.paused_until_s for load in loads)
         return round(max(until_s - self._loop.time(), MIN_RETRY_AFTER_S), 3)
 
-    def _wait_until_s(self, exchange: Exchange) -> float:
-        return exchange.arrived_at_s + MAX_WAIT_RATIO * exchange.first_answer_target_s
-
     def _update_versions(self) -> None:
         entries = [
             (entry.service, entry.software_version)
@@ -666,7 +662,7 @@
             return
         permit_at_s = self._permits.next_at_s(limited)
         for exchange in list(queue):
-            if permit_at_s >= self._wait_until_s(exchange):
+            if permit_at_s >= exchange.wait_until_s:
                 queue.remove(exchange)
                 exchange.refuse("limit_reached")
 
--- a/packages/citrondock-wire/grants.thrift
+++ b/packages/citrondock-wire/grants.thrift
@@ -15,6 +15,7 @@
   8: i32 on_time_left_ms       // time until the first answer is late
   9: i32 wait_left_ms          // time until the requesting router gives up
   10: string kind
+  11: optional bool continues_stream // the client has part of it; unset for a new one
 }
 
 enum Verdict {
--- a/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
+++ b/packages/citrondock-wire/src/citrondock_wire/gen/citrondock_grants/ttypes.py
@@ -89,11 +89,12 @@
      - on_time_left_ms
      - wait_left_ms
      - kind
+     - continues_stream
 
     """
 
 
-    def __init__(self, number=None, target=None, account=None, prompt_tokens=None, output_tokens=None, part_ids=None, part_tokens=None, on_time_left_ms=None, wait_left_ms=None, kind=None,):
+    def __init__(self, number=None, target=None, account=None, prompt_tokens=None, output_tokens=None, part_ids=None, part_tokens=None, on_time_left_ms=None, wait_left_ms=None, kind=None, continues_stream=None,):
         self.number = number
         self.target = target
         self.account = account
@@ -104,6 +105,7 @@
         self.on_time_left_ms = on_time_left_ms
         self.wait_left_ms = wait_left_ms
         self.kind = kind
+        self.continues_stream = continues_stream
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -174,6 +176,11 @@
                     self.kind = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.BOOL:
+                    self.continues_stream = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -230,6 +237,10 @@
             oprot.writeFieldBegin('kind', TType.STRING, 10)
             oprot.writeString(self.kind.encode('utf-8') if sys.version_info[0] == 2 else self.kind)
             oprot.writeFieldEnd()
+        if self.continues_stream is not None:
+            oprot.writeFieldBegin('continues_stream', TType.BOOL, 11)
+            oprot.writeBool(self.continues_stream)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1595,6 +1606,7 @@
     (8, TType.I32, 'on_time_left_ms', None, None, ),  # 8
     (9, TType.I32, 'wait_left_ms', None, None, ),  # 9
     (10, TType.STRING, 'kind', 'UTF8', None, ),  # 10
+    (11, TType.BOOL, 'continues_stream', None, None, ),  # 11
 )
 all_structs.append(Answer)
 Answer.thrift_spec = (
--- a/tests/gateway/simulated_gateways.py
+++ b/tests/gateway/simulated_gateways.py
@@ -107,6 +107,7 @@
     is_waiting: bool = True
     excluded: set[str] = attrs.field(factory=set)
     silent_target_id: str | None = None
+    continues_stream: bool = False
     first_arrived_at_s: float = 0.0
     """When its client first sent it; the same at each return."""
 
--- a/tests/gateway/test_grant_requester.py
+++ b/tests/gateway/test_grant_requester.py
@@ -62,6 +62,7 @@
     is_waiting: bool = True
     excluded: set[str] = attrs.field(factory=set)
     silent_target_id: str | None = None
+    continues_stream: bool = False
     refused: str = ""
 
     def accepts(self, _entry):
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -243,3 +243,30 @@
                 first.cancel()
 
         run(check())
+
+    @pytest.mark.parametrize("is_taken_up", [True, False])
+    def test_a_stream_that_goes_on_waits_longer_than_a_new_one(self, is_taken_up):
+        async def busy(got, writer):
+            if got.request_id == "r0":
+                writer.write(stream_head(got) + chunk(event(0)))
+                await asyncio.sleep(0.9)
+                writer.write(b"0\r\n\r\n")
+            else:
+                await stream_script(0, 6)(got, writer)
+
+        async def check():
+            async with make_harness(busy, service="llm") as harness:
+                large = {**self.headers(), "Token_Usage": "1000,90000"}
+                first = asyncio.ensure_future(harness.get("/model/x", "r0", **large))
+                await asyncio.sleep(0.1)
+                versions = harness.process.stream_versions.versions
+                while versions.base("llm") is None:
+                    versions.set_base("llm", "", now_s=0)
+                    versions.is_read = True
+                if is_taken_up:
+                    large |= {"Last_Event_Id": 2, "Resumes": "r"}
+                reply = await harness.get("/model/x", "r1", **large)
+                assert reply.status == (200 if is_taken_up else 503)
+                await first
+
+        run(check())
--- a/tests/gateway/test_unanswered_requests.py
+++ b/tests/gateway/test_unanswered_requests.py
@@ -597,14 +597,14 @@
             target = ScriptedTarget("t0", send_complete_response, service="other")
             async with Harness([target]) as harness:
                 scheduler = harness.gateway.scheduler
-                real = scheduler._wait_until_s
+                real = Exchange.wait_until_s.fget
 
                 def wait_until_s(exchange):
                     if exchange.facts.request_id == "r1":
                         raise UnexpectedError
                     return real(exchange)
 
-                monkeypatch.setattr(scheduler, "_wait_until_s", wait_until_s)
+                monkeypatch.setattr(Exchange, "wait_until_s", property(wait_until_s))
                 monkeypatch.setattr(scheduler, "_send_plain", lambda *_a, **_o: False)
                 monkeypatch.setattr(
                     scheduler, "_loads_by_service", {"app": scheduler.loads("other")}
--- a/tests/routing/test_engine_admission.py
+++ b/tests/routing/test_engine_admission.py
@@ -38,6 +38,7 @@
         shared_parts=parts,
         on_time_until_s=now_s + target_s,
         wait_until_s=now_s + kw.pop("wait_s", target_s),
+        **kw,
     )
 
 
@@ -91,6 +92,34 @@
         assert granted_numbers(admission) == [1, 2]
 
 
+class TestStreamsThatGoOn:
+    def test_they_go_before_new_prompts_of_their_account(self):
+        admission = new_admission()
+        fill_backlog(admission, count=2)
+        for number in (1, 2, 3):
+            request = grant_request(number, target_s=3.0, continues_stream=number == 3)
+            assert admission.submit(request, now_s=0).verdict is Verdict.QUEUED
+        assert granted_numbers(admission) == [3, 1, 2]
+
+    def test_they_are_not_late(self):
+        admission = fill_and_queue(served_tokens={"served": 90_000, "refused": 75_000})
+        late = grant_request(
+            3, account="refused", target_s=-0.5, wait_s=3.0, continues_stream=True
+        )
+        assert admission.submit(late, now_s=0).verdict is Verdict.QUEUED
+        assert granted_numbers(admission)[0] == 3
+
+    def test_a_full_queue_of_their_account_does_not_refuse_them(self):
+        admission = new_admission(max_account_queue_s=0.2)
+        fill_backlog(admission)
+        new, begun = (
+            grant_request(number, account="filler", continues_stream=number == 2)
+            for number in (1, 2)
+        )
+        assert admission.submit(new, now_s=0).verdict is Verdict.REFUSED
+        assert admission.submit(begun, now_s=0).verdict is Verdict.QUEUED
+
+
 class TestUnusedGrants:
     def test_an_account_is_not_charged_for_a_grant_that_was_not_used(self):
         admission = new_admission()
