Split the writing of stream records from their reading; tidy the usage exchange

A router that becomes its own collector that way counted its report with the next one only; it does at once.

--- a/packages/citrondock-router/src/citrondock_router/gateway/usage_exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/usage_exchange.py
@@ -54,21 +54,11 @@
         self._members = UsageSum()
         self._other_zones = UsageSum()
         self._collects_until_s = -math.inf
+        self._period_s = MIN_REPORT_PERIOD_S
         self._collector = ""
         self._unanswered_count = 0
         link.add_handler(self)
 
-    @property
-    def _period_s(self) -> float:
-        zone = self._link.peers.availability_zone
-        peers = self._link.peers.peers()
-        member_count = 1 + sum(peer.availability_zone == zone for peer in peers)
-        return max(member_count / MAX_COLLECTED_PER_S, MIN_REPORT_PERIOD_S)
-
-    def _overdue_at_s(self, now_s: float) -> float:
-        """Return when a report that came now should have been followed by another."""
-        return now_s + MAX_MISSED_REPORTS * self._period_s
-
     def report(self) -> float:
         """Report local usage, and the sum of the zone if this router collects it.
 
@@ -78,6 +68,10 @@
             Time in seconds until the next report is due.
         """
         now_s = self._loop.time()
+        zone = self._link.peers.availability_zone
+        peers = self._link.peers.peers()
+        member_count = 1 + sum(peer.availability_zone == zone for peer in peers)
+        self._period_s = max(member_count / MAX_COLLECTED_PER_S, MIN_REPORT_PERIOD_S)
         self._members.expire(now_s=now_s)
         self._other_zones.expire(now_s=now_s)
         usage = self._usage.report(now_s=now_s)
@@ -106,23 +100,27 @@
             self._unanswered_count = 0
             self._apply_totals(datagram.fleet_usage, now_s)
 
+    def _overdue_at_s(self, now_s: float) -> float:
+        """Return when a report that came now should have been followed by another."""
+        return now_s + MAX_MISSED_REPORTS * self._period_s
+
     def _apply_totals(self, totals: list[ReportedUsage], now_s: float) -> None:
         self._usage.apply_totals(totals, holds_until_s=self._overdue_at_s(now_s))
 
     def _send_report(self, usage: list[ReportedUsage], now_s: float) -> None:
         zone = self._link.peers.availability_zone
         collector = self._collector_of(zone, now_s)
+        if collector == self._collector and self._is_silent():
+            log_event("collector_silent", level="WARNING", peer=collector)
+            self._link.peers.mark_silent(collector, now_s=now_s)
+            collector = self._collector_of(zone, now_s)
+        if collector != self._collector:
+            self._collector = collector
+            self._unanswered_count = 0
         if collector == self._link.vm_name:
             self._collect(collector, usage, now_s)
             self._apply_totals(self._fleet_usage(), now_s)
             return
-        if collector != self._collector:
-            self._collector = collector
-            self._unanswered_count = 0
-        elif self._is_silent():
-            log_event("collector_silent", level="WARNING", peer=collector)
-            self._link.peers.mark_silent(collector, now_s=now_s)
-            collector = self._collector_of(zone, now_s)
         self._unanswered_count += 1
         datagram = self._link.datagram()
         datagram.usage = usage
--- a/tests/gateway/test_stream_version_log.py
+++ b/tests/gateway/test_stream_version_log.py
@@ -10,10 +10,8 @@
 from citrondock_core.routing.stream_versions import StreamVersions
 from citrondock_router.gateway import stream_version_log
 from citrondock_router.gateway.store_era import StoreEra
-from citrondock_router.gateway.stream_version_log import (
-    StreamNotRecordedError,
-    StreamVersionLog,
-)
+from citrondock_router.gateway.stream_record_writer import StreamNotRecordedError
+from citrondock_router.gateway.stream_version_log import StreamVersionLog
 
 DEADLINE_S = 0.2
 
