Delete the records of routers that have ended

Found on reading: each router deletes the objects that it wrote, and those of a router that was killed stayed in the store for good. The keeper now deletes them once their streams cannot be taken up any more, after one read that tells which are gone.

--- a/packages/citrondock-router/src/citrondock_router/gateway/stream_version_log.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/stream_version_log.py
@@ -86,6 +86,8 @@
         self._revision: int | None = None
         self._era = 0
         self._base_revisions: dict[str, int] = {}
+        # When the objects with records of other routers may be deleted.
+        self._deletable_at_s: dict[str, float] = {}
 
     def use_store(
         self,
@@ -145,6 +147,9 @@
     async def run(self) -> None:
         """Keep base versions up to date, and drop old records, until cancelled."""
         keeps_from_s = self._loop.time() + KEEPER_DELAY_S
+        # The keeper has written the base versions by then, but for those of services
+        # that began with several versions.
+        look_for_bases_at_s = keeps_from_s + KEEPER_DELAY_S
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             if (
@@ -156,15 +161,16 @@
             now_s = self._loop.time()
             self.versions.expire(now_s=now_s)
             must_read = self.versions.must_read
-            if now_s >= keeps_from_s + KEEPER_DELAY_S:
-                # The keeper has written all base versions by then.
-                must_read = must_read or self.versions.lacks_base
+            if now_s >= look_for_bases_at_s and self.versions.lacks_base:
+                must_read = True
+                look_for_bases_at_s = now_s + KEEPER_DELAY_S
             if must_read and not await self._read():
                 await asyncio.sleep(RETRY_S)
                 continue
             try:
                 if now_s >= keeps_from_s:
                     await self._update_bases(self._store)
+                    await self._delete_left_behind(self._store)
                 await self._writer.drop_old()
             except WatchedStoreError as error:
                 log_event("stream_versions_unchanged", detail=str(error))
@@ -218,13 +224,14 @@
 
     def _apply(self, item: WatchedObject) -> None:
         if item.is_deleted:
+            self._deletable_at_s.pop(item.name, None)
             return
         try:
             value = item.value or {}
             if item.name.startswith(_BASE_PREFIX):
                 self._apply_base(item, value)
             elif item.name.startswith(SEGMENT_PREFIX):
-                self._apply_segment(value)
+                self._apply_segment(item.name, value)
         except (KeyError, TypeError, ValueError) as error:
             problem = repr(error)
             log_event("stream_versions_unreadable", object=item.name, detail=problem)
@@ -234,9 +241,10 @@
         self._base_revisions[service] = item.revision
         self.versions.set_base(service, version, now_s=self._loop.time())
 
-    def _apply_segment(self, value: Mapping[str, Any]) -> None:
+    def _apply_segment(self, name: str, value: Mapping[str, Any]) -> None:
         left_s = float(value["expiresAtMs"]) / _MS_PER_S - time.time()
         left_s = min(left_s + CLOCK_MARGIN_S, MAX_LIFETIME_S + CLOCK_MARGIN_S)
+        self._deletable_at_s[name] = self._loop.time() + left_s
         if left_s <= 0:
             return
         number = int(value["number"])
@@ -272,6 +280,21 @@
             )
             await self._read()
 
+    async def _delete_left_behind(self, store: WritableStore) -> None:
+        """Delete the records that routers which ended have left in the store."""
+        if not any(self._is_keeper(service) for service in self.versions.services()):
+            return
+        now_s = self._loop.time()
+        if all(now_s < at_s for at_s in self._deletable_at_s.values()):
+            return
+        # Routers that run have deleted theirs.
+        if not await self._read():
+            return
+        for name, at_s in list(self._deletable_at_s.items()):
+            if now_s >= at_s:
+                await store.delete(STREAM_VERSION_KIND, name)
+                self._deletable_at_s.pop(name, None)
+
     def _is_keeper(self, service: str) -> bool:
         """Return whether this router changes the base version of a service."""
         key, now_s = f"stream-versions/{service}", self._loop.time()
--- a/tests/gateway/memory_store.py
+++ b/tests/gateway/memory_store.py
@@ -33,6 +33,14 @@
         self._revision = 0
         self._first_revision = 0
 
+    def names(self, prefix):
+        """Return the names of all objects that begin with ``prefix``."""
+        return [
+            name
+            for (_, name), item in self._objects.items()
+            if name.startswith(prefix) and not item.is_deleted
+        ]
+
     def forget_history(self):
         self._first_revision = self._revision
 
--- a/tests/gateway/test_stream_version_log.py
+++ b/tests/gateway/test_stream_version_log.py
@@ -8,7 +8,7 @@
 
 from citrondock_core.routing.peer_table import PeerTable
 from citrondock_core.routing.stream_versions import StreamVersions
-from citrondock_router.gateway import stream_version_log
+from citrondock_router.gateway import stream_record_writer, stream_version_log
 from citrondock_router.gateway.store_era import StoreEra
 from citrondock_router.gateway.stream_record_writer import StreamNotRecordedError
 from citrondock_router.gateway.stream_version_log import StreamVersionLog
@@ -19,7 +19,7 @@
 @pytest.fixture(autouse=True)
 def _short_times(monkeypatch):
     monkeypatch.setattr(stream_version_log, "HOUSEKEEPING_S", 0.01)
-    monkeypatch.setattr(stream_version_log, "KEEPER_DELAY_S", 0.0)
+    monkeypatch.setattr(stream_version_log, "KEEPER_DELAY_S", 0.05)
     monkeypatch.setattr(
         "citrondock_core.routing.stream_versions.LIFETIME_MARGIN_S", 0.1
     )
@@ -157,6 +157,38 @@
         run(check())
 
 
+class TestOldRecords:
+    @pytest.fixture(autouse=True)
+    def _short_segments(self, monkeypatch):
+        monkeypatch.setattr(stream_version_log, "CLOCK_MARGIN_S", 0.1)
+        monkeypatch.setattr(stream_record_writer, "SEGMENT_S", 0.1)
+
+    def test_a_router_deletes_its_own(self):
+        async def check():
+            store = MemoryStore()
+            router = RouterLog(store, v1=1, v2=1)
+            await router.log.record("v2", "r1")
+            assert store.names("streams.")
+            async with asyncio.timeout(5):
+                while store.names("streams."):
+                    await asyncio.sleep(0.02)
+
+        run(check())
+
+    def test_those_of_a_router_that_ended_are_deleted(self):
+        async def check():
+            store = MemoryStore()
+            router = RouterLog(store, v1=1, v2=1)
+            await router.log.record("v2", "r1")
+            router.task.cancel()
+            RouterLog(store, name="v2", v1=1, v2=1)
+            async with asyncio.timeout(5):
+                while store.names("streams."):
+                    await asyncio.sleep(0.02)
+
+        run(check())
+
+
 class TestStoreOutage:
     def test_a_stream_that_has_to_be_recorded_may_not_begin(self):
         async def check():
