Read all records before a stream is taken up

Cause, by the protocol: one answer to a watch may have only some of the changes; the next comes from its revision. Reads took one answer for all. Within 7 routers it had all, with 87 it did not.

A read now goes on until an answer has no changes. After more than two seconds it lists instead, as changes have each batch of all routers. The test's store limits its answers, and the test failed before.

--- a/packages/citrondock-router/src/citrondock_router/gateway/stream_version_log.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/stream_version_log.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import math
 import time
 from collections.abc import Mapping
 from typing import Any
@@ -45,6 +46,10 @@
 CLOCK_MARGIN_S = 10.0
 """How far the times of day of two routers may be apart."""
 
+MAX_CATCH_UP_S = 2.0
+"""Time since the last read up to which only changes are read. They have each batch of
+all routers; after a longer time a listing is shorter."""
+
 READ_WAIT_S = 0.001
 """Wait of a watch that only brings what has changed until now."""
 
@@ -84,6 +89,7 @@
         self._read_lock = asyncio.Lock()
         self._next_read: asyncio.Task[None] | None = None
         self._revision: int | None = None
+        self._read_at_s = -math.inf
         self._era = 0
         self._base_revisions: dict[str, int] = {}
         # When the objects with records of other routers may be deleted.
@@ -198,29 +204,38 @@
     async def _read_in_turn(self, store: WritableStore) -> None:
         async with self._read_lock:
             self._next_read = None
-            snapshot = await self._changes(store)
-            if snapshot is None:
-                snapshot = await store.list(STREAM_VERSION_KIND)
+            began_s = self._loop.time()
+            is_recent = began_s - self._read_at_s < MAX_CATCH_UP_S
+            if not is_recent or not await self._read_changes(store):
                 self._base_revisions.clear()
-            self._era = snapshot.era
-            for item in snapshot.objects:
-                self._apply(item)
-            self._revision = snapshot.revision
+                self._deletable_at_s.clear()
+                self._apply_snapshot(await store.list(STREAM_VERSION_KIND))
+            self._read_at_s = began_s
             self.versions.is_read = True
 
-    async def _changes(self, store: WritableStore) -> Snapshot | None:
-        """Return what has changed since the last read; None if all has to be listed."""
-        if self._revision is None:
-            return None
-        try:
-            snapshot = await store.watch(
-                STREAM_VERSION_KIND,
-                after_revision=self._revision,
-                wait_s=READ_WAIT_S,
-            )
-        except HistoryGoneError:
-            return None
-        return snapshot if snapshot.era == self._era else None
+    async def _read_changes(self, store: WritableStore) -> bool:
+        """Read what has changed since the last read; return False if it cannot be."""
+        while self._revision is not None:
+            try:
+                snapshot = await store.watch(
+                    STREAM_VERSION_KIND,
+                    after_revision=self._revision,
+                    wait_s=READ_WAIT_S,
+                )
+            except HistoryGoneError:
+                return False
+            if snapshot.era != self._era:
+                return False
+            self._apply_snapshot(snapshot)
+            # One answer may have only some of the changes.
+            if not snapshot.objects:
+                return True
+        return False
+
+    def _apply_snapshot(self, snapshot: Snapshot) -> None:
+        for item in snapshot.objects:
+            self._apply(item)
+        self._revision, self._era = snapshot.revision, snapshot.era
 
     def _apply(self, item: WatchedObject) -> None:
         if item.is_deleted:
--- a/tests/gateway/memory_store.py
+++ b/tests/gateway/memory_store.py
@@ -22,11 +22,14 @@
         Names of the calls, in order.
     may_write : asyncio.Event
         Writes wait for it.
+    max_watched : int
+        Most changes that one answer to a watch has; the rest comes with the next.
     """
 
     def __init__(self):
         self.is_down = False
         self.calls = []
+        self.max_watched = 1000
         self.may_write = asyncio.Event()
         self.may_write.set()
         self._objects = {}
@@ -77,7 +80,12 @@
         self._call("watch")
         if after_revision < self._first_revision:
             raise HistoryGoneError("history is gone", step="watch")
-        return self._snapshot(kind, after_revision, with_deleted=True)
+        snapshot = self._snapshot(kind, after_revision, with_deleted=True)
+        changes = sorted(snapshot.objects, key=lambda item: item.revision)
+        if len(changes) <= self.max_watched:
+            return snapshot
+        changes = changes[: self.max_watched]
+        return Snapshot(objects=changes, revision=changes[-1].revision)
 
     async def create(self, kind, name, value):
         self._call("create")
--- a/tests/gateway/test_stream_version_log.py
+++ b/tests/gateway/test_stream_version_log.py
@@ -156,6 +156,22 @@
 
         run(check())
 
+    def test_all_changes_are_read_where_one_answer_has_only_some(self):
+        async def check():
+            store = MemoryStore()
+            store.max_watched = 2
+            reader = RouterLog(store, "v0", v1=2)
+            writers = [RouterLog(store, f"v{number}", v1=2) for number in range(1, 8)]
+            await reader.base("v1")
+            for router in (reader, *writers):
+                router.set_live(v1=1, v2=1)
+            for number, router in enumerate(writers):
+                await router.log.record("v2", f"r{number}")
+            for number in reversed(range(len(writers))):
+                assert await reader.find(f"r{number}") == "v2"
+
+        run(check())
+
 
 class TestOldRecords:
     @pytest.fixture(autouse=True)
