Move the record of a stream's version out of the exchange

Read as a newcomer would: the exchange held when to write, what may have been written and what waits for it, between all else. Behaviour is the same; the tests of streams, silent targets and endings pass.

--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -38,6 +38,7 @@
     TargetConnection,
 )
 from citrondock_router.gateway.target_connection_pool import TargetConnectionPool
+from citrondock_router.gateway.version_record import VersionRecord
 from citrondock_router.log import LogValue, log_event, raised_at
 
 SEARCH_PAUSE_S = 0.5
@@ -277,12 +278,12 @@
         self.may_search_from_s = now_s
         # Version whose events the client has, once it has any.
         self.software_version: str | None = None
-        # Version that was recorded last, and what tells once the store has it. A write
-        # that failed may have left a record.
-        self._recorded_version: str | None = None
-        self._may_have_record = False
-        self._unwritten: asyncio.Future[None] | None = None
-        # What arrives until then.
+        self._version_record = VersionRecord(
+            is_needed=functools.partial(scheduler.needs_record, self),
+            write=functools.partial(scheduler.record_stream, self),
+            on_written=self._version_written,
+        )
+        # What arrives before the version is recorded.
         self._held_events: list[bytes] = []
         self._held_end: Callable[[], None] | None = None
         self.grant_request_count = 0
@@ -379,7 +380,8 @@
         if self._is_searching and self.choice is not None:
             # Either of the two may turn out to write the first event.
             return version == self.choice.load.entry.software_version
-        return not self._needs_record(version) or self._scheduler.can_record()
+        is_needed = self._version_record.is_needed_for(version)
+        return not is_needed or self._scheduler.can_record()
 
     # Called by the scheduler.
 
@@ -603,10 +605,10 @@
                 self._connection.pause()
             self._scheduler.first_byte_received(self)
         if self._head.is_success and self.route.kind.is_stream:
-            if self._unwritten is None or self.software_version is not None:
-                self._forward_events(data)
-            else:
+            if self._version_record.is_pending and self.software_version is None:
                 self._hold_events(data)
+            else:
+                self._forward_events(data)
         elif self._head.is_success or self._response.fits(data):
             self._response.write_plain(self._head, data)
         else:
@@ -700,7 +702,8 @@
     def _request_for(self, choice: PlacementChoice) -> bytes:
         """Return the request as it is sent to a target now, and record that."""
         entry = choice.load.entry
-        self._record_version(entry.software_version)
+        if self.may_be_taken_up and self.software_version is None:
+            self._version_record.ensure(entry.software_version)
         time_left_s = self.deadline_s - self._loop.time()
         resume_after = self.facts.resume_after_event_id
         if self._event_filter is not None:
@@ -730,35 +733,16 @@
             lines.append(b"Content-Length: %d" % len(body))
         return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
-    # The software version that begins a stream. The client may take the stream up at
-    # another router once it has an event, so no event is passed on before the record of
-    # its version is written.
-
-    def _needs_record(self, version: str) -> bool:
-        if not self.may_be_taken_up or version == self._recorded_version:
-            return False
-        # A later record takes the place of one for a version that sent no event.
-        return self._may_have_record or self._scheduler.needs_record(self, version)
-
-    def _record_version(self, version: str) -> None:
-        if self.software_version is not None or not self._needs_record(version):
-            return
-        self._recorded_version = version
-        self._may_have_record = True
-        self._unwritten = self._scheduler.record_stream(self, version)
-        self._unwritten.add_done_callback(self._version_written)
+    # The client may take a stream up at another router once it has an event, so no
+    # event is passed on before the version that wrote it is recorded.
 
     @_answers_on_error
-    def _version_written(self, written: "asyncio.Future[None]") -> None:
-        if written is not self._unwritten:
-            return
-        self._unwritten = None
-        if written.cancelled() or written.exception() is not None:
-            self._recorded_version = None
-            if self.state in (ExchangeState.SENT, ExchangeState.RECEIVING):
-                self._fail_response("version_not_recorded")
-        elif self._held_events:
-            self._release_events()
+    def _version_written(self, is_written: bool) -> None:
+        if is_written:
+            if self._held_events:
+                self._release_events()
+        elif self.state in (ExchangeState.SENT, ExchangeState.RECEIVING):
+            self._fail_response("version_not_recorded")
 
     def _hold_events(self, data: bytes) -> None:
         self._held_events.append(data)
