--- a/packages/citrondock-core/src/citrondock_core/routing/stream_versions.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/stream_versions.py
@@ -118,11 +118,6 @@
         """Return the services that have targets."""
         return [service for service, state in self._services.items() if state.live]
 
-    def is_live(self, service: str, version: str) -> bool:
-        """Return whether a version of a service has registered targets."""
-        state = self._services.get(service)
-        return state is not None and version in state.live
-
     @property
     def must_read(self) -> bool:
         """Whether the store may name other base versions than those known here."""
