Apply resumable services with their configuration; one fixture for quiet logs

Cause: each configuration counted the versions of all targets twice, first with the services of the one before, as resumable services were set by a second call. Held events were dropped once more where an attempt begins, though each end of an attempt drops them. Two test files silenced the same four modules each in their own way of one copy.

Behaviour and assertions are the same.

--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -693,7 +693,6 @@
         self.state = ExchangeState.SENT
         self.sent_at_s = self.last_data_at_s = sent_at_s
         self._head = None
-        self._drop_held_events()
         self._did_not_run = self._has_begun = False
         self._refusal_bytes = 0
         self._response.discard_buffer()
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -184,14 +184,14 @@
             return
         limits = configuration.limits
         self._memory.allow_requests_of(limits.max_header_bytes + limits.max_body_bytes)
-        self.scheduler.configure(dict(configuration.services))
-        self.scheduler.set_resumable_services(
-            {
-                share.service
-                for route in configuration.routes
-                if route.kind is RouteKind.RESUMABLE_STREAM
-                for share in route.shares
-            }
+        resumable_services = {
+            share.service
+            for route in configuration.routes
+            if route.kind is RouteKind.RESUMABLE_STREAM
+            for share in route.shares
+        }
+        self.scheduler.configure(
+            dict(configuration.services), resumable_services=resumable_services
         )
         for client in self._clients:
             client.extend_idle(limits.idle_timeout_s)
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -157,16 +157,25 @@
         for budget in self._budgets.values():
             budget.options = options
 
-    def configure(self, services: dict[str, ServiceOptions]) -> None:
-        """Apply the services of a new configuration."""
+    def configure(
+        self,
+        services: dict[str, ServiceOptions],
+        *,
+        resumable_services: Collection[str],
+    ) -> None:
+        """Apply the services of a new configuration.
+
+        Parameters
+        ----------
+        services : dict of str
+            Options by service.
+        resumable_services : collection of str
+            Services whose streams clients may take up.
+        """
         self._services = services
+        self._resumable_services = frozenset(resumable_services)
         self._rebuild()
 
-    def set_resumable_services(self, services: Collection[str]) -> None:
-        """Replace the services whose streams clients may take up."""
-        self._resumable_services = frozenset(services)
-        self._update_versions()
-
     def directory_changed(self, change: DirectoryChange) -> None:
         """Apply a change of targets; connections to removed ones are closed."""
         for entry in change.removed:
--- a/tests/gateway/test_fair_fleet.py
+++ b/tests/gateway/test_fair_fleet.py
@@ -3,13 +3,6 @@
 import pytest
 from simulated_gateways import Costs, SimulatedFleet
 
-from citrondock_router.gateway import (
-    grant_broker,
-    grant_home,
-    grant_requester,
-    overload_guard,
-)
-
 LENGTH_S = 14
 DRAIN_S = 3
 """Time in which all requests end after the last one has arrived."""
@@ -20,10 +13,7 @@
 """The late router is busy for 0.93 of the time."""
 
 
-@pytest.fixture(autouse=True)
-def _quiet_log(monkeypatch):
-    for module in (grant_broker, grant_home, grant_requester, overload_guard):
-        monkeypatch.setattr(module, "log_event", lambda *_, **__: None)
+pytestmark = pytest.mark.usefixtures("quiet_log")
 
 
 def play_one_router_account(seed):
--- a/tests/gateway/test_promised_shares.py
+++ b/tests/gateway/test_promised_shares.py
@@ -8,22 +8,12 @@
 import pytest
 from simulated_gateways import SimulatedFleet
 
-from citrondock_router.gateway import (
-    grant_broker,
-    grant_home,
-    grant_requester,
-    overload_guard,
-)
-
 ROUTERS, ENGINES = 24, 12
 LENGTH_S = 11
 TOKENS_PER_REQUEST = 3000
 
 
-@pytest.fixture(autouse=True)
-def _quiet_log(monkeypatch):
-    for module in (grant_broker, grant_home, grant_requester, overload_guard):
-        monkeypatch.setattr(module, "log_event", lambda *_, **__: None)
+pytestmark = pytest.mark.usefixtures("quiet_log")
 
 
 class Mix:
