--- a/review/standins_2/store.py
+++ b/review/standins_2/store.py
@@ -52,7 +52,7 @@
                 body = await reader.readexactly(length)
                 await self._store.is_up.wait()
                 if self.mode == "serve" and self._store.loses(method, target, body):
-                    # A connection on which an answer is lost returns nothing further.
+                    # A connection on which an answer is lost returns nothing more.
                     await reader.read()
                     return
                 status, answer = 503, {}
