--- a/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/client_connection.py
@@ -1,6 +1,7 @@
 """One HTTP/1.1 connection from a client."""
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Sequence
 from http import HTTPStatus
@@ -11,6 +12,7 @@
 from citrondock_core.routing.memory_budget import MemoryBudget, MemoryHolder
 from citrondock_router.gateway.header_codec import Header
 from citrondock_router.gateway.paced_input import PacedInput, TurnQueue
+from citrondock_router.gateway.peer_watch import PeerWatch, WatchedPeer
 from citrondock_router.gateway.request_handler import RequestHandler, RequestInProgress
 from citrondock_router.gateway.request_reader import (
     ReceivedRequest,
@@ -22,8 +24,8 @@
     has_peer_closed,
     has_unread_data,
     reset_on_close,
-    tolerate_slow_peer,
 )
+from citrondock_router.log import log_event
 
 LINGER_S = 1.0
 """Time for which bytes of a refused request are still read and dropped. Closing at once
@@ -36,11 +38,14 @@
 """Response bytes that may wait for a slow client before the gateway stops reading from
 the target."""
 
+UNDELIVERED_LOG_S = 1.0
+"""A connection that ends after bytes were undelivered for this time is logged."""
+
 RETRY_WITHOUT_MEMORY_S = 0.5
 """Retry-After of a request for which there is no memory; another router may have it."""
 
 
-class ClientConnection(asyncio.Protocol, MemoryHolder):
+class ClientConnection(asyncio.Protocol, MemoryHolder, WatchedPeer):
     """Passes requests on one at a time and writes their responses.
 
     Parameters
@@ -53,6 +58,8 @@
         Is told what the connection holds, and may release it.
     turns : TurnQueue, optional
         Shares out the turns in which connections are read.
+    watch : PeerWatch, optional
+        Tells slow clients from those that are gone.
     """
 
     def __init__(
@@ -61,10 +68,12 @@
         loop: asyncio.AbstractEventLoop,
         memory: MemoryBudget,
         turns: TurnQueue | None = None,
+        watch: PeerWatch | None = None,
     ) -> None:
         self._handler = handler
         self._loop = loop
         self._memory = memory
+        self._watch = watch or PeerWatch(loop)
         self._transport: asyncio.Transport | None = None
         self._reader = RequestReader(
             handler,
@@ -138,6 +147,16 @@
     @override
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
+        undelivered_s = self._watch.closed(self)
+        if undelivered_s >= UNDELIVERED_LOG_S:
+            log_event(
+                "answer_undelivered",
+                level="WARNING",
+                waited_s=undelivered_s,
+                error=repr(exc) if exc else "",
+                closed=self._close_reason,
+                draining=self._handler.is_draining,
+            )
         self._input.discard()
         self._drop_queued(self._close_reason or "client_left")
         current, self._current = self._current, None
@@ -158,9 +177,8 @@
 
     def _set_slow(self, *, is_slow: bool) -> None:
         self._is_slow = is_slow
-        if self._transport is not None and not self._transport.is_closing():
-            sock = self._transport.get_extra_info("socket")
-            tolerate_slow_peer(sock, is_slow=is_slow)
+        if is_slow:
+            self._watch.tolerate(self)
         if self._current is not None:
             self._current.set_client_slow(is_slow)
         self._progressed_at_s = self._loop.time()
@@ -240,6 +258,34 @@
         if not (self._is_busy or self._is_discarding):
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    # Delivery.
+
+    @override
+    @property
+    def tcp_socket(self) -> socket.socket | None:
+        if self._transport is None:
+            return None
+        sock: socket.socket | None = self._transport.get_extra_info("socket")
+        return sock
+
+    @override
+    @property
+    def buffered_bytes(self) -> int:
+        return self._transport.get_write_buffer_size() if self._transport else 0
+
+    @override
+    def peer_is_gone(self) -> None:
+        self.close_at_once("client_silent")
+
+    @property
+    def is_delivered(self) -> bool:
+        """Whether the client has acknowledged all that was written."""
+        return self._watch.is_delivered(self)
+
+    def leave_to_kernel(self) -> None:
+        """Let the kernel deliver for long what the process does not see to its end."""
+        self._watch.tolerate(self)
+
     # Responses.
 
     def send_response(
@@ -342,7 +388,7 @@
         transport = self._transport
         if transport is None or transport.is_closing() or not self.may_close:
             return False
-        if transport.get_write_buffer_size():
+        if not self.is_delivered:
             return False
         self._input.pause()
         if has_unread_data(transport.get_extra_info("socket")):
@@ -360,7 +406,19 @@
             return
         if transport.can_write_eof():
             transport.write_eof()
-        self._loop.call_later(LINGER_S, transport.close)
+        self._loop.call_later(LINGER_S, self._close_if_delivered)
+
+    def _close_if_delivered(self) -> None:
+        """Close the connection, or try again while the client still has to read.
+
+        The kernel gives up a closed connection sooner than one that is watched.
+        """
+        if self._transport is None:
+            return
+        if self.is_delivered:
+            self._transport.close()
+        else:
+            self._loop.call_later(LINGER_S, self._close_if_delivered)
 
     def end_request(self, reason: str) -> None:
         """End the request that is handled now, if there is one."""
@@ -485,6 +543,7 @@
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
+            self._watch.written(self)
 
 
 def _encode_head(status: int, reason: bytes, headers: Sequence[Header]) -> bytes:
--- a/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/gateway.py
@@ -31,6 +31,7 @@
 )
 from citrondock_router.gateway.overload_guard import OverloadGuard
 from citrondock_router.gateway.paced_input import TurnQueue
+from citrondock_router.gateway.peer_watch import PeerWatch
 from citrondock_router.gateway.request_handler import (
     ClientRequest,
     RequestHandler,
@@ -129,6 +130,7 @@
         self._loop = loop
         self._socket_limit = math.inf if socket_limit is None else socket_limit
         self._turns = TurnQueue(loop)
+        self._watch = PeerWatch(loop)
         self._clients: set[ClientConnection] = set()
         self._has_targets = False
         self._shutdown = ShutdownAdmission()
@@ -175,7 +177,9 @@
 
     def create_client_connection(self) -> ClientConnection:
         """Return the protocol of a new client connection."""
-        return ClientConnection(self, self._loop, self._memory, self._turns)
+        return ClientConnection(
+            self, self._loop, self._memory, self._turns, self._watch
+        )
 
     def configure(self, configuration: RoutingConfiguration) -> None:
         """Apply a configuration if it is newer than the active one."""
@@ -455,6 +459,10 @@
         """
         return sum(not client.close_if_idle() for client in list(self._clients))
 
+    def undelivered_clients(self) -> list[ClientConnection]:
+        """Return the connections whose clients have not got all that was written."""
+        return [client for client in self._clients if not client.is_delivered]
+
     def _request_id(self, request: ClientRequest) -> str:
         try:
             return self._header_codec.request_facts(request.head).request_id
--- a/packages/citrondock-router/src/citrondock_router/gateway/shutdown.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/shutdown.py
@@ -25,8 +25,9 @@
     poll_s : float
         Period in which live requests are counted.
     close_s : float
-        Longest time for which the last responses are still delivered, and requests
-        answered that had arrived unread, after the last requests were given up.
+        Longest time for which requests that had arrived unread are still answered,
+        after the last requests were given up. Clients that have not read their
+        responses yet are waited for until the margin begins.
     """
 
     accept_s: float = 3.0
@@ -77,8 +78,14 @@
         stop_accepting()
     close_by_s = loop.time() + options.close_s
     while open_count := gateway.close_clients():
-        if loop.time() >= close_by_s:
-            log_event("clients_left_open", count=open_count)
+        now_s = loop.time()
+        undelivered = gateway.undelivered_clients()
+        if now_s >= max(close_by_s, end_s) or (now_s >= close_by_s and not undelivered):
+            log_event(
+                "clients_left_open", count=open_count, undelivered=len(undelivered)
+            )
+            for client in undelivered:
+                client.leave_to_kernel()
             break
         await asyncio.sleep(options.poll_s)
     await asyncio.sleep(options.poll_s)
--- a/packages/citrondock-router/src/citrondock_router/gateway/socket_options.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/socket_options.py
@@ -10,12 +10,13 @@
 KEEPALIVE_PROBE_COUNT = 2
 """Two lost probes end a connection: a dead peer is detected after about 3 seconds."""
 
-USER_TIMEOUT_MS = 1500
+USER_TIMEOUT_S = 1.5
 """Longest time that sent bytes stay unacknowledged before the connection ends."""
 
-SLOW_PEER_TIMEOUT_MS = 15_000
-"""The same while the peer reads slowly. The kernel applies the timeout to a peer that
-acknowledges everything but has no room for more, too."""
+SLOW_PEER_TIMEOUT_S = 15.0
+"""Longest time that a peer which acknowledges everything reads nothing."""
+
+_MS_PER_S = 1000
 
 _EXHAUSTION_ERRORS = frozenset({errno.EMFILE, errno.ENFILE})
 
@@ -52,13 +53,16 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBE_COUNT)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    set_user_timeout(sock, USER_TIMEOUT_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
-def tolerate_slow_peer(sock: socket.socket, *, is_slow: bool) -> None:
-    """Keep the connection to a peer that has stopped reading for a while."""
-    timeout_ms = SLOW_PEER_TIMEOUT_MS if is_slow else USER_TIMEOUT_MS
+def set_user_timeout(sock: socket.socket, timeout_s: float) -> None:
+    """Set the time after which the kernel ends a connection without progress.
+
+    It counts from the first byte that stays unacknowledged or finds no room.
+    """
+    timeout_ms = int(timeout_s * _MS_PER_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/target_connection.py
@@ -12,10 +12,8 @@
 
 from citrondock_router.gateway.header_codec import Header, ResponseHead
 from citrondock_router.gateway.paced_input import PacedInput
-from citrondock_router.gateway.socket_options import (
-    enable_dead_peer_detection,
-    tolerate_slow_peer,
-)
+from citrondock_router.gateway.peer_watch import PeerWatch, WatchedPeer
+from citrondock_router.gateway.socket_options import enable_dead_peer_detection
 
 MAX_OVERHEAD_BYTES = 262_144
 """Most bytes received in a row that are not passed on: heads, framing, and responses to
@@ -61,7 +59,7 @@
         """Handle the end of an incomplete response."""
 
 
-class TargetConnection(asyncio.Protocol):
+class TargetConnection(asyncio.Protocol, WatchedPeer):
     """Sends one request at a time and passes its response to a listener.
 
     Bytes that do not belong to the response are never passed on: a response to another
@@ -75,6 +73,8 @@
         Called with the connection when it is closed.
     loop : asyncio.AbstractEventLoop
         Event loop of the gateway.
+    watch : PeerWatch, optional
+        Tells slow targets from those that are gone.
     """
 
     def __init__(
@@ -82,10 +82,12 @@
         on_idle: Callable[["TargetConnection"], None],
         on_lost: Callable[["TargetConnection"], None],
         loop: asyncio.AbstractEventLoop,
+        watch: PeerWatch | None = None,
     ) -> None:
         self._on_idle = on_idle
         self._on_lost = on_lost
         self._loop = loop
+        self._watch = watch or PeerWatch(loop)
         self._input = PacedInput(self._consume, loop)
         self._transport: asyncio.Transport | None = None
         self._listener: ResponseListener | None = None
@@ -135,6 +137,7 @@
         self._is_head_request = is_head
         self._start_parser()
         self._transport.write(data)
+        self._watch.written(self)
 
     def pass_to(self, listener: ResponseListener) -> None:
         """Pass the rest of the response that is being received to another listener."""
@@ -160,17 +163,29 @@
         # Other event loops, such as uvloop, have transport classes of their own.
         self._transport = cast(asyncio.Transport, transport)
         self._input.attach(self._transport)
-        sock = transport.get_extra_info("socket")
-        if sock is not None and sock.family == socket.AF_INET:
-            enable_dead_peer_detection(sock)
+        if self.tcp_socket is not None:
+            enable_dead_peer_detection(self.tcp_socket)
 
     @override
     def pause_writing(self) -> None:
-        self._tolerate_slow_target(is_slow=True)
+        self._watch.tolerate(self)
 
     @override
-    def resume_writing(self) -> None:
-        self._tolerate_slow_target(is_slow=False)
+    @property
+    def tcp_socket(self) -> socket.socket | None:
+        if self._transport is None:
+            return None
+        sock: socket.socket | None = self._transport.get_extra_info("socket")
+        return sock if sock is not None and sock.family == socket.AF_INET else None
+
+    @override
+    @property
+    def buffered_bytes(self) -> int:
+        return self._transport.get_write_buffer_size() if self._transport else 0
+
+    @override
+    def peer_is_gone(self) -> None:
+        self._fail(ResponseFailure.RESET)
 
     @override
     def data_received(self, data: bytes) -> None:
@@ -224,6 +239,7 @@
         is_clean_close = exc is None and self._has_received_eof
         self._fail(ResponseFailure.CLOSED if is_clean_close else ResponseFailure.RESET)
         self._transport = None
+        self._watch.closed(self)
         self._on_lost(self)
 
     # Callbacks of `httptools.HttpResponseParser`.
@@ -338,13 +354,6 @@
         if listener is not None:
             listener.response_failed(cause)
 
-    def _tolerate_slow_target(self, *, is_slow: bool) -> None:
-        if self._transport is None or self._transport.is_closing():
-            return
-        sock = self._transport.get_extra_info("socket")
-        if sock is not None and sock.family == socket.AF_INET:
-            tolerate_slow_peer(sock, is_slow=is_slow)
-
     def _close(self) -> None:
         if self._transport is not None:
             self._transport.abort()
--- a/packages/citrondock-router/src/citrondock_router/gateway/target_connection_pool.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/target_connection_pool.py
@@ -5,6 +5,7 @@
 
 from citrondock_core.routing.target_entry import TargetEntry
 from citrondock_router.gateway.event_loop import arrival_timeout
+from citrondock_router.gateway.peer_watch import PeerWatch
 from citrondock_router.gateway.socket_options import is_descriptor_exhaustion
 from citrondock_router.gateway.target_connection import TargetConnection
 
@@ -35,6 +36,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
+        self._watch = PeerWatch(loop)
         # Closes idle connections of clients and returns how many.
         self.release_descriptors: Callable[[], int] | None = None
         self._idle: dict[str, list[TargetConnection]] = {}
@@ -112,7 +114,7 @@
 
         async with arrival_timeout(self._loop, CONNECT_TIMEOUT_S):
             _, connection = await self._loop.create_connection(
-                lambda: TargetConnection(keep, forget, self._loop),
+                lambda: TargetConnection(keep, forget, self._loop, self._watch),
                 entry.host,
                 entry.port,
             )
