--- a/packages/citrondock-core/src/citrondock_core/routing/stream_versions.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/stream_versions.py
@@ -17,6 +17,9 @@
 MAX_LIFETIME_S = 60.0
 """Longest time for which streams are remembered."""
 
+PURGE_PERIOD_S = 5.0
+"""Period in which streams that were passed on here are forgotten."""
+
 
 def stream_key(request_id: str) -> str:
     """Return the key of the stream whose first event a client attempt brought."""
@@ -52,7 +55,12 @@
     """Whether the base version has had targets ever since it was read."""
 
     base_gone_at_s: float = math.inf
-    mixed_until_s: float = -math.inf
+
+
+@attrs.frozen
+class _BegunStream:
+    version: str
+    expires_at_s: float
 
 
 class StreamVersions:
@@ -68,6 +76,8 @@
         self._services: dict[str, _ServiceState] = {}
         self._records: dict[str, StreamRecord] = {}
         self._expires_at_s: dict[str, float] = {}
+        self._begun: dict[str, _BegunStream] = {}
+        self._purge_begun_at_s = -math.inf
         self._longest_deadline_s = 0.0
         self.is_read = False
 
@@ -105,9 +115,6 @@
         elif state.live:
             state.is_base_confirmed = False
             state.base_gone_at_s = min(state.base_gone_at_s, now_s)
-        versions = {*state.live, state.base} - {None}
-        if len(versions) > 1:
-            state.mixed_until_s = now_s + MAX_LIFETIME_S
 
     def base(self, service: str) -> str | None:
         """Return the base version of a service as it is known here."""
@@ -126,13 +133,6 @@
             for state in self._services.values()
         )
 
-    def is_mixed(self, service: str, *, now_s: float) -> bool:
-        """Return whether a stream may have begun at another version than the base."""
-        state = self._services.get(service)
-        if state is None or not self.is_read or state.base is None:
-            return True
-        return now_s < state.mixed_until_s or len({*state.live, state.base}) > 1
-
     @property
     def lacks_base(self) -> bool:
         """Whether the base version of a service with targets is unknown."""
@@ -158,10 +158,27 @@
             self._expires_at_s[record.key] = expires_at_s
 
     def expire(self, *, now_s: float) -> None:
-        """Forget the records of streams that cannot be taken up any more."""
+        """Forget streams that cannot be taken up any more."""
         for key, expires_at_s in list(self._expires_at_s.items()):
             if now_s >= expires_at_s:
                 del self._expires_at_s[key], self._records[key]
+        if now_s >= self._purge_begun_at_s:
+            self._purge_begun_at_s = now_s + PURGE_PERIOD_S
+            self._begun = {
+                request_id: begun
+                for request_id, begun in self._begun.items()
+                if now_s < begun.expires_at_s
+            }
+
+    def remember(self, request_id: str, version: str, *, now_s: float) -> None:
+        """Remember the version of a stream that this router has passed on."""
+        expires_at_s = now_s + self.lifetime_s
+        self._begun[request_id] = _BegunStream(version, expires_at_s)
+
+    def remembered_version(self, request_id: str) -> str | None:
+        """Return the version of a stream that was passed on here; None if unknown."""
+        begun = self._begun.get(request_id)
+        return begun.version if begun is not None else None
 
     def recorded_version(self, request_id: str) -> str | None:
         """Return the version of a recorded stream; None without a record."""
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -97,7 +97,7 @@
 
     @abstractmethod
     def known_stream_version(self, exchange: "Exchange") -> str | None:
-        """Return the version that began the stream that a client takes up.
+        """Return the version of a stream that a client takes up and this router knows.
 
         Returns None if it has to be read first.
         """
@@ -106,6 +106,10 @@
     async def read_stream_version(self, exchange: "Exchange") -> str | None:
         """Read the version that began that stream; None if it cannot be known."""
 
+    @abstractmethod
+    def stream_passed_on(self, exchange: "Exchange", version: str) -> None:
+        """Record that the client has an event of a version."""
+
     @abstractmethod
     def needs_record(self, exchange: "Exchange", version: str) -> bool:
         """Return whether a stream has to be recorded before it begins at a version."""
@@ -793,6 +797,8 @@
             self.software_version = self.choice.load.entry.software_version
         if not self._has_begun:
             self._has_begun = True
+            if self.software_version is not None:
+                self._scheduler.stream_passed_on(self, self.software_version)
             self._scheduler.response_begun(self)
 
     def _stream_ended(self) -> None:
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -279,7 +279,10 @@
 
     @override
     def known_stream_version(self, exchange: Exchange) -> str | None:
-        return self._stream_versions.known_version(exchange.service)
+        request_id = exchange.facts.begun_by_request_id
+        if request_id is None:
+            return None
+        return self._stream_versions.versions.remembered_version(request_id)
 
     @override
     async def read_stream_version(self, exchange: Exchange) -> str | None:
@@ -287,6 +290,14 @@
             exchange.service, exchange.facts.begun_by_request_id
         )
 
+    @override
+    def stream_passed_on(self, exchange: Exchange, version: str) -> None:
+        request_id = exchange.facts.request_id
+        if exchange.takes_up_stream:
+            request_id = exchange.facts.begun_by_request_id or request_id
+        now_s = self._loop.time()
+        self._stream_versions.versions.remember(request_id, version, now_s=now_s)
+
     @override
     def needs_record(self, exchange: Exchange, version: str) -> bool:
         return self._stream_versions.versions.needs_record(exchange.service, version)
--- a/packages/citrondock-router/src/citrondock_router/gateway/stream_version_log.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/stream_version_log.py
@@ -2,8 +2,8 @@
 
 The store outlives all routers: after a loss of power it is the only one who knows. Only
 streams that did not begin at the base version of their service are written, in batches
-and before their first event is passed on; the store is read only for streams that
-clients take up while a service has, or lately had, several versions.
+and before their first event is passed on. The store is read for each stream that a
+client takes up, once for all that wait, as nothing else shows that there is no record.
 """
 
 import asyncio
@@ -50,6 +50,9 @@
 """Time since the last read up to which only changes are read. They have each batch of
 all routers; after a longer time a listing is shorter."""
 
+UNREAD_PAUSE_S = 0.5
+"""Time after a failed read in which no other one is begun for streams taken up."""
+
 READ_WAIT_S = 0.001
 """Wait of a watch that only brings what has changed until now."""
 
@@ -90,6 +93,7 @@
         self._next_read: asyncio.Task[None] | None = None
         self._revision: int | None = None
         self._read_at_s = -math.inf
+        self._unread_until_s = -math.inf
         self._era = 0
         self._base_revisions: dict[str, int] = {}
         # When the objects with records of other routers may be deleted.
@@ -130,17 +134,29 @@
         """Whether streams that have to be recorded may begin."""
         return self._writer is not None and self._writer.can_record
 
-    def known_version(self, service: str) -> str | None:
-        """Return the version that began all streams of a service, if there is one."""
-        if self.versions.is_mixed(service, now_s=self._loop.time()):
-            return None
-        return self.versions.base(service)
-
     async def find_version(self, service: str, request_id: str | None) -> str | None:
-        """Return the version that began a stream; None if it cannot be known."""
-        if request_id is None or not await self._read():
+        """Return the version that began a stream; None if it cannot be known.
+
+        A record was written before the stream's first event was passed on, so a read
+        that begins now has it, whatever this router knew before.
+        """
+        if request_id is None or self._loop.time() < self._unread_until_s:
+            return None
+        if not await self._read():
+            self._unread_until_s = self._loop.time() + UNREAD_PAUSE_S
             return None
-        return self.versions.recorded_version(request_id) or self.versions.base(service)
+        recorded = self.versions.recorded_version(request_id)
+        version = recorded or self.versions.base(service)
+        log_event(
+            "stream_version_found",
+            begun_by=request_id,
+            service=service,
+            version=version or "",
+            source="base" if recorded is None else "record",
+            revision=self._revision,
+            era=self._era,
+        )
+        return version
 
     def record(self, version: str, request_id: str) -> "asyncio.Future[None]":
         """Record the version at which a stream is about to begin.
--- a/tests/gateway/memory_store.py
+++ b/tests/gateway/memory_store.py
@@ -36,6 +36,10 @@
         self._revision = 0
         self._first_revision = 0
 
+    def door(self):
+        """Return the same store as another router reaches it."""
+        return StoreDoor(self)
+
     def names(self, prefix):
         """Return the names of all objects that begin with ``prefix``."""
         return [
@@ -108,3 +112,43 @@
         self._call("delete")
         if self._known(kind, name) is not None:
             self._write(kind, name, None, is_deleted=True)
+
+
+class StoreDoor(WritableStore):
+    """A store as one router reaches it, which may be turned away alone.
+
+    Attributes
+    ----------
+    is_closed : bool
+        Whether all calls through this door fail.
+    """
+
+    def __init__(self, store):
+        self.is_closed = False
+        self._store = store
+
+    def _check(self, step):
+        if self.is_closed:
+            raise WatchedStoreError("store turns this router away", step=step)
+
+    async def list(self, kind):
+        self._check("list")
+        return await self._store.list(kind)
+
+    async def watch(self, kind, *, after_revision, wait_s):
+        self._check("watch")
+        return await self._store.watch(
+            kind, after_revision=after_revision, wait_s=wait_s
+        )
+
+    async def create(self, kind, name, value):
+        self._check("create")
+        return await self._store.create(kind, name, value)
+
+    async def replace(self, kind, name, value, *, revision=None):
+        self._check("replace")
+        return await self._store.replace(kind, name, value, revision=revision)
+
+    async def delete(self, kind, name):
+        self._check("delete")
+        await self._store.delete(kind, name)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -141,6 +141,42 @@
         run(check())
 
 
+class TestRouterOutOfStep:
+    def test_a_stream_of_a_version_that_it_has_not_heard_of_is_refused(self):
+        # Guards against joined streams: the operators' report of issue 57.
+        async def check():
+            async with Rollout() as rollout:
+                door = rollout.store.door()
+                other = VersionedTarget("t3", stream_script(0, 6), "v1")
+                async with Harness([other], store=door, vm_name="v2") as late:
+                    await base_known(late)
+                    door.is_closed = True
+                    first = await rollout.harness.get("/resumable/x", "r1")
+                    assert (first.body, first.is_complete) == (BEGUN, False)
+                    headers = {"Last_Event_Id": 2, "Resumes": "r1"}
+                    reply = await late.get("/resumable/x", "r2", **headers)
+                    assert reply.status == 503
+                    assert not other.received
+
+        run(check())
+
+    def test_a_stream_that_it_passed_on_itself_goes_on(self):
+        async def check():
+            old = VersionedTarget("t1", BROKEN, "v1")
+            async with Harness([old], spare_retries=0) as harness:
+                await base_known(harness)
+                await harness.get("/resumable/x", "r1")
+                harness.store.is_down = True
+                headers = {"Last_Event_Id": 2, "Resumes": "r1"}
+                reply = await harness.get("/resumable/x", "r2", **headers)
+                assert BEGUN + reply.body == ALL_EVENTS
+                headers = {"Last_Event_Id": 2, "Resumes": "begun-elsewhere"}
+                reply = await harness.get("/resumable/x", "r3", **headers)
+                assert reply.status == 503
+
+        run(check())
+
+
 class TestRecordsBeforeTheFirstEvent:
     def test_no_event_is_passed_on_before_its_version_is_recorded(self):
         async def check():
