--- a/packages/citrondock-router/src/citrondock_router/gateway/stream_record_writer.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/stream_record_writer.py
@@ -36,16 +36,22 @@
     """A stream may not begin, as its version could not be written to the store."""
 
 
-@attrs.define
+@attrs.define(eq=False)
 class _Segment:
-    """Records of some seconds, which are one object in the store."""
+    """Records of some seconds, which are one object in the store.
+
+    Each write has the condition that the object is as the write before left it, so that
+    one whose answer was lost cannot undo a later one. After such a write the object's
+    revision is unknown and the segment gets no more records.
+    """
 
     number: int
     name: str
     ends_at_s: float
     expires_at_s: float
     records: list[tuple[str, str]] = attrs.field(factory=list)
-    is_created: bool = False
+    revision: int | None = None
+    is_closed: bool = False
 
 
 class StreamRecordWriter:
@@ -88,6 +94,7 @@
         self._write_at_s = 0.0
         self._failed_until_s = 0.0
         self._segments: list[_Segment] = []
+        self._lost_segments: list[_Segment] = []
         self._segment_count = 0
 
     @property
@@ -114,33 +121,36 @@
             self._task = self._loop.create_task(self._write_pending())
         return written
 
-    async def drop_old(self) -> None:
-        """Delete the records of streams that cannot be taken up any more.
+    async def maintain(self) -> None:
+        """Write lost segments again, and delete those that nobody needs any more.
 
         Raises
         ------
         WatchedStoreError
             If there is no usable answer.
         """
+        while self._lost_segments:
+            await self._write_segment(self._copy_of(self._lost_segments[0]))
+            del self._lost_segments[0]
         now_s = self._loop.time()
-        while self._segments and now_s >= self._segments[0].expires_at_s:
-            await self._store.delete(STREAM_VERSION_KIND, self._segments[0].name)
-            del self._segments[0]
+        for segment in list(self._segments):
+            if now_s >= segment.expires_at_s:
+                await self._store.delete(STREAM_VERSION_KIND, segment.name)
+                self._segments.remove(segment)
 
     def write_again(self) -> None:
         """Write all records once more, as the store may have lost them."""
         for segment in self._segments:
-            segment.is_created = False
-        if self._segments:
-            task = self._loop.create_task(self._write_segments(list(self._segments)))
-            task.add_done_callback(retrieve_error)
+            segment.is_closed = True
+        self._lost_segments = list(self._segments)
 
-    async def _write_segments(self, segments: list[_Segment]) -> None:
-        try:
-            for segment in segments:
-                await self._write_segment(segment)
-        except WatchedStoreError as error:
-            log_event("streams_not_recorded", level="WARNING", detail=str(error))
+    def _copy_of(self, segment: _Segment) -> _Segment:
+        """Return a new segment with the records of another one."""
+        copy = self._new_segment()
+        copy.is_closed = True
+        copy.expires_at_s = segment.expires_at_s
+        copy.records = segment.records
+        return copy
 
     @property
     def _write_period_s(self) -> float:
@@ -200,19 +210,31 @@
             "expiresAtMs": int((time.time() + left_s) * _MS_PER_S),
             "records": segment.records,
         }
-        kind, name = STREAM_VERSION_KIND, segment.name
-        if segment.is_created and await self._store.replace(kind, name, value):
-            return
-        # An earlier call whose answer was lost may have created it.
-        await self._store.put(kind, name, value)
-        segment.is_created = True
+        kind, name, before = STREAM_VERSION_KIND, segment.name, segment.revision
+        was_closed, segment.is_closed = segment.is_closed, True
+        if before is None:
+            segment.revision = await self._store.create(kind, name, value)
+        else:
+            segment.revision = await self._store.replace(
+                kind, name, value, revision=before
+            )
+        if segment.revision is None:
+            # Only this router writes the object, so the store has lost it.
+            self._lost_segments.append(segment)
+            raise WatchedStoreError(
+                f"object was not at revision {before}", step=f"write {kind}/{name}"
+            )
+        segment.is_closed = was_closed
 
     def _current_segment(self) -> _Segment:
-        now_s = self._loop.time()
-        if self._segments and now_s < self._segments[-1].ends_at_s:
-            return self._segments[-1]
+        last = self._segments[-1] if self._segments else None
+        if last is None or last.is_closed or self._loop.time() >= last.ends_at_s:
+            return self._new_segment()
+        return last
+
+    def _new_segment(self) -> _Segment:
         self._segment_count += 1
-        ends_at_s = now_s + SEGMENT_S
+        ends_at_s = self._loop.time() + SEGMENT_S
         segment = _Segment(
             number=self._segment_count,
             name=f"{SEGMENT_PREFIX}{self._writer_name}.{self._segment_count}",
--- a/packages/citrondock-router/src/citrondock_router/gateway/stream_version_log.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/stream_version_log.py
@@ -193,7 +193,7 @@
                 if now_s >= keeps_from_s:
                     await self._update_bases(self._store)
                     await self._delete_left_behind(self._store)
-                await self._writer.drop_old()
+                await self._writer.maintain()
             except WatchedStoreError as error:
                 log_event("stream_versions_unchanged", detail=str(error))
                 await asyncio.sleep(RETRY_S)
@@ -298,16 +298,16 @@
             value = {"service": service, "version": version}
             kind, name = STREAM_VERSION_KIND, _BASE_PREFIX + service
             if before is None:
-                is_done = await store.create(kind, name, value)
+                written = await store.create(kind, name, value)
             else:
                 revision = self._base_revisions.get(service)
-                is_done = await store.replace(kind, name, value, revision=revision)
+                written = await store.replace(kind, name, value, revision=revision)
             log_event(
                 "stream_base_changed",
                 service=service,
                 version=version,
                 before=before or "",
-                done=is_done,
+                done=written is not None,
             )
             await self._read()
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/watched_store.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/watched_store.py
@@ -121,23 +121,35 @@
     """
 
     @abstractmethod
-    async def create(self, kind: str, name: str, value: ObjectValue) -> bool:
-        """Create an object; return False if there is one of this name."""
+    async def create(self, kind: str, name: str, value: ObjectValue) -> int | None:
+        """Create an object.
+
+        Returns
+        -------
+        int or None
+            Its revision; None if there is an object of this name.
+        """
 
     @abstractmethod
     async def replace(
         self, kind: str, name: str, value: ObjectValue, *, revision: int | None = None
-    ) -> bool:
+    ) -> int | None:
         """Replace an object, only at ``revision`` if that is given.
 
-        Returns False if there is no such object, or if it has another revision.
+        Without it, a call whose answer was lost may undo later ones.
+
+        Returns
+        -------
+        int or None
+            Its new revision; None if there is no such object, or if it has another
+            revision.
         """
 
     async def put(self, kind: str, name: str, value: ObjectValue) -> None:
         """Create an object, or replace it at whatever revision."""
-        if await self.create(kind, name, value):
+        if await self.create(kind, name, value) is not None:
             return
-        if not await self.replace(kind, name, value):
+        if await self.replace(kind, name, value) is None:
             raise WatchedStoreError(
                 "object was neither created nor replaced", step=f"put {kind}/{name}"
             )
--- a/tests/gateway/memory_store.py
+++ b/tests/gateway/memory_store.py
@@ -1,6 +1,8 @@
 """A store in memory whose outages tests decide on."""
 
 import asyncio
+import copy
+import functools
 
 from citrondock_router.gateway.watched_store import (
     HistoryGoneError,
@@ -24,12 +26,16 @@
         Writes wait for it.
     max_watched : int
         Most changes that one answer to a watch has; the rest comes with the next.
+    lost_writes : int
+        How many of the next writes are not answered; `do_late` does them.
     """
 
     def __init__(self):
         self.is_down = False
         self.calls = []
         self.max_watched = 1000
+        self.lost_writes = 0
+        self._late = []
         self.may_write = asyncio.Event()
         self.may_write.set()
         self._objects = {}
@@ -56,11 +62,25 @@
         if self.is_down:
             raise WatchedStoreError("store is down", step=name)
 
+    async def do_late(self):
+        """Do the writes whose answers were lost, as far as their conditions hold."""
+        late, self._late = self._late, []
+        for write in late:
+            await write()
+
+    def _lose(self, write):
+        """Lose a write and its answer, if the next one is to be lost."""
+        if self.lost_writes:
+            self.lost_writes -= 1
+            self._late.append(write)
+            raise WatchedStoreError("no answer", step="write")
+
     def _write(self, kind, name, value, *, is_deleted=False):
         self._revision += 1
         self._objects[kind, name] = WatchedObject(
             name=name, revision=self._revision, value=value, is_deleted=is_deleted
         )
+        return self._revision
 
     def _snapshot(self, kind, after_revision, *, with_deleted):
         objects = [
@@ -93,23 +113,28 @@
 
     async def create(self, kind, name, value):
         self._call("create")
+        value = copy.deepcopy(value)
+        self._lose(functools.partial(self.create, kind, name, value))
         await self.may_write.wait()
         if self._known(kind, name) is not None:
-            return False
-        self._write(kind, name, value)
-        return True
+            return None
+        return self._write(kind, name, value)
 
     async def replace(self, kind, name, value, *, revision=None):
         self._call("replace")
+        value = copy.deepcopy(value)
+        self._lose(
+            functools.partial(self.replace, kind, name, value, revision=revision)
+        )
         await self.may_write.wait()
         known = self._known(kind, name)
         if known is None or revision not in (None, known.revision):
-            return False
-        self._write(kind, name, value)
-        return True
+            return None
+        return self._write(kind, name, value)
 
     async def delete(self, kind, name):
         self._call("delete")
+        self._lose(functools.partial(self.delete, kind, name))
         if self._known(kind, name) is not None:
             self._write(kind, name, None, is_deleted=True)
 
--- a/tests/gateway/test_stream_version_log.py
+++ b/tests/gateway/test_stream_version_log.py
@@ -244,6 +244,51 @@
         run(check())
 
 
+class TestLateWrites:
+    @pytest.mark.parametrize("records_before", [0, 1])
+    def test_a_late_write_removes_no_record(self, records_before):
+        # Guards against joined streams: a write without a condition, done seconds late,
+        # took the place of later ones.
+        async def check():
+            store = MemoryStore()
+            first, second = RouterLog(store, v1=2), RouterLog(store, "v2", v1=2)
+            await first.base("v1")
+            first.set_live(v1=1, v2=1)
+            if records_before:
+                await first.log.record("v2", "r0")
+            store.lost_writes = 1
+            with pytest.raises(StreamNotRecordedError):
+                await first.log.record("v2", "lost")
+            async with asyncio.timeout(5):
+                while not first.log.can_record:
+                    await asyncio.sleep(0.02)
+            for number in range(1, 4):
+                await first.log.record("v2", f"r{number}")
+            await store.do_late()
+            for number in range(1 - records_before, 4):
+                assert await second.find(f"r{number}") == "v2"
+
+        run(check())
+
+    def test_a_late_write_does_not_bring_an_older_record_of_a_stream_back(self):
+        async def check():
+            store = MemoryStore()
+            first, second = RouterLog(store, v1=2), RouterLog(store, "v2", v1=2)
+            await first.base("v1")
+            first.set_live(v1=1, v2=1, v3=1)
+            store.lost_writes = 1
+            with pytest.raises(StreamNotRecordedError):
+                await first.log.record("v2", "r1")
+            async with asyncio.timeout(5):
+                while not first.log.can_record:
+                    await asyncio.sleep(0.02)
+            await first.log.record("v3", "r1")
+            await store.do_late()
+            assert await second.find("r1") == "v3"
+
+        run(check())
+
+
 class TestOldRecords:
     @pytest.fixture(autouse=True)
     def _short_segments(self, monkeypatch):
