--- a/packages/citrondock-core/src/citrondock_core/routing/stream_versions.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/stream_versions.py
@@ -4,6 +4,7 @@
 every other one is recorded in the store before its first event is passed on.
 """
 
+import enum
 import math
 from collections.abc import Collection, Iterable, Mapping
 
@@ -15,7 +16,14 @@
 targets may serve on for seconds after their entries are gone, and clocks differ."""
 
 MAX_LIFETIME_S = 60.0
-"""Longest time for which streams are remembered."""
+"""Longest time for which streams are remembered, and for which a base version retires:
+longer than `MAX_BASE_AGE_S` and the longest deadline of a client together."""
+
+MAX_BASE_AGE_S = 15.0
+"""Age of a base version at which a router that knows several versions reads it anew."""
+
+RETIRE_AFTER_S = 5.0
+"""Time without targets of the base version after which it begins to retire."""
 
 PURGE_PERIOD_S = 5.0
 """Period in which streams that were passed on here are forgotten."""
@@ -45,17 +53,56 @@
     order: tuple[int, int]
 
 
+class BaseState(enum.Enum):
+    """Which streams begin without a record."""
+
+    SETTLED = "settled"
+    """Those of the base version."""
+
+    RETIRING = "retiring"
+    """None; those without a record that began before are of the base version."""
+
+
+@attrs.frozen(kw_only=True)
+class BaseVersion:
+    """Version of the streams of a service that have no record.
+
+    Parameters
+    ----------
+    version : str
+        Software version.
+    state : BaseState
+        Which streams begin without a record.
+    """
+
+    version: str
+    state: BaseState = BaseState.SETTLED
+
+
 @attrs.define
 class _ServiceState:
     live: Mapping[str, int] = attrs.field(factory=dict)
     """Targets by version, those that are leaving included."""
 
-    base: str | None = None
+    base: BaseVersion | None = None
     is_base_confirmed: bool = False
     """Whether the base version has had targets ever since it was read."""
 
+    base_known_since_s: float = -math.inf
     base_gone_at_s: float = math.inf
 
+    @property
+    def is_mixed(self) -> bool:
+        """Whether another version than the base has targets."""
+        return self.base is None or any(
+            version != self.base.version for version in self.live
+        )
+
+    @property
+    def most_common(self) -> str:
+        """The version that most targets have."""
+        return max(self.live, key=lambda version: (self.live[version], version))
+
 
 @attrs.frozen
 class _BegunStream:
@@ -66,10 +113,10 @@
 class StreamVersions:
     """What this router knows of base versions and records.
 
-    The base version changes only when it has had no targets for so long that none of
-    its streams can be taken up any more. A router that does not know of the change
-    records too much, or takes streams for ones of a version that no target has; it
-    never takes them for ones of a version that serves.
+    The base version changes in two steps. Once it has had no targets for a while, it
+    retires: streams of every version are recorded. A lifetime of streams later
+    no stream without a record is left, and another version takes its place. A write of
+    the store that is done late cannot skip the first step.
     """
 
     def __init__(self) -> None:
@@ -100,27 +147,39 @@
             state.live = services.get(service, {})
             self._update(state, now_s)
 
-    def set_base(self, service: str, version: str, *, now_s: float) -> None:
+    def set_base(self, service: str, base: BaseVersion, *, now_s: float) -> None:
         """Apply the base version that the store names."""
         state = self._services.setdefault(service, _ServiceState())
-        if state.base != version:
-            state.base = version
+        if state.base is None or state.base.version != base.version:
             state.base_gone_at_s = math.inf
+        if state.base != base:
+            state.base = base
+            state.base_known_since_s = now_s
         state.is_base_confirmed = True
         self._update(state, now_s)
 
     def _update(self, state: _ServiceState, now_s: float) -> None:
-        if state.base in state.live:
+        if state.base is None or state.base.version in state.live:
             state.base_gone_at_s = math.inf
         elif state.live:
             state.is_base_confirmed = False
             state.base_gone_at_s = min(state.base_gone_at_s, now_s)
 
-    def base(self, service: str) -> str | None:
+    def base(self, service: str) -> BaseVersion | None:
         """Return the base version of a service as it is known here."""
         state = self._services.get(service)
         return state.base if state is not None else None
 
+    def unrecorded_version(self, service: str) -> str | None:
+        """Return the version of streams without a record; None if it is unknown."""
+        base = self.base(service)
+        return base.version if base is not None else None
+
+    @property
+    def knows_several(self) -> bool:
+        """Whether a service has targets of another version than the base."""
+        return any(state.is_mixed for state in self._services.values() if state.live)
+
     def services(self) -> list[str]:
         """Return the services that have targets."""
         return [service for service, state in self._services.items() if state.live]
@@ -129,7 +188,9 @@
     def must_read(self) -> bool:
         """Whether the store may name other base versions than those known here."""
         return not self.is_read or any(
-            not state.is_base_confirmed and state.base in state.live
+            state.base is not None
+            and not state.is_base_confirmed
+            and state.base.version in state.live
             for state in self._services.values()
         )
 
@@ -143,11 +204,9 @@
     def needs_record(self, service: str, version: str) -> bool:
         """Return whether a stream has to be recorded before it begins at a version."""
         state = self._services.get(service)
-        if state is None:
-            return False
-        if state.base is None:
-            return len(state.live) > 1
-        return version != state.base or not state.is_base_confirmed
+        if state is None or state.base is None or not state.is_base_confirmed:
+            return True
+        return version != state.base.version or state.base.state != BaseState.SETTLED
 
     def add(self, records: Iterable[StreamRecord], *, expires_at_s: float) -> None:
         """Remember records until they expire."""
@@ -185,16 +244,25 @@
         record = self._records.get(stream_key(request_id))
         return record.version if record is not None else None
 
-    def new_base(self, service: str, *, now_s: float) -> str | None:
-        """Return the version that should become the base; None for no change."""
+    def next_base(self, service: str, *, now_s: float) -> BaseVersion | None:
+        """Return what should take the place of the base version; None for no change."""
         state = self._services.get(service)
-        if state is None or not state.live or state.base in state.live:
+        if state is None or not state.live:
             return None
-        if state.base is None and len(state.live) == 1:
-            return next(iter(state.live))
-        if now_s < state.base_gone_at_s + self.lifetime_s:
+        base = state.base
+        if base is None:
+            # All streams are recorded until there is one.
+            return BaseVersion(version=state.most_common)
+        if base.version in state.live:
+            settled = attrs.evolve(base, state=BaseState.SETTLED)
+            return None if base == settled else settled
+        if base.state is BaseState.SETTLED:
+            if now_s < state.base_gone_at_s + RETIRE_AFTER_S:
+                return None
+            return attrs.evolve(base, state=BaseState.RETIRING)
+        if now_s < state.base_known_since_s + MAX_LIFETIME_S:
             return None
-        return max(state.live, key=lambda version: (state.live[version], version))
+        return BaseVersion(version=state.most_common)
 
 
 def count_versions(
--- a/packages/citrondock-router/src/citrondock_router/gateway/stream_version_log.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/stream_version_log.py
@@ -14,7 +14,10 @@
 
 from citrondock_core.routing.peer_table import PeerTable
 from citrondock_core.routing.stream_versions import (
+    MAX_BASE_AGE_S,
     MAX_LIFETIME_S,
+    BaseState,
+    BaseVersion,
     StreamRecord,
     StreamVersions,
 )
@@ -146,7 +149,7 @@
             self._unread_until_s = self._loop.time() + UNREAD_PAUSE_S
             return None
         recorded = self.versions.recorded_version(request_id)
-        version = recorded or self.versions.base(service)
+        version = recorded or self.versions.unrecorded_version(service)
         log_event(
             "stream_version_found",
             begun_by=request_id,
@@ -186,6 +189,8 @@
             if now_s >= look_for_bases_at_s and self.versions.lacks_base:
                 must_read = True
                 look_for_bases_at_s = now_s + KEEPER_DELAY_S
+            if self.versions.knows_several:
+                must_read |= now_s >= self._read_at_s + MAX_BASE_AGE_S
             if must_read and not await self._read():
                 await asyncio.sleep(RETRY_S)
                 continue
@@ -268,9 +273,12 @@
             log_event("stream_versions_unreadable", object=item.name, detail=problem)
 
     def _apply_base(self, item: WatchedObject, value: Mapping[str, Any]) -> None:
-        service, version = str(value["service"]), str(value["version"])
+        service = str(value["service"])
+        # Routers of an earlier release name no state.
+        state = BaseState(value.get("state", BaseState.SETTLED.value))
+        base = BaseVersion(version=str(value["version"]), state=state)
         self._base_revisions[service] = item.revision
-        self.versions.set_base(service, version, now_s=self._loop.time())
+        self.versions.set_base(service, base, now_s=self._loop.time())
 
     def _apply_segment(self, name: str, value: Mapping[str, Any]) -> None:
         left_s = float(value["expiresAtMs"]) / _MS_PER_S - time.time()
@@ -292,21 +300,26 @@
             if not self._is_keeper(service):
                 continue
             before = self.versions.base(service)
-            version = self.versions.new_base(service, now_s=self._loop.time())
-            if version is None or version == before:
+            base = self.versions.next_base(service, now_s=self._loop.time())
+            if base is None:
                 continue
-            value = {"service": service, "version": version}
+            value = {
+                "service": service,
+                "version": base.version,
+                "state": base.state.value,
+            }
             kind, name = STREAM_VERSION_KIND, _BASE_PREFIX + service
-            if before is None:
+            revision = self._base_revisions.get(service)
+            if revision is None:
                 written = await store.create(kind, name, value)
             else:
-                revision = self._base_revisions.get(service)
                 written = await store.replace(kind, name, value, revision=revision)
             log_event(
                 "stream_base_changed",
                 service=service,
-                version=version,
-                before=before or "",
+                version=base.version,
+                state=base.state.value,
+                before=before.version if before is not None else "",
                 done=written is not None,
             )
             await self._read()
--- a/tests/gateway/test_stream_version_log.py
+++ b/tests/gateway/test_stream_version_log.py
@@ -7,22 +7,30 @@
 from memory_store import MemoryStore
 
 from citrondock_core.routing.peer_table import PeerTable
-from citrondock_core.routing.stream_versions import StreamVersions
+from citrondock_core.routing.stream_versions import (
+    BaseState,
+    BaseVersion,
+    StreamVersions,
+)
 from citrondock_router.gateway import stream_record_writer, stream_version_log
 from citrondock_router.gateway.store_era import StoreEra
 from citrondock_router.gateway.stream_record_writer import StreamNotRecordedError
 from citrondock_router.gateway.stream_version_log import StreamVersionLog
 
 DEADLINE_S = 0.2
+BASE_LIFETIME_S = 1.0
 
 
 @pytest.fixture(autouse=True)
 def _short_times(monkeypatch):
     monkeypatch.setattr(stream_version_log, "HOUSEKEEPING_S", 0.01)
     monkeypatch.setattr(stream_version_log, "KEEPER_DELAY_S", 0.05)
-    monkeypatch.setattr(
-        "citrondock_core.routing.stream_versions.LIFETIME_MARGIN_S", 0.1
-    )
+    for name, value_s in (
+        ("LIFETIME_MARGIN_S", 0.1),
+        ("MAX_LIFETIME_S", BASE_LIFETIME_S),
+        ("RETIRE_AFTER_S", 0.05),
+    ):
+        monkeypatch.setattr(f"citrondock_core.routing.stream_versions.{name}", value_s)
 
 
 class RouterLog:
@@ -46,7 +54,7 @@
     async def base(self, version):
         """Wait until the base version is this one."""
         async with asyncio.timeout(5):
-            while self.versions.base("llm") != version:
+            while self.versions.unrecorded_version("llm") != version:
                 await asyncio.sleep(0.01)
 
     async def find(self, request_id):
@@ -405,6 +413,56 @@
 
         run(check())
 
+    def test_a_keeper_that_met_short_streams_only_waits_for_those_of_others(self):
+        # Guards against joined streams: the base changed while streams of the former
+        # one still ran, as their deadlines were longer than any that the keeper met.
+        async def check():
+            store = MemoryStore()
+            keeper, reader = RouterLog(store, v1=2), RouterLog(store, "v2", v1=2)
+            await keeper.base("v1")
+            await reader.base("v1")
+            assert not reader.versions.needs_record("llm", "v1")
+            keeper.set_live(v2=2)
+            # A stream that began at v1 just before is taken up after a while.
+            await asyncio.sleep(3 * keeper.versions.lifetime_s)
+            assert await reader.find("r1") == "v1"
+
+        run(check())
+
+    def test_streams_of_every_version_are_recorded_while_it_retires(self):
+        async def check():
+            store = MemoryStore()
+            keeper, other = RouterLog(store, v1=2), RouterLog(store, "v2", v1=2)
+            await keeper.base("v1")
+            await other.base("v1")
+            keeper.set_live(v2=2)
+            async with asyncio.timeout(5):
+                while keeper.versions.base("llm").state is not BaseState.RETIRING:
+                    await asyncio.sleep(0.01)
+            # The version is back at another router first.
+            other.set_live(v2=2)
+            other.set_live(v1=1, v2=1)
+            await other.find("r1")
+            assert other.versions.needs_record("llm", "v1")
+
+        run(check())
+
+    def test_a_version_that_is_back_stays_the_base(self):
+        async def check():
+            store = MemoryStore()
+            router = RouterLog(store, v1=2)
+            await router.base("v1")
+            router.set_live(v2=2)
+            async with asyncio.timeout(5):
+                while router.versions.base("llm").state is not BaseState.RETIRING:
+                    await asyncio.sleep(0.01)
+            router.set_live(v1=1, v2=1)
+            await asyncio.sleep(1.5 * BASE_LIFETIME_S)
+            assert router.versions.base("llm") == BaseVersion(version="v1")
+            assert not router.versions.needs_record("llm", "v1")
+
+        run(check())
+
     def test_a_router_that_missed_the_change_still_finds_streams(self):
         async def check():
             store = MemoryStore()
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -15,6 +15,8 @@
     stream_head,
 )
 
+from citrondock_core.routing.stream_versions import BaseVersion
+
 ALL_EVENTS = b"".join(event(number) for number in range(6))
 
 
@@ -261,7 +263,7 @@
                 await asyncio.sleep(0.1)
                 versions = harness.process.stream_versions.versions
                 while versions.base("llm") is None:
-                    versions.set_base("llm", "", now_s=0)
+                    versions.set_base("llm", BaseVersion(version=""), now_s=0)
                     versions.is_read = True
                 if is_taken_up:
                     large |= {"Last_Event_Id": 2, "Resumes": "r"}
