--- a/packages/citrondock-core/src/citrondock_core/routing/stream_versions.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/stream_versions.py
@@ -62,6 +62,9 @@
     RETIRING = "retiring"
     """None; those without a record that began before are of the base version."""
 
+    OPEN = "open"
+    """None; records may be lost, so that the version of others is unknown."""
+
 
 @attrs.frozen(kw_only=True)
 class BaseVersion:
@@ -73,10 +76,13 @@
         Software version.
     state : BaseState
         Which streams begin without a record.
+    era : int
+        Era of the store that this was written in; in a later one records may be lost.
     """
 
     version: str
     state: BaseState = BaseState.SETTLED
+    era: int = 0
 
 
 @attrs.define
@@ -90,13 +96,19 @@
 
     base_known_since_s: float = -math.inf
     base_gone_at_s: float = math.inf
+    known_since_s: float = math.inf
+    """When the targets were first known."""
+
+    mixed_until_s: float = -math.inf
+    """When the last stream that began among several versions can't be taken up."""
 
     @property
     def is_mixed(self) -> bool:
-        """Whether another version than the base has targets."""
-        return self.base is None or any(
-            version != self.base.version for version in self.live
-        )
+        """Whether another version than the base has targets, or several have."""
+        versions = set(self.live)
+        if self.base is not None:
+            versions.add(self.base.version)
+        return len(versions) > 1
 
     @property
     def most_common(self) -> str:
@@ -117,6 +129,17 @@
     retires: streams of every version are recorded. A lifetime of streams later
     no stream without a record is left, and another version takes its place. A write of
     the store that is done late cannot skip the first step.
+
+    A store that comes back from a copy begins a new era, without the latest records.
+    What was written in an older era holds only while one version serves; otherwise the
+    base version is open for a lifetime of streams.
+
+    Attributes
+    ----------
+    is_read : bool
+        Whether base versions and records were read in the latest era.
+    era : int
+        Latest era of the store.
     """
 
     def __init__(self) -> None:
@@ -127,6 +150,7 @@
         self._purge_begun_at_s = -math.inf
         self._longest_deadline_s = 0.0
         self.is_read = False
+        self.era = 0
 
     @property
     def lifetime_s(self) -> float:
@@ -144,7 +168,10 @@
         """Apply the number of registered targets of each service and version."""
         for service in {*services, *self._services}:
             state = self._services.setdefault(service, _ServiceState())
+            self._note_mixed(state, now_s)
             state.live = services.get(service, {})
+            if state.live:
+                state.known_since_s = min(state.known_since_s, now_s)
             self._update(state, now_s)
 
     def set_base(self, service: str, base: BaseVersion, *, now_s: float) -> None:
@@ -158,7 +185,19 @@
         state.is_base_confirmed = True
         self._update(state, now_s)
 
+    def keep_bases(self, services: Collection[str]) -> None:
+        """Forget the base versions of all other services, as the store has none."""
+        for service, state in self._services.items():
+            if service not in services:
+                state.base = None
+
+    @staticmethod
+    def _note_mixed(state: _ServiceState, now_s: float) -> None:
+        if state.is_mixed:
+            state.mixed_until_s = now_s + MAX_LIFETIME_S
+
     def _update(self, state: _ServiceState, now_s: float) -> None:
+        self._note_mixed(state, now_s)
         if state.base is None or state.base.version in state.live:
             state.base_gone_at_s = math.inf
         elif state.live:
@@ -170,10 +209,32 @@
         state = self._services.get(service)
         return state.base if state is not None else None
 
-    def unrecorded_version(self, service: str) -> str | None:
+    def unrecorded_version(self, service: str, *, now_s: float) -> str | None:
         """Return the version of streams without a record; None if it is unknown."""
-        base = self.base(service)
-        return base.version if base is not None else None
+        state = self._services.get(service)
+        if state is None or state.base is None or self._is_open(state, now_s):
+            return None
+        return state.base.version
+
+    def _is_open(self, state: _ServiceState, now_s: float) -> bool:
+        """Return whether records may be lost of streams that can be taken up."""
+        base = state.base
+        if base is None or base.state is BaseState.OPEN:
+            return True
+        return base.era < self.era and self._was_mixed(state, now_s)
+
+    def _was_mixed(self, state: _ServiceState, now_s: float) -> bool:
+        """Return whether a stream may have begun at another version than the base.
+
+        That is unknown to a router which has not known the targets for as long as a
+        stream lasts.
+        """
+        is_new = now_s < state.known_since_s + self.lifetime_s
+        return is_new or state.is_mixed or now_s < state.mixed_until_s
+
+    def was_mixed(self, *, now_s: float) -> bool:
+        """Return whether streams of several versions may be taken up."""
+        return any(self._was_mixed(state, now_s) for state in self._services.values())
 
     @property
     def knows_several(self) -> bool:
@@ -196,17 +257,20 @@
 
     @property
     def lacks_base(self) -> bool:
-        """Whether the base version of a service with targets is unknown."""
+        """Whether a service with targets has no base version of the latest era."""
         return any(
-            state.live and state.base is None for state in self._services.values()
+            state.live and (state.base is None or state.base.era < self.era)
+            for state in self._services.values()
         )
 
-    def needs_record(self, service: str, version: str) -> bool:
+    def needs_record(self, service: str, version: str, *, now_s: float) -> bool:
         """Return whether a stream has to be recorded before it begins at a version."""
         state = self._services.get(service)
         if state is None or state.base is None or not state.is_base_confirmed:
             return True
-        return version != state.base.version or state.base.state != BaseState.SETTLED
+        if self._is_open(state, now_s) or state.base.state is BaseState.RETIRING:
+            return True
+        return version != state.base.version
 
     def add(self, records: Iterable[StreamRecord], *, expires_at_s: float) -> None:
         """Remember records until they expire."""
@@ -234,6 +298,13 @@
         expires_at_s = now_s + self.lifetime_s
         self._begun[request_id] = _BegunStream(version, expires_at_s)
 
+    def remembered(self) -> list[tuple[str, str]]:
+        """Return the keys and versions of the streams that were passed on here."""
+        return [
+            (stream_key(request_id), begun.version)
+            for request_id, begun in self._begun.items()
+        ]
+
     def remembered_version(self, request_id: str) -> str | None:
         """Return the version of a stream that was passed on here; None if unknown."""
         begun = self._begun.get(request_id)
@@ -251,10 +322,19 @@
             return None
         base = state.base
         if base is None:
-            # All streams are recorded until there is one.
-            return BaseVersion(version=state.most_common)
+            # A store that never had one loses nothing, as all streams are recorded.
+            is_open = now_s < state.mixed_until_s
+            return self._base(state.most_common, is_open=is_open)
+        if base.era < self.era:
+            is_open = self._is_open(state, now_s)
+            return self._base(base.version, is_open=is_open)
+        if base.state is BaseState.OPEN:
+            if now_s < state.base_known_since_s + MAX_LIFETIME_S:
+                return None
+            is_live = base.version in state.live
+            return self._base(base.version if is_live else state.most_common)
         if base.version in state.live:
-            settled = attrs.evolve(base, state=BaseState.SETTLED)
+            settled = self._base(base.version)
             return None if base == settled else settled
         if base.state is BaseState.SETTLED:
             if now_s < state.base_gone_at_s + RETIRE_AFTER_S:
@@ -262,7 +342,11 @@
             return attrs.evolve(base, state=BaseState.RETIRING)
         if now_s < state.base_known_since_s + MAX_LIFETIME_S:
             return None
-        return BaseVersion(version=state.most_common)
+        return self._base(state.most_common)
+
+    def _base(self, version: str, *, is_open: bool = False) -> BaseVersion:
+        state = BaseState.OPEN if is_open else BaseState.SETTLED
+        return BaseVersion(version=version, state=state, era=self.era)
 
 
 def count_versions(
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -300,7 +300,9 @@
 
     @override
     def needs_record(self, exchange: Exchange, version: str) -> bool:
-        return self._stream_versions.versions.needs_record(exchange.service, version)
+        return self._stream_versions.versions.needs_record(
+            exchange.service, version, now_s=self._loop.time()
+        )
 
     @override
     def can_record(self) -> bool:
--- a/packages/citrondock-router/src/citrondock_router/gateway/stream_record_writer.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/stream_record_writer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Collection
 
 import attrs
 
@@ -138,11 +139,29 @@
                 await self._store.delete(STREAM_VERSION_KIND, segment.name)
                 self._segments.remove(segment)
 
-    def write_again(self) -> None:
-        """Write all records once more, as the store may have lost them."""
+    def write_again(self, further: Collection[tuple[str, str]] = ()) -> None:
+        """Write all records once more, as the store may have lost them.
+
+        Parameters
+        ----------
+        further : collection of (str, str)
+            Keys and versions of streams that were not recorded before.
+        """
         for segment in self._segments:
             segment.is_closed = True
         self._lost_segments = list(self._segments)
+        if further:
+            now_s = self._loop.time()
+            self._lost_segments.append(
+                _Segment(
+                    number=0,
+                    name="",
+                    ends_at_s=now_s,
+                    expires_at_s=now_s + self._versions.lifetime_s,
+                    records=list(further),
+                    is_closed=True,
+                )
+            )
 
     def _copy_of(self, segment: _Segment) -> _Segment:
         """Return a new segment with the records of another one."""
--- a/packages/citrondock-router/src/citrondock_router/gateway/stream_version_log.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/stream_version_log.py
@@ -130,7 +130,7 @@
             loop=self._loop,
         )
         if era is not None:
-            era.on_change(self._handle_new_era)
+            era.on_change(lambda: self._handle_new_era(era.latest))
 
     @property
     def can_record(self) -> bool:
@@ -149,7 +149,9 @@
             self._unread_until_s = self._loop.time() + UNREAD_PAUSE_S
             return None
         recorded = self.versions.recorded_version(request_id)
-        version = recorded or self.versions.unrecorded_version(service)
+        version = recorded or self.versions.unrecorded_version(
+            service, now_s=self._loop.time()
+        )
         log_event(
             "stream_version_found",
             begun_by=request_id,
@@ -191,14 +193,13 @@
                 look_for_bases_at_s = now_s + KEEPER_DELAY_S
             if self.versions.knows_several:
                 must_read |= now_s >= self._read_at_s + MAX_BASE_AGE_S
-            if must_read and not await self._read():
-                await asyncio.sleep(RETRY_S)
-                continue
             try:
-                if now_s >= keeps_from_s:
+                await self._writer.maintain()
+                if must_read and not await self._read():
+                    await asyncio.sleep(RETRY_S)
+                elif now_s >= keeps_from_s:
                     await self._update_bases(self._store)
                     await self._delete_left_behind(self._store)
-                await self._writer.maintain()
             except WatchedStoreError as error:
                 log_event("stream_versions_unchanged", detail=str(error))
                 await asyncio.sleep(RETRY_S)
@@ -228,9 +229,11 @@
             began_s = self._loop.time()
             is_recent = began_s - self._read_at_s < MAX_CATCH_UP_S
             if not is_recent or not await self._read_changes(store):
+                snapshot = await store.list(STREAM_VERSION_KIND)
                 self._base_revisions.clear()
                 self._deletable_at_s.clear()
-                self._apply_snapshot(await store.list(STREAM_VERSION_KIND))
+                self._apply_snapshot(snapshot)
+                self.versions.keep_bases(self._base_revisions.keys())
             self._read_at_s = began_s
             self.versions.is_read = True
 
@@ -254,6 +257,7 @@
         return False
 
     def _apply_snapshot(self, snapshot: Snapshot) -> None:
+        self.versions.era = max(self.versions.era, snapshot.era)
         for item in snapshot.objects:
             self._apply(item)
         self._revision, self._era = snapshot.revision, snapshot.era
@@ -274,9 +278,10 @@
 
     def _apply_base(self, item: WatchedObject, value: Mapping[str, Any]) -> None:
         service = str(value["service"])
-        # Routers of an earlier release name no state.
+        # Routers of an earlier release name no state and no era.
         state = BaseState(value.get("state", BaseState.SETTLED.value))
-        base = BaseVersion(version=str(value["version"]), state=state)
+        era = int(value.get("era", self.versions.era))
+        base = BaseVersion(version=str(value["version"]), state=state, era=era)
         self._base_revisions[service] = item.revision
         self.versions.set_base(service, base, now_s=self._loop.time())
 
@@ -307,6 +312,7 @@
                 "service": service,
                 "version": base.version,
                 "state": base.state.value,
+                "era": base.era,
             }
             kind, name = STREAM_VERSION_KIND, _BASE_PREFIX + service
             revision = self._base_revisions.get(service)
@@ -319,6 +325,7 @@
                 service=service,
                 version=base.version,
                 state=base.state.value,
+                era=base.era,
                 before=before.version if before is not None else "",
                 done=written is not None,
             )
@@ -345,9 +352,13 @@
         keeper = self._peers.home_router_of(key, "", now_s=now_s)
         return keeper == self._peers.vm_name
 
-    def _handle_new_era(self) -> None:
+    def _handle_new_era(self, era: int) -> None:
         """Read and write everything again, as the store is back from a copy."""
         self._revision = None
         self.versions.is_read = False
-        if self._writer is not None:
-            self._writer.write_again()
+        self.versions.era = era
+        if self._writer is None:
+            return
+        # Others cannot know that a stream without a record had none before.
+        is_mixed = self.versions.was_mixed(now_s=self._loop.time())
+        self._writer.write_again(self.versions.remembered() if is_mixed else [])
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 import attrs
-from memory_store import MemoryStore
+from memory_store import MemoryStore, StoreDoor
 
 from citrondock_core.routing.route import (
     ClientLimits,
@@ -289,7 +289,8 @@
         )
         self.gateway = self.process.gateway
         self.store = self.store or MemoryStore()
-        self.process.use_store(self.store, StoreEra())
+        era = self.store.era if isinstance(self.store, StoreDoor) else StoreEra()
+        self.process.use_store(self.store, era)
         self._running = asyncio.ensure_future(self.process.run([]))
         if self.configured is not None:
             self.gateway.configure(self.configured)
--- a/tests/gateway/memory_store.py
+++ b/tests/gateway/memory_store.py
@@ -4,6 +4,7 @@
 import copy
 import functools
 
+from citrondock_router.gateway.store_era import StoreEra
 from citrondock_router.gateway.watched_store import (
     HistoryGoneError,
     Snapshot,
@@ -28,6 +29,8 @@
         Most changes that one answer to a watch has; the rest comes with the next.
     lost_writes : int
         How many of the next writes are not answered; `do_late` does them.
+    era : int
+        Rises with each `restore`.
     """
 
     def __init__(self):
@@ -35,6 +38,7 @@
         self.calls = []
         self.max_watched = 1000
         self.lost_writes = 0
+        self.era = 0
         self._late = []
         self.may_write = asyncio.Event()
         self.may_write.set()
@@ -62,6 +66,17 @@
         if self.is_down:
             raise WatchedStoreError("store is down", step=name)
 
+    def copy(self):
+        """Return a copy that the store may come back from."""
+        return dict(self._objects), self._revision
+
+    def restore(self, copied):
+        """Come back from a copy, without what was written since."""
+        objects, self._revision = copied
+        self._objects = dict(objects)
+        self._first_revision = 0
+        self.era += 1
+
     async def do_late(self):
         """Do the writes whose answers were lost, as far as their conditions hold."""
         late, self._late = self._late, []
@@ -90,7 +105,7 @@
             and item.revision > after_revision
             and (with_deleted or not item.is_deleted)
         ]
-        return Snapshot(objects=objects, revision=self._revision)
+        return Snapshot(objects=objects, revision=self._revision, era=self.era)
 
     def _known(self, kind, name):
         item = self._objects.get((kind, name))
@@ -102,14 +117,15 @@
 
     async def watch(self, kind, *, after_revision, wait_s):
         self._call("watch")
-        if after_revision < self._first_revision:
+        if not self._first_revision <= after_revision <= self._revision:
             raise HistoryGoneError("history is gone", step="watch")
         snapshot = self._snapshot(kind, after_revision, with_deleted=True)
         changes = sorted(snapshot.objects, key=lambda item: item.revision)
         if len(changes) <= self.max_watched:
             return snapshot
         changes = changes[: self.max_watched]
-        return Snapshot(objects=changes, revision=changes[-1].revision)
+        revision = changes[-1].revision
+        return Snapshot(objects=changes, revision=revision, era=self.era)
 
     async def create(self, kind, name, value):
         self._call("create")
@@ -146,34 +162,38 @@
     ----------
     is_closed : bool
         Whether all calls through this door fail.
+    era : StoreEra
+        Latest era that an answer through this door showed.
     """
 
     def __init__(self, store):
         self.is_closed = False
+        self.era = StoreEra()
         self._store = store
 
-    def _check(self, step):
+    async def _answer(self, call):
         if self.is_closed:
-            raise WatchedStoreError("store turns this router away", step=step)
+            call.close()
+            raise WatchedStoreError("store turns this router away", step="call")
+        answer = await call
+        self.era.observe(self._store.era)
+        return answer
 
     async def list(self, kind):
-        self._check("list")
-        return await self._store.list(kind)
+        return await self._answer(self._store.list(kind))
 
     async def watch(self, kind, *, after_revision, wait_s):
-        self._check("watch")
-        return await self._store.watch(
-            kind, after_revision=after_revision, wait_s=wait_s
+        return await self._answer(
+            self._store.watch(kind, after_revision=after_revision, wait_s=wait_s)
         )
 
     async def create(self, kind, name, value):
-        self._check("create")
-        return await self._store.create(kind, name, value)
+        return await self._answer(self._store.create(kind, name, value))
 
     async def replace(self, kind, name, value, *, revision=None):
-        self._check("replace")
-        return await self._store.replace(kind, name, value, revision=revision)
+        return await self._answer(
+            self._store.replace(kind, name, value, revision=revision)
+        )
 
     async def delete(self, kind, name):
-        self._check("delete")
-        await self._store.delete(kind, name)
+        await self._answer(self._store.delete(kind, name))
--- a/tests/gateway/test_stream_version_log.py
+++ b/tests/gateway/test_stream_version_log.py
@@ -4,7 +4,7 @@
 
 import pytest
 from harness import run
-from memory_store import MemoryStore
+from memory_store import MemoryStore, StoreDoor
 
 from citrondock_core.routing.peer_table import PeerTable
 from citrondock_core.routing.stream_versions import (
@@ -13,7 +13,6 @@
     StreamVersions,
 )
 from citrondock_router.gateway import stream_record_writer, stream_version_log
-from citrondock_router.gateway.store_era import StoreEra
 from citrondock_router.gateway.stream_record_writer import StreamNotRecordedError
 from citrondock_router.gateway.stream_version_log import StreamVersionLog
 
@@ -43,18 +42,25 @@
         self.log = StreamVersionLog(
             self.versions, PeerTable(name, "z1"), writer_name=name, loop=self.loop
         )
-        self.era = StoreEra()
-        self.log.use_store(store, era=self.era)
+        door = store if isinstance(store, StoreDoor) else store.door()
+        self.era = door.era
+        self.log.use_store(door, era=self.era)
         self.set_live(**live)
         self.task = asyncio.ensure_future(self.log.run())
 
     def set_live(self, **live):
         self.versions.set_live({"llm": live}, now_s=self.loop.time())
 
+    def unrecorded(self):
+        return self.versions.unrecorded_version("llm", now_s=self.loop.time())
+
+    def needs_record(self, version):
+        return self.versions.needs_record("llm", version, now_s=self.loop.time())
+
     async def base(self, version):
         """Wait until the base version is this one."""
         async with asyncio.timeout(5):
-            while self.versions.unrecorded_version("llm") != version:
+            while self.unrecorded() != version:
                 await asyncio.sleep(0.01)
 
     async def find(self, request_id):
@@ -70,7 +76,7 @@
             await router.base("v1")
             await asyncio.sleep(0.05)
             store.calls.clear()
-            assert not router.versions.needs_record("llm", "v1")
+            assert not router.needs_record("v1")
             await asyncio.sleep(0.05)
             assert store.calls == []
 
@@ -110,8 +116,8 @@
             await first.base("v1")
             for router in (first, second):
                 router.set_live(v1=1, v2=1)
-            assert not first.versions.needs_record("llm", "v1")
-            assert first.versions.needs_record("llm", "v2")
+            assert not first.needs_record("v1")
+            assert first.needs_record("v2")
             await first.log.record("v2", "r2")
             assert await second.find("r2") == "v2"
             assert await second.find("r1") == "v1"
@@ -388,9 +394,8 @@
             await router.base("v1")
             router.set_live(v1=1, v2=1)
             await router.log.record("v2", "r1")
-            store._objects.clear()
-            router.era.observe(1)
-            router.era.observe(2)
+            store.restore(({}, 1))
+            router.era.observe(store.era)
             await asyncio.sleep(0.1)
             restarted = RouterLog(store, name="v2", v2=2)
             assert await restarted.find("r1") == "v2"
@@ -398,6 +403,101 @@
         run(check())
 
 
+class TestRestoredStore:
+    @pytest.fixture(autouse=True)
+    def _short_deadlines(self, monkeypatch):
+        monkeypatch.setattr(f"{__name__}.DEADLINE_S", 0.05)
+
+    async def _two_routers(self, store):
+        """Return two routers that know two versions for longer than a lifetime."""
+        first, second = RouterLog(store, v1=2), RouterLog(store, "v2", v1=2)
+        await first.base("v1")
+        await second.base("v1")
+        for router in (first, second):
+            router.set_live(v1=1, v2=1)
+        await asyncio.sleep(2 * first.versions.lifetime_s)
+        return first, second
+
+    def test_a_stream_whose_record_may_be_lost_has_no_known_version(self):
+        # Guards against joined streams: a copy of the store lacked the record of a
+        # stream whose router had ended, so that it was taken for one of the base.
+        async def check():
+            store = MemoryStore()
+            first, second = await self._two_routers(store)
+            copied = store.copy()
+            await first.log.record("v2", "r1")
+            store.restore(copied)
+            first.task.cancel()
+            assert await second.find("r1") is None
+            await asyncio.sleep(0.2)
+            assert await second.find("r1") is None
+            assert second.versions.base("llm").state is BaseState.OPEN
+
+        run(check())
+
+    def test_streams_of_a_router_that_runs_are_found(self):
+        async def check():
+            store = MemoryStore()
+            first, second = await self._two_routers(store)
+            copied = store.copy()
+            await first.log.record("v2", "r2")
+            for request_id, version in (("r1", "v1"), ("r2", "v2")):
+                now_s = first.loop.time()
+                first.versions.remember(request_id, version, now_s=now_s)
+            store.restore(copied)
+            await first.find("any")
+            await asyncio.sleep(0.1)
+            assert await second.find("r1") == "v1"
+            assert await second.find("r2") == "v2"
+
+        run(check())
+
+    def test_streams_that_begin_afterwards_are_recorded(self):
+        async def check():
+            store = MemoryStore()
+            first, second = await self._two_routers(store)
+            store.restore(store.copy())
+            await first.find("any")
+            assert first.needs_record("v1") and first.needs_record("v2")
+            await first.log.record("v1", "r1")
+            assert await second.find("r1") == "v1"
+            async with asyncio.timeout(5):
+                while first.needs_record("v1"):
+                    await asyncio.sleep(0.05)
+            assert await second.find("unrecorded") == "v1"
+
+        run(check())
+
+    def test_streams_of_the_only_version_go_on(self):
+        async def check():
+            store = MemoryStore()
+            first, second = RouterLog(store, v1=2), RouterLog(store, "v2", v1=2)
+            await first.base("v1")
+            await second.base("v1")
+            await asyncio.sleep(2 * first.versions.lifetime_s)
+            store.restore(store.copy())
+            assert await second.find("r1") == "v1"
+            await asyncio.sleep(0.2)
+            assert second.versions.base("llm").era == store.era
+            assert not second.needs_record("v1")
+            assert await second.find("r1") == "v1"
+
+        run(check())
+
+    def test_a_base_version_that_the_copy_lacks_is_open(self):
+        async def check():
+            store = MemoryStore()
+            first, second = await self._two_routers(store)
+            store.restore(({}, 1))
+            assert await second.find("r1") is None
+            first.era.observe(store.era)
+            await asyncio.sleep(0.2)
+            assert first.versions.base("llm").state is BaseState.OPEN
+            assert await second.find("r1") is None
+
+        run(check())
+
+
 class TestBaseVersion:
     def test_it_changes_once_no_stream_of_the_old_one_can_be_taken_up(self):
         async def check():
@@ -421,7 +521,7 @@
             keeper, reader = RouterLog(store, v1=2), RouterLog(store, "v2", v1=2)
             await keeper.base("v1")
             await reader.base("v1")
-            assert not reader.versions.needs_record("llm", "v1")
+            assert not reader.needs_record("v1")
             keeper.set_live(v2=2)
             # A stream that began at v1 just before is taken up after a while.
             await asyncio.sleep(3 * keeper.versions.lifetime_s)
@@ -443,7 +543,7 @@
             other.set_live(v2=2)
             other.set_live(v1=1, v2=1)
             await other.find("r1")
-            assert other.versions.needs_record("llm", "v1")
+            assert other.needs_record("v1")
 
         run(check())
 
@@ -459,7 +559,7 @@
             router.set_live(v1=1, v2=1)
             await asyncio.sleep(1.5 * BASE_LIFETIME_S)
             assert router.versions.base("llm") == BaseVersion(version="v1")
-            assert not router.versions.needs_record("llm", "v1")
+            assert not router.needs_record("v1")
 
         run(check())
 
@@ -488,6 +588,6 @@
                 router.set_live(v2=2)
             await first.base("v2")
             second.set_live(v1=1, v2=1)
-            assert second.versions.needs_record("llm", "v1")
+            assert second.needs_record("v1")
 
         run(check())
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -15,8 +15,6 @@
     stream_head,
 )
 
-from citrondock_core.routing.stream_versions import BaseVersion
-
 ALL_EVENTS = b"".join(event(number) for number in range(6))
 
 
@@ -261,10 +259,8 @@
                 large = {**self.headers(), "Token_Usage": "1000,90000"}
                 first = asyncio.ensure_future(harness.get("/model/x", "r0", **large))
                 await asyncio.sleep(0.1)
-                versions = harness.process.stream_versions.versions
-                while versions.base("llm") is None:
-                    versions.set_base("llm", BaseVersion(version=""), now_s=0)
-                    versions.is_read = True
+                base = {"service": "llm", "version": ""}
+                await harness.store.create("stream-versions", "base.llm", base)
                 if is_taken_up:
                     large |= {"Last_Event_Id": 2, "Resumes": "r"}
                 reply = await harness.get("/model/x", "r1", **large)
