--- a/tests/gateway/stream_histories.py
+++ b/tests/gateway/stream_histories.py
@@ -47,7 +47,7 @@
 
 @attrs.define(eq=False)
 class Target:
-    """A target and its entry."""
+    """One incarnation of a target, and its entry."""
 
     target_id: str
     version: str
@@ -225,10 +225,15 @@
     ----------
     seed : int
         Decides on everything that happens.
+    entry_lag_s : float
+        Time after which a target that has crashed is back under its id, perhaps with
+        another version, while its entry is still the old one. By default the old
+        entry is gone from all lists by then.
     """
 
-    def __init__(self, seed):
+    def __init__(self, seed, *, entry_lag_s=None):
         self.rng = random.Random(seed)
+        self.entry_lag_s = entry_lag_s
         self.weights = PROFILES[seed % len(PROFILES)]
         self.store = TroubledStore(self.rng)
         self.store_troubled_until_s = -IN_TOUCH_S
@@ -361,12 +366,32 @@
         for target in running[: self.rng.choice((1, 2, 8))]:
             target.is_running = False
             self.note(f"{target.target_id} {target.version} crashes")
+        if self.entry_lag_s is not None:
+            await self._restart([target for target in running if not target.is_running])
+            return
         await asyncio.sleep(ENTRY_TIMEOUT_S)
         for target in running:
             target.is_registered = target.is_registered and target.is_running
         if not any(target.is_registered for target in self.targets):
             self.join(2)
 
+    async def _restart(self, crashed):
+        """Start crashed targets again at another version, before their entries say so.
+
+        The routers' lists have the old entries for `entry_lag_s`.
+        """
+        await asyncio.sleep(0.5)
+        self.version_count += 1
+        version = f"s{self.version_count}"
+        restarted = [
+            Target(target.target_id, version, is_registered=False) for target in crashed
+        ]
+        self.targets += restarted
+        self.note(f"{len(crashed)} targets restart under their ids as {version}")
+        await asyncio.sleep(self.entry_lag_s)
+        for before, target in zip(crashed, restarted, strict=True):
+            target.is_registered, before.is_registered = before.is_registered, False
+
     async def _return_to_old(self):
         """Let targets of an earlier version join."""
         version = f"s{self.rng.randint(1, self.version_count)}"
@@ -471,13 +496,13 @@
                 self.spawn(self._run_client(router, f"r{next(self.numbers)}"))
 
     def _choose_target(self, router, version=None):
-        """Return a running target that a router knows, perhaps of one version."""
+        """Return a running target that a router knows, perhaps at one version."""
         known = [
             target
             for target in self.targets
-            if target.target_id in router.targets
-            and target.is_running
-            and version in (None, target.version)
+            if target.is_running
+            and target.target_id in router.targets
+            and version in (None, router.targets[target.target_id])
         ]
         return self.rng.choice(known) if known else None
 
@@ -493,9 +518,7 @@
             router = self._choose_router()
             if not router.is_running or self.now_s >= deadline_s:
                 return
-            if not await self._take_up(router, request_id, target.version, deadline_s):
-                return
-            target = self._choose_target(router, target.version)
+            target = await self._take_up(router, request_id, target.version, deadline_s)
             if target is None:
                 return
 
@@ -505,12 +528,13 @@
         incarnation = router.incarnation
         if target is None:
             return None
+        version = router.targets[target.target_id]
         router.versions.observe_deadline(deadline_s - self.now_s)
         written = None
-        if router.versions.needs_record(SERVICE, target.version, now_s=self.now_s):
+        if router.versions.needs_record(SERVICE, version, now_s=self.now_s):
             if not router.log.can_record:
                 return None
-            written = router.log.record(target.version, request_id)
+            written = router.log.record(version, request_id)
         await asyncio.sleep(self.rng.uniform(0.05, 0.8))
         if written is not None:
             try:
@@ -521,7 +545,7 @@
             return None
         if not target.is_running:
             return None
-        router.versions.remember(request_id, target.version, now_s=self.now_s)
+        router.versions.remember(request_id, version, now_s=self.now_s)
         return target
 
     async def _runs_until_broken(self, router, target, deadline_s):
@@ -537,7 +561,7 @@
         return is_broken_then
 
     async def _take_up(self, router, request_id, version, deadline_s):
-        """Return whether a stream goes on; note it if that is at another version."""
+        """Return the target at which a stream goes on; None if it does not."""
         incarnation = router.incarnation
         router.versions.observe_deadline(deadline_s - self.now_s)
         is_sound = router.is_sound
@@ -545,23 +569,25 @@
         if found is None:
             found = await router.log.find_version(SERVICE, request_id)
         if not (router.is_running and router.incarnation == incarnation):
-            return False
+            return None
         # The rule counts streams while two targets of their version serve.
-        known = [
+        serving = [
             target.version
             for target in self.targets
             if target.is_running and target.target_id in router.targets
         ]
-        is_counted = is_sound and router.is_sound and known.count(version) > 1
+        is_counted = is_sound and router.is_sound and serving.count(version) > 1
         self.counts.taken_up += 1
         self.counts.sound_taken_up += is_counted
-        if found is not None and found != version and found in known:
-            line = f"{request_id} of {version} goes on at {found} at {router.vm_name}"
-            self.note(line)
-            self.counts.joined.append(line)
-        if found != version:
+        target = None if found is None else self._choose_target(router, found)
+        if target is None:
             self.counts.refused += 1
-            return False
+            return None
         self.counts.gone_on += 1
         self.counts.sound_gone_on += is_counted
-        return True
+        if target.version != version:
+            line = f"{request_id} of {version} goes on at {target.version}"
+            self.note(f"{line} at {router.vm_name}")
+            self.counts.joined.append(line)
+            return None
+        return target
--- a/tests/gateway/test_stream_histories.py
+++ b/tests/gateway/test_stream_histories.py
@@ -20,6 +20,7 @@
 SEEDS = int(os.environ.get("HISTORIES", "10"))
 CALM_S = 12.0
 TROUBLED_S = 240.0
+ENTRY_LAG_S = 1.1
 MIN_SHARE_THAT_GOES_ON = 0.5
 """Of the streams taken up in touch with a sound store, relative to those that begin."""
 
@@ -44,11 +45,11 @@
     return simulated
 
 
-def play(seed, time_of_day, **times):
+def play(seed, time_of_day, *, entry_lag_s=None, **times):
     """Play one history; return the fleet."""
 
     async def main():
-        fleet = Fleet(seed)
+        fleet = Fleet(seed, entry_lag_s=entry_lag_s)
         time_of_day.loop = asyncio.get_running_loop()
         await fleet.play(**times)
         return fleet
@@ -77,3 +78,18 @@
             asked += counts.begun + counts.not_begun
         assert taken_up > 100
         assert gone_on / taken_up >= MIN_SHARE_THAT_GOES_ON * begun / asked
+
+
+class TestRestartsUnderAnId:
+    def test_no_stream_goes_on_at_another_version(self, time_of_day):
+        # Guards against joined streams: a target is back at another version before its
+        # entry says so, and what begins there counts as the old version.
+        for seed in range(FIRST_SEED, FIRST_SEED + len(PROFILES)):
+            fleet = play(
+                seed,
+                time_of_day,
+                entry_lag_s=ENTRY_LAG_S,
+                calm_s=CALM_S,
+                troubled_s=TROUBLED_S,
+            )
+            assert not fleet.counts.joined, "\n".join(fleet.events)
