--- a/packages/citrondock-core/src/citrondock_core/routing/stream_versions.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/stream_versions.py
@@ -16,15 +16,21 @@
 targets may serve on for seconds after their entries are gone, and clocks differ."""
 
 MAX_LIFETIME_S = 60.0
-"""Longest time for which streams are remembered, and for which a base version retires:
-longer than `MAX_BASE_AGE_S` and the longest deadline of a client together."""
+"""Longest time for which streams are remembered."""
 
-MAX_BASE_AGE_S = 15.0
+MAX_UNRECORDED_S = 20.0
+"""Longest deadline of a client with which a stream may begin without a record."""
+
+MAX_BASE_AGE_S = 5.0
 """Age of a base version at which a router that knows several versions reads it anew."""
 
-RETIRE_AFTER_S = 5.0
+RETIRE_AFTER_S = 2.0
 """Time without targets of the base version after which it begins to retire."""
 
+RETIREMENT_S = MAX_BASE_AGE_S + MAX_UNRECORDED_S + 2.0
+"""Time from the decision that streams of every version are recorded until none is left
+that began without a record, at a router that did not know of it yet."""
+
 PURGE_PERIOD_S = 5.0
 """Period in which streams that were passed on here are forgotten."""
 
@@ -126,13 +132,13 @@
     """What this router knows of base versions and records.
 
     The base version changes in two steps. Once it has had no targets for a while, it
-    retires: streams of every version are recorded. A lifetime of streams later
-    no stream without a record is left, and another version takes its place. A write of
-    the store that is done late cannot skip the first step.
+    retires: streams of every version are recorded. After `RETIREMENT_S` no stream
+    without a record is left, and another version takes its place. A write of the store
+    that is done late cannot skip the first step.
 
     A store that comes back from a copy begins a new era, without the latest records.
     What was written in an older era holds only while one version serves; otherwise the
-    base version is open for a lifetime of streams.
+    base version is open for `MAX_LIFETIME_S`.
 
     Attributes
     ----------
@@ -263,8 +269,22 @@
             for state in self._services.values()
         )
 
-    def needs_record(self, service: str, version: str, *, now_s: float) -> bool:
-        """Return whether a stream has to be recorded before it begins at a version."""
+    def needs_record(
+        self, service: str, version: str, *, time_left_s: float, now_s: float
+    ) -> bool:
+        """Return whether a stream has to be recorded before it begins at a version.
+
+        Parameters
+        ----------
+        service, version : str
+            Service and software version of its target.
+        time_left_s : float
+            Time for which the client may take it up.
+        now_s : float
+            Monotonic time.
+        """
+        if time_left_s > MAX_UNRECORDED_S:
+            return True
         state = self._services.get(service)
         if state is None or state.base is None or not state.is_base_confirmed:
             return True
@@ -340,7 +360,7 @@
             if now_s < state.base_gone_at_s + RETIRE_AFTER_S:
                 return None
             return attrs.evolve(base, state=BaseState.RETIRING)
-        if now_s < state.base_known_since_s + MAX_LIFETIME_S:
+        if now_s < state.base_known_since_s + RETIREMENT_S:
             return None
         return self._base(state.most_common)
 
--- a/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/exchange.py
@@ -327,6 +327,11 @@
         """Unique key of this request in the load statistics of a target."""
         return f"{self.facts.request_id}/{id(self)}"
 
+    @property
+    def client_time_left_s(self) -> float:
+        """Time in seconds that the client had left at the request's arrival."""
+        return self.facts.time_left_s or self.route.timeout_s
+
     @property
     def on_time_until_s(self) -> float:
         """Loop time after which the first byte of the response is late.
--- a/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/scheduler.py
@@ -214,9 +214,7 @@
             exchange.account, exchange.facts, now_s=now_s
         )
         if exchange.may_be_taken_up:
-            self._stream_versions.versions.observe_deadline(
-                exchange.facts.time_left_s or exchange.route.timeout_s
-            )
+            self._stream_versions.versions.observe_deadline(exchange.client_time_left_s)
         if exchange.takes_up_stream:
             exchange.take_up_stream()
         else:
@@ -301,7 +299,10 @@
     @override
     def needs_record(self, exchange: Exchange, version: str) -> bool:
         return self._stream_versions.versions.needs_record(
-            exchange.service, version, now_s=self._loop.time()
+            exchange.service,
+            version,
+            time_left_s=exchange.client_time_left_s,
+            now_s=self._loop.time(),
         )
 
     @override
--- a/tests/gateway/stream_histories.py
+++ b/tests/gateway/stream_histories.py
@@ -529,9 +529,12 @@
         if target is None:
             return None
         version = router.targets[target.target_id]
-        router.versions.observe_deadline(deadline_s - self.now_s)
+        left_s = deadline_s - self.now_s
+        router.versions.observe_deadline(left_s)
         written = None
-        if router.versions.needs_record(SERVICE, version, now_s=self.now_s):
+        if router.versions.needs_record(
+            SERVICE, version, time_left_s=left_s, now_s=self.now_s
+        ):
             if not router.log.can_record:
                 return None
             written = router.log.record(version, request_id)
--- a/tests/gateway/test_stream_version_log.py
+++ b/tests/gateway/test_stream_version_log.py
@@ -8,6 +8,7 @@
 
 from citrondock_core.routing.peer_table import PeerTable
 from citrondock_core.routing.stream_versions import (
+    MAX_UNRECORDED_S,
     BaseState,
     BaseVersion,
     StreamVersions,
@@ -26,6 +27,7 @@
     monkeypatch.setattr(stream_version_log, "KEEPER_DELAY_S", 0.05)
     for name, value_s in (
         ("LIFETIME_MARGIN_S", 0.1),
+        ("RETIREMENT_S", BASE_LIFETIME_S),
         ("MAX_LIFETIME_S", BASE_LIFETIME_S),
         ("RETIRE_AFTER_S", 0.05),
     ):
@@ -54,8 +56,10 @@
     def unrecorded(self):
         return self.versions.unrecorded_version("llm", now_s=self.loop.time())
 
-    def needs_record(self, version):
-        return self.versions.needs_record("llm", version, now_s=self.loop.time())
+    def needs_record(self, version, time_left_s=DEADLINE_S):
+        return self.versions.needs_record(
+            "llm", version, time_left_s=time_left_s, now_s=self.loop.time()
+        )
 
     async def base(self, version):
         """Wait until the base version is this one."""
@@ -529,6 +533,15 @@
 
         run(check())
 
+    def test_streams_that_may_outlast_its_retirement_are_recorded(self):
+        async def check():
+            router = RouterLog(MemoryStore(), v1=2)
+            await router.base("v1")
+            assert not router.needs_record("v1", MAX_UNRECORDED_S)
+            assert router.needs_record("v1", MAX_UNRECORDED_S + 1)
+
+        run(check())
+
     def test_streams_of_every_version_are_recorded_while_it_retires(self):
         async def check():
             store = MemoryStore()
