--- a/tests/features/at_most_once.feature
+++ b/tests/features/at_most_once.feature
@@ -11,7 +11,18 @@
   Scenario: A booking is retried at another router
     Given two routers in front of a booking service
     And a booking that router-a1 has answered
+    When the caller retries the booking at router-b1 while its claim is held
+    Then the caller gets the first answer again
+    And the service ran the booking once
+
+  Scenario: A booking is retried before its answer is in the store
+    Given two routers in front of a booking service
+    And the calls of router-a1 to the object store take 0.3 seconds
+    When a caller sends a booking to router-a1
+    Then the caller gets a successful answer
     When the caller retries the booking at router-b1
+    Then the caller gets an error with ran="maybe"
+    When the caller retries the booking at router-b1 while its claim is held
     Then the caller gets the first answer again
     And the service ran the booking once
 
@@ -69,7 +80,7 @@
     And the object store drops the answers to the next 2 writes of claims
     When a caller sends a booking to router-a1
     Then the caller gets a successful answer
-    When the caller retries the booking at router-b1
+    When the caller retries the booking at router-b1 while its claim is held
     Then the caller gets the first answer again
     And the service ran the booking once
 
--- a/tests/features/test_at_most_once.py
+++ b/tests/features/test_at_most_once.py
@@ -200,6 +200,12 @@
     context.fleet.set_faults(STORE, late, sender="router-a1")
 
 
+@given("the calls of router-a1 to the object store take 0.3 seconds")
+def _(context):
+    late = Fault(kind=FaultKind.DELAY, direction=Direction.TO_TARGET, delay_ms=300)
+    context.fleet.set_faults(STORE, late, sender="router-a1")
+
+
 @when("a caller sends ten bookings, each twice to both routers at the same time")
 def _(context):
     keys = [uuid.uuid4().hex for _ in range(10)]
@@ -236,6 +242,24 @@
     wait_until(is_answered)
 
 
+@when(
+    parsers.re(
+        r"the caller retries the booking at (?P<router>\S+) while its claim is held"
+    )
+)
+def _(context, router):
+    def has_ended():
+        context.answer = context.send(router)
+        if context.answer.status == 409:
+            # The outcome is written after the caller got its answer.
+            assert context.answer.json()["error"]["reason"] == "claim_held"
+            assert ran_field(context.answer) == "maybe"
+            assert float(context.answer.headers["Retry-After"]) > 0
+        return context.answer.status != 409
+
+    wait_until(has_ended)
+
+
 @when("the caller sends another booking with the same key to router-b1")
 def _(context):
     context.answer = context.send("router-b1", body='{"slot": "another"}')
