--- a/packages/citrondock-core/src/citrondock_core/routing/stream_versions.py
+++ b/packages/citrondock-core/src/citrondock_core/routing/stream_versions.py
@@ -342,7 +342,8 @@
             return None
         base = state.base
         if base is None:
-            # A store that never had one loses nothing, as all streams are recorded.
+            # All streams are recorded until there is one, but a copy of the store may
+            # lack it together with records.
             is_open = now_s < state.mixed_until_s
             return self._base(state.most_common, is_open=is_open)
         if base.era < self.era:
--- a/packages/citrondock-router/src/citrondock_router/gateway/stream_record_writer.py
+++ b/packages/citrondock-router/src/citrondock_router/gateway/stream_record_writer.py
@@ -131,8 +131,12 @@
             If there is no usable answer.
         """
         while self._lost_segments:
-            await self._write_segment(self._copy_of(self._lost_segments[0]))
-            del self._lost_segments[0]
+            lost = self._lost_segments.pop(0)
+            try:
+                await self._write_segment(self._copy_of(lost))
+            except WatchedStoreError:
+                self._lost_segments.append(lost)
+                raise
         now_s = self._loop.time()
         for segment in list(self._segments):
             if now_s >= segment.expires_at_s:
@@ -239,7 +243,8 @@
             )
         if segment.revision is None:
             # Only this router writes the object, so the store has lost it.
-            self._lost_segments.append(segment)
+            if segment not in self._lost_segments:
+                self._lost_segments.append(segment)
             raise WatchedStoreError(
                 f"object was not at revision {before}", step=f"write {kind}/{name}"
             )
