--- a/tests/gateway/test_evacuated_zones.py
+++ b/tests/gateway/test_evacuated_zones.py
@@ -19,6 +19,7 @@
 )
 
 from citrondock_core.routing.route import ServiceOptions
+from citrondock_core.routing.store_position import StorePosition
 from citrondock_core.routing.warm_up import WarmUpOptions
 
 PROMPT = {"Model": "m", "Token_Usage": "400,10", "Prefix_Hash": "a1:100,b:300"}
@@ -45,7 +46,10 @@
 
 
 def evacuate(harness, *zones):
-    harness.gateway.scheduler.set_evacuated_zones(frozenset(zones))
+    """Apply a listing of evacuations, as the housekeeping goes by the last one."""
+    position = StorePosition(0, 1)
+    harness.process.evacuations.replace(zones, position=position, now_s=0)
+    harness.process.evacuations_changed()
 
 
 def zone_pair(service):
