--- a/review/standins_3/testbed.py
+++ b/review/standins_3/testbed.py
@@ -223,6 +223,8 @@
     ----------
     runs : list of tuple
         Request id and version of each run that has begun.
+    bodies : dict of str
+        Body of each plain request that was run, by its id.
     """
 
     def __init__(
@@ -243,6 +245,7 @@
         self.service = service
         self.version = version
         self.runs: list[tuple[str, str]] = []
+        self.bodies: dict[str, bytes] = {}
         self.refused_count = 0
         self._store = store
         self._record = record
@@ -292,8 +295,8 @@
         try:
             while True:
                 first, headers = await read_message(reader)
-                await read_body(reader, headers)
-                await self._respond(first, headers, writer)
+                body = await read_body(reader, headers)
+                await self._respond(first, headers, body, writer)
                 await writer.drain()
         except ENDS:
             pass
@@ -302,7 +305,11 @@
             writer.close()
 
     async def _respond(
-        self, first: str, headers: dict[str, str], writer: asyncio.StreamWriter
+        self,
+        first: str,
+        headers: dict[str, str],
+        body: bytes,
+        writer: asyncio.StreamWriter,
     ) -> None:
         request_id = headers.get("request-id", "")
         fields: dict[str, object] = {"Request-Id": request_id, "Content-Length": 0}
@@ -330,13 +337,14 @@
             else:
                 await asyncio.sleep(self._work_s)
                 self.runs.append((request_id, self.version))
-                body = b"x" * self._answer_bytes
+                self.bodies[request_id] = body
+                answer = b"x" * self._answer_bytes
                 fields = {
                     "Request-Id": request_id,
                     "Response-Signature": f"s.{request_id}",
-                    "Content-Length": len(body),
+                    "Content-Length": len(answer),
                 }
-                writer.write(message("HTTP/1.1 200 OK", fields, body))
+                writer.write(message("HTTP/1.1 200 OK", fields, answer))
         finally:
             self._running -= 1
 
