review: addresses of their own for scripts that run together

Each script now draws a loopback network. The store stand-in can cut off watches, and a script that gets SIGTERM ends its routers.

--- a/review/standins_3/testbed.py
+++ b/review/standins_3/testbed.py
@@ -31,6 +31,7 @@
 TOKENS_PER_EVENT = 4
 
 HOST_NAME = "library.example"
+_NETWORK = f"127.{random.randint(1, 254)}.{random.randint(0, 254)}"
 ENDS = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError)
 """How a connection of a stand-in ends; it is cancelled at the end of the script."""
 
@@ -47,6 +48,11 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def machine_address(number: int) -> str:
+    """Return the loopback address of a machine; other scripts have other ones."""
+    return f"{_NETWORK}.{number + 11}"
+
+
 class Record:
     """Lines of `record.txt`: what was sent, answered and run."""
 
@@ -101,6 +107,7 @@
         self._events: list[tuple[int, str, dict]] = []
         self._revision = 100
         self._changed = asyncio.Condition()
+        self._cut_count = 0
         self.address = ""
 
     async def start(self, host: str) -> None:
@@ -136,6 +143,12 @@
         await self._tell(kind, {**found, "metadata": metadata}, deleted=True)
         return True
 
+    async def cut_watches(self) -> None:
+        """Cut off all watches that wait now."""
+        self._cut_count += 1
+        async with self._changed:
+            self._changed.notify_all()
+
     async def _tell(self, kind: str, found: dict, *, deleted: bool) -> None:
         event = {"object": found, "deleted": deleted}
         self._events.append((self._revision, kind, event))
@@ -202,7 +215,10 @@
         self, kind: str, after: int, query: dict[str, str]
     ) -> tuple[int, object]:
         until_s = time.monotonic() + int(query.get("waitMs", "0")) / 1000
+        cut_count = self._cut_count
         while True:
+            if cut_count != self._cut_count:
+                raise ConnectionAbortedError("the watch is cut off")
             events = [
                 event
                 for revision, other, event in self._events
@@ -526,7 +542,7 @@
 
 def _free_ports(host: str) -> tuple[int, int, int]:
     """Return two free ports, and the first of two neighbouring ones."""
-    for internal in range(17400 + os.getpid() % 2000, 60000, 7):
+    for internal in range(17400, 30000, 7):
         with contextlib.ExitStack() as stack:
             try:
                 for kind, port in (
@@ -669,6 +685,10 @@
     """
 
     async def run() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        # The processes have to end, too, if the script is told to.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         record = Record(folder)
         try:
             with tempfile.TemporaryDirectory() as temporary:
@@ -684,7 +704,7 @@
 
     try:
         held = asyncio.run(run())
-    except (CannotRunError, TimeoutError, OSError) as error:
+    except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}", file=sys.stderr)
         sys.exit(UNABLE)
     print("held" if held else "broken")
